Lay out the workspace, the shared types, the ports and the schemas

Cause: the crates are to be built side by side, so the borders come first. Change: workspace of ten packages; names, numbers, declared configuration, reports; one trait for each thing outside, with a named step on every call; operator and peer schemas with committed generated code; the check script. The protocols towards platform and backend servers are written down in docs/design/outside-protocols.md. Ruled out: a port without step names, since faults could then only be brought about by count.

--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators command line.
+fn main() {}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! The node.
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/address_order.rs
@@ -0,0 +1,25 @@
+//! Which nodes a customer's requests for a service should go to.
+
+use comfreyturn_types::{CustomerName, NodeId, ServiceName};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Orders nodes by rendezvous hashing, the preferred one first.
+///
+/// All nodes that know the same roster give the same order, and a node that comes or goes moves
+/// only the keys that it holds.
+pub fn rendezvous_order<'a>(
+    key: &str,
+    nodes: impl IntoIterator<Item = &'a NodeId>,
+) -> Vec<&'a NodeId> {
+    let mut ranked: Vec<_> = nodes
+        .into_iter()
+        .map(|node| (xxh3_64(format!("{key}\u{0}{node}").as_bytes()), node))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
+
+/// The key under which the nodes of a customer and service are ordered.
+pub fn address_key(service: &ServiceName, customer: &CustomerName) -> String {
+    format!("{service}\u{0}{customer}")
+}
--- /dev/null
+++ b/crates/ports/src/lib.rs
@@ -0,0 +1,21 @@
+//! The borders of the system: one trait for each thing outside it.
+//!
+//! Protocols and decisions know only these traits. `comfreyturn_adapters` implements them over
+//! TCP, `comfreyturn_standin` in memory with faults. Every call names the [`Step`] of the protocol
+//! it belongs to, so that a test can bring about any fault at any step.
+
+mod backend_transport;
+mod clock;
+mod engine_control;
+mod peer_link;
+mod step;
+mod table_store;
+mod vm_directory;
+
+pub use backend_transport::*;
+pub use clock::*;
+pub use engine_control::*;
+pub use peer_link::*;
+pub use step::*;
+pub use table_store::*;
+pub use vm_directory::*;
--- /dev/null
+++ b/crates/ports/src/step.rs
@@ -0,0 +1,158 @@
+//! The named points of all protocols.
+
+/// The protocol that a step belongs to.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Protocol {
+    /// A change of the configuration.
+    Config,
+    /// Membership of the roster.
+    Roster,
+    /// A lease.
+    Lease,
+    /// Forming, keeping and retiring groups.
+    Group,
+    /// Watching backend servers.
+    Watch,
+    /// A request that may be repeated.
+    Request,
+    /// A request that runs at most once.
+    Claim,
+    /// Shutting a node down.
+    Shutdown,
+    /// A request that may crash backend servers.
+    Suspect,
+}
+
+/// A point of a protocol at which something outside is called. Faults are brought about here.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Step {
+    /// Reads the head of the configuration log.
+    ConfigReadHead,
+    /// Reads log entries or the whole configuration from the table.
+    ConfigReadEntries,
+    /// Writes a change.
+    ConfigCommit,
+    /// Reads back a change whose write got no answer.
+    ConfigReadBack,
+    /// Pushes a change to a peer and awaits that it knows it.
+    ConfigPush,
+    /// Fetches log entries from a peer.
+    ConfigFetch,
+    /// Asks a peer which version it knows, and what it watches.
+    PeerHeartbeat,
+    /// Writes that a roster change was confirmed by its majorities.
+    RosterConfirm,
+    /// Reads a lease.
+    LeaseRead,
+    /// Takes a lease.
+    LeaseAcquire,
+    /// Renews a lease.
+    LeaseRenew,
+    /// Gives a lease back.
+    LeaseRelease,
+    /// Reads the rows of groups and VMs.
+    GroupReadRows,
+    /// Writes the rows of a group and its VMs.
+    GroupCommit,
+    /// Reads back a group's rows after a write that got no answer.
+    GroupReadBack,
+    /// Orders a VM into a group.
+    GroupOrder,
+    /// Orders a VM out of a group.
+    GroupRelease,
+    /// Asks a backend server for its report.
+    WatchPoll,
+    /// Tells peers of a loss at once.
+    WatchNotify,
+    /// Reads the platform's list of VMs.
+    WatchDirectory,
+    /// Sends an attempt to a backend server.
+    RequestDispatch,
+    /// Awaits the next part of an answer.
+    RequestStream,
+    /// Resumes a stream that broke.
+    RequestResume,
+    /// Cancels a stream that nobody awaits.
+    RequestCancel,
+    /// Inserts a claim.
+    ClaimInsert,
+    /// Reads back a claim whose insertion got no answer.
+    ClaimReadBack,
+    /// Sends a claimed request to a backend server.
+    ClaimDispatch,
+    /// Records the outcome of a claimed request.
+    ClaimOutcome,
+    /// Reads a claim that another submission holds.
+    ClaimJoin,
+    /// Tells peers that the node is leaving.
+    ShutdownAnnounce,
+    /// Gives back lease and place on the roster.
+    ShutdownGiveBack,
+    /// Tells peers of a suspect request.
+    SuspectNotify,
+    /// Runs a suspect request again.
+    SuspectRetry,
+}
+
+impl Step {
+    /// The protocol that the step belongs to.
+    pub fn protocol(self) -> Protocol {
+        match self {
+            Self::ConfigReadHead
+            | Self::ConfigReadEntries
+            | Self::ConfigCommit
+            | Self::ConfigReadBack
+            | Self::ConfigPush
+            | Self::ConfigFetch => Protocol::Config,
+            Self::PeerHeartbeat | Self::RosterConfirm => Protocol::Roster,
+            Self::LeaseRead | Self::LeaseAcquire | Self::LeaseRenew | Self::LeaseRelease => {
+                Protocol::Lease
+            }
+            Self::GroupReadRows
+            | Self::GroupCommit
+            | Self::GroupReadBack
+            | Self::GroupOrder
+            | Self::GroupRelease => Protocol::Group,
+            Self::WatchPoll | Self::WatchNotify | Self::WatchDirectory => Protocol::Watch,
+            Self::RequestDispatch
+            | Self::RequestStream
+            | Self::RequestResume
+            | Self::RequestCancel => Protocol::Request,
+            Self::ClaimInsert
+            | Self::ClaimReadBack
+            | Self::ClaimDispatch
+            | Self::ClaimOutcome
+            | Self::ClaimJoin => Protocol::Claim,
+            Self::ShutdownAnnounce | Self::ShutdownGiveBack => Protocol::Shutdown,
+            Self::SuspectNotify | Self::SuspectRetry => Protocol::Suspect,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,25 @@
+//! The words that every part of comfreyturn shares: names, numbers, declared configuration,
+//! reports of VMs and the outcome of a request.
+//!
+//! This crate holds plain data. Decisions over it live in `comfreyturn_policy`, the ways to the
+//! outside in `comfreyturn_ports`.
+
+mod config_change;
+mod config_intent;
+mod group_record;
+mod names;
+mod numbers;
+mod outcome;
+mod roster;
+mod vm_record;
+mod vm_report;
+
+pub use config_change::*;
+pub use config_intent::*;
+pub use group_record::*;
+pub use names::*;
+pub use numbers::*;
+pub use outcome::*;
+pub use roster::*;
+pub use vm_record::*;
+pub use vm_report::*;
