--- /dev/null
+++ b/crates/policy/src/config_state.rs
@@ -0,0 +1,149 @@
+//! The configuration of a cell at one version of its log.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use comfreyturn_types::{
+    AdapterIntent, AdapterName, ConfigChange, ConfigEntry, ConfigVersion, CustomerIntent,
+    CustomerName, ModelName, ModelVersion, ModelVersionName, NodeId, PlannerWeights, Roster,
+    ServiceIntent, ServiceName, VmId,
+};
+use serde::{Deserialize, Serialize};
+
+/// An entry that does not follow the state's version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("entry {entry} does not follow version {version}")]
+pub struct ConfigGap {
+    /// The state's version.
+    pub version: ConfigVersion,
+
+    /// The entry's version.
+    pub entry: ConfigVersion,
+}
+
+/// Everything that was declared, at one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigState {
+    /// The last entry that was applied. Invariant: never falls.
+    pub version: ConfigVersion,
+
+    /// Services.
+    pub services: BTreeMap<ServiceName, ServiceIntent>,
+
+    /// Model versions.
+    pub model_versions: BTreeMap<(ModelName, ModelVersionName), ModelVersion>,
+
+    /// Adapters.
+    pub adapters: BTreeMap<AdapterName, AdapterIntent>,
+
+    /// Customers.
+    pub customers: BTreeMap<CustomerName, CustomerIntent>,
+
+    /// How the planner weighs its two measures.
+    pub planner_weights: PlannerWeights,
+
+    /// VMs that take no place in any group.
+    pub drained_vms: BTreeSet<VmId>,
+
+    /// Nodes that are asked to shut down.
+    pub drained_nodes: BTreeSet<NodeId>,
+
+    /// Who counts for a majority.
+    pub roster: RosterState,
+}
+
+/// The roster with the one before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterState {
+    /// The members.
+    pub current: Roster,
+
+    /// The members before the last change. While that change is not confirmed, both count.
+    pub previous: Roster,
+
+    /// The entry that made the last change; zero if there was none.
+    pub version: ConfigVersion,
+}
+
+impl ConfigState {
+    /// Applies an entry. One at or below the version is ignored; one that leaves a gap is refused.
+    /// Says whether anything was applied.
+    pub fn apply(&mut self, entry: &ConfigEntry) -> Result<bool, ConfigGap> {
+        if entry.version <= self.version {
+            return Ok(false);
+        }
+        if entry.version != self.version.next() {
+            return Err(ConfigGap { version: self.version, entry: entry.version });
+        }
+        self.version = entry.version;
+        for change in &entry.changes {
+            self.apply_change(change);
+        }
+        Ok(true)
+    }
+
+    /// The customer that a key authenticates.
+    pub fn customer_by_key(&self, key: &str) -> Option<&CustomerIntent> {
+        self.customers.values().find(|customer| customer.key == key)
+    }
+
+    /// Applies one change without a check and without a new version.
+    pub(crate) fn apply_change(&mut self, change: &ConfigChange) {
+        match change.clone() {
+            ConfigChange::PutService(service) => {
+                self.services.insert(service.name.clone(), service);
+            }
+            ConfigChange::DeleteService(name) => {
+                self.services.remove(&name);
+            }
+            ConfigChange::PutModelVersion(version) => {
+                let key = (version.model.clone(), version.version.clone());
+                self.model_versions.insert(key, version);
+            }
+            ConfigChange::DeleteModelVersion { model, version } => {
+                self.model_versions.remove(&(model, version));
+            }
+            ConfigChange::PutAdapter(adapter) => {
+                self.adapters.insert(adapter.name.clone(), adapter);
+            }
+            ConfigChange::DeleteAdapter(name) => {
+                self.adapters.remove(&name);
+            }
+            ConfigChange::PutCustomer(customer) => {
+                self.customers.insert(customer.name.clone(), customer);
+            }
+            ConfigChange::DeleteCustomer(name) => {
+                self.customers.remove(&name);
+            }
+            ConfigChange::SetPlannerWeights(weights) => self.planner_weights = weights,
+            ConfigChange::SetVmDrained { vm, drained } => {
+                set_member(&mut self.drained_vms, vm, drained);
+            }
+            ConfigChange::SetNodeDrained { node, drained } => {
+                set_member(&mut self.drained_nodes, node, drained);
+            }
+            ConfigChange::JoinRoster(member) => {
+                self.begin_roster_change();
+                self.roster.current.members.insert(member.node.clone(), member);
+            }
+            ConfigChange::LeaveRoster { node, incarnation } => {
+                self.begin_roster_change();
+                if self.roster.current.names(&node, incarnation) {
+                    self.roster.current.members.remove(&node);
+                }
+            }
+        }
+    }
+
+    fn begin_roster_change(&mut self) {
+        self.roster.previous = self.roster.current.clone();
+        self.roster.version = self.version;
+    }
+}
+
+fn set_member<T: Ord>(set: &mut BTreeSet<T>, item: T, present: bool) {
+    if present {
+        set.insert(item);
+    } else {
+        set.remove(&item);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/group_table.rs
@@ -0,0 +1,212 @@
+//! What is known of backend servers, and which groups are whole by it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{
+    GroupAssignment, GroupId, Incarnation, ServiceName, VmId, VmPhase, VmRecord, VmReport, VmRole,
+};
+
+use crate::WholeGroup;
+
+/// How long a report counts, from when its poll was sent.
+pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3);
+
+/// The newest that is known of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmEvidence {
+    /// When the poll was sent, or when the loss was heard of.
+    pub asked_at: Instant,
+
+    /// The report, or `None` if the poll failed.
+    pub report: Option<VmReport>,
+}
+
+/// Why a group does not serve.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum GroupDefect {
+    /// A member is not on the platform's list.
+    #[display("{_0} is not on the platform's list")]
+    Unlisted(VmId),
+    /// Nothing recent is known of a member.
+    #[display("no recent report of {_0}")]
+    Stale(VmId),
+    /// A member was lost.
+    #[display("{_0} was lost")]
+    Lost(VmId),
+    /// A member is leaving.
+    #[display("{_0} is leaving")]
+    Leaving(VmId),
+    /// A member holds another place, or none.
+    #[display("{_0} holds another place")]
+    Elsewhere(VmId),
+    /// A member is not ready.
+    #[display("{_0} is not ready")]
+    NotReady(VmId),
+}
+
+/// Evidence of all backend servers.
+///
+/// A group is whole only if the newest evidence of every member names this group, generation and
+/// membership, is ready, not leaving and at most [`EVIDENCE_LIFETIME`] old. As each VM has one
+/// newest evidence, no VM is in two whole groups.
+#[derive(Clone, Debug, Default)]
+pub struct GroupTable {
+    records: BTreeMap<VmId, VmRecord>,
+    evidence: BTreeMap<VmId, VmEvidence>,
+    leaving: BTreeSet<(VmId, Incarnation)>,
+}
+
+impl GroupTable {
+    /// Takes in the platform's list.
+    pub fn set_records(&mut self, records: impl IntoIterator<Item = VmRecord>) {
+        self.records = records.into_iter().map(|record| (record.vm.clone(), record)).collect();
+        self.evidence.retain(|vm, _| self.records.contains_key(vm));
+        self.leaving.retain(|(vm, _)| self.records.contains_key(vm));
+    }
+
+    /// The platform's list.
+    pub fn records(&self) -> &BTreeMap<VmId, VmRecord> {
+        &self.records
+    }
+
+    /// Takes in the outcome of a poll that was sent at `asked_at`. Older than what is known, it
+    /// changes nothing but that leaving sticks. An `asked_at` that is yet to come is refused.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        vm: &VmId,
+        report: Option<VmReport>,
+    ) {
+        if asked_at > now {
+            return;
+        }
+        if let Some(report) = &report
+            && report.leaving
+        {
+            self.observe_leaving(vm, report.incarnation);
+        }
+        let newer = self.evidence.get(vm).is_none_or(|known| known.asked_at <= asked_at);
+        if newer {
+            self.evidence.insert(vm.clone(), VmEvidence { asked_at, report });
+        }
+    }
+
+    /// Somebody lost sight of a VM. Holds until a poll sent later succeeds.
+    pub fn observe_lost(&mut self, now: Instant, vm: &VmId) {
+        self.observe(now, now, vm, None);
+    }
+
+    /// This run of a backend server is leaving, for good.
+    pub fn observe_leaving(&mut self, vm: &VmId, incarnation: Incarnation) {
+        self.leaving.insert((vm.clone(), incarnation));
+    }
+
+    /// Forgets all evidence, as after a jump of the clock. Leaving sticks.
+    pub fn clear_evidence(&mut self) {
+        self.evidence.clear();
+    }
+
+    /// The newest evidence of a VM, whatever its age.
+    pub fn evidence(&self, vm: &VmId) -> Option<&VmEvidence> {
+        self.evidence.get(vm)
+    }
+
+    /// The newest evidence of all VMs, whatever its age.
+    pub fn all_evidence(&self) -> &BTreeMap<VmId, VmEvidence> {
+        &self.evidence
+    }
+
+    /// A VM's report, if it is recent and the last poll did not fail.
+    pub fn fresh_report(&self, now: Instant, vm: &VmId) -> Option<&VmReport> {
+        let evidence = self.evidence.get(vm)?;
+        if now.saturating_duration_since(evidence.asked_at) > EVIDENCE_LIFETIME {
+            return None;
+        }
+        evidence.report.as_ref()
+    }
+
+    /// Whether a VM is leaving: by the platform's list, or by what was heard of its last run.
+    pub fn is_leaving(&self, vm: &VmId) -> bool {
+        let listed = self.records.get(vm).is_some_and(|record| record.leaving);
+        let reported = self
+            .evidence
+            .get(vm)
+            .and_then(|evidence| evidence.report.as_ref())
+            .is_some_and(|report| self.leaving.contains(&(vm.clone(), report.incarnation)));
+        listed || reported
+    }
+
+    /// Why a group does not serve, if it does not.
+    pub fn defect(&self, now: Instant, assignment: &GroupAssignment) -> Option<GroupDefect> {
+        assignment.members.iter().find_map(|vm| self.member_defect(now, vm, assignment))
+    }
+
+    /// The whole groups of a service.
+    pub fn whole_groups(&self, now: Instant, service: &ServiceName) -> Vec<WholeGroup> {
+        let mut groups: BTreeMap<&GroupId, WholeGroup> = BTreeMap::new();
+        for vm in self.evidence.keys() {
+            let assignment = self.fresh_report(now, vm).and_then(|r| r.assignment.as_ref());
+            let Some(assignment) = assignment else { continue };
+            let leads = assignment.members.first() == Some(vm);
+            if !leads || assignment.service != *service {
+                continue;
+            }
+            if let Some(group) = self.whole_group(now, assignment) {
+                groups.insert(&assignment.group, group);
+            }
+        }
+        groups.into_values().collect()
+    }
+
+    /// The plain backend servers of a service that take work.
+    pub fn plain_backends(&self, now: Instant, service: &ServiceName) -> Vec<VmRecord> {
+        self.records
+            .values()
+            .filter(|record| matches!(&record.role, VmRole::Plain { service: s } if s == service))
+            .filter(|record| self.fresh_report(now, &record.vm).is_some())
+            .filter(|record| !self.is_leaving(&record.vm))
+            .cloned()
+            .collect()
+    }
+
+    fn whole_group(&self, now: Instant, assignment: &GroupAssignment) -> Option<WholeGroup> {
+        if self.defect(now, assignment).is_some() {
+            return None;
+        }
+        let entry = self.records.get(assignment.members.first()?)?.clone();
+        let evidence = self.evidence.get(&entry.vm)?;
+        let load = evidence.report.as_ref()?.load;
+        let load_at = evidence.asked_at.checked_sub(load.age).unwrap_or(evidence.asked_at);
+        Some(WholeGroup { assignment: assignment.clone(), entry, load, load_at })
+    }
+
+    fn member_defect(
+        &self,
+        now: Instant,
+        vm: &VmId,
+        assignment: &GroupAssignment,
+    ) -> Option<GroupDefect> {
+        if !self.records.contains_key(vm) {
+            return Some(GroupDefect::Unlisted(vm.clone()));
+        }
+        let Some(report) = self.fresh_report(now, vm) else {
+            let lost = self.evidence.get(vm).is_some_and(|evidence| evidence.report.is_none());
+            let defect = if lost { GroupDefect::Lost } else { GroupDefect::Stale };
+            return Some(defect(vm.clone()));
+        };
+        if self.is_leaving(vm) {
+            return Some(GroupDefect::Leaving(vm.clone()));
+        }
+        if report.assignment.as_ref() != Some(assignment) {
+            return Some(GroupDefect::Elsewhere(vm.clone()));
+        }
+        if report.phase != VmPhase::Ready {
+            return Some(GroupDefect::NotReady(vm.clone()));
+        }
+        None
+    }
+}
