--- /dev/null
+++ b/crates/adapters/src/completion_reader.rs
@@ -0,0 +1,84 @@
+//! Reading the answer stream of a completion.
+
+use std::time::Duration;
+
+use comfreyturn_ports::{
+    BackendError, BackendResult, CompletionEvent, CompletionStream, CompletionToken,
+};
+use compio::time::timeout;
+use futures_util::{StreamExt, stream};
+use serde::Deserialize;
+
+use crate::{EventDecoder, HttpAnswer};
+
+/// Time for an engine to end the answer after its last event, so that the connection can be used
+/// again.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads events from an answer. Dropping it closes the connection.
+pub(crate) struct CompletionReader {
+    answer: HttpAnswer,
+    decoder: EventDecoder,
+    idle_timeout: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum EventBody {
+    Finished { finished: String },
+    Token(CompletionToken),
+}
+
+impl CompletionReader {
+    /// Makes a reader that takes a silence of `idle_timeout` for a broken stream.
+    pub(crate) fn new(answer: HttpAnswer, idle_timeout: Duration) -> Self {
+        Self { answer, decoder: EventDecoder::default(), idle_timeout }
+    }
+
+    /// The events as a stream that ends after the first error or [`CompletionEvent::Finished`].
+    pub(crate) fn into_stream(self) -> CompletionStream {
+        stream::unfold(Some(self), Self::step).boxed_local()
+    }
+
+    async fn step(state: Option<Self>) -> Option<(BackendResult<CompletionEvent>, Option<Self>)> {
+        let mut reader = state?;
+        match reader.next_event().await {
+            Ok(event @ CompletionEvent::Token(_)) => Some((Ok(event), Some(reader))),
+            Ok(event @ CompletionEvent::Finished { .. }) => {
+                reader.recycle();
+                Some((Ok(event), None))
+            }
+            Err(error) => Some((Err(error), None)),
+        }
+    }
+
+    async fn next_event(&mut self) -> BackendResult<CompletionEvent> {
+        loop {
+            let event = self.decoder.next_event().map_err(|_| BackendError::Broken)?;
+            if let Some(data) = event {
+                return parse_event(&data);
+            }
+            let reading = timeout(self.idle_timeout, self.answer.chunk()).await;
+            let Ok(Ok(Some(bytes))) = reading else { return Err(BackendError::Broken) };
+            self.decoder.push(&bytes);
+        }
+    }
+
+    /// Reads to the end of the answer in the background, which gives the connection back.
+    fn recycle(self) {
+        let ending = async move {
+            if let Err(error) = self.answer.whole(END_TIMEOUT).await {
+                log::debug!("backend: connection not used again: {error}.");
+            }
+        };
+        compio::runtime::spawn(ending).detach();
+    }
+}
+
+fn parse_event(data: &str) -> BackendResult<CompletionEvent> {
+    match serde_json::from_str(data) {
+        Ok(EventBody::Token(token)) => Ok(CompletionEvent::Token(token)),
+        Ok(EventBody::Finished { finished }) => Ok(CompletionEvent::Finished { reason: finished }),
+        Err(_) => Err(BackendError::Broken),
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/http_settings.rs
@@ -0,0 +1,57 @@
+//! Limits of HTTP calls.
+
+use std::time::Duration;
+
+/// Limits of a pool of HTTP connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpSettings {
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+
+    /// Time of a whole call, from the moment that its connection is open.
+    pub call_timeout: Duration,
+
+    /// An unused connection is closed after this time.
+    pub idle_timeout: Duration,
+
+    /// Connections to one address, used and unused together; a call over that is not sent.
+    pub connections_per_address: usize,
+
+    /// Largest whole answer, in bytes.
+    pub answer_limit: usize,
+}
+
+impl Default for HttpSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+            connections_per_address: 1024,
+            answer_limit: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// Limits of requests to backend servers, beside those of the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackendSettings {
+    /// Time until the head of a stream's answer.
+    pub head_timeout: Duration,
+
+    /// A stream that is silent for this time is broken.
+    pub stream_idle_timeout: Duration,
+
+    /// Time of a whole call of a plain service; callers' own deadlines are usually shorter.
+    pub plain_timeout: Duration,
+}
+
+impl Default for BackendSettings {
+    fn default() -> Self {
+        Self {
+            head_timeout: Duration::from_secs(10),
+            stream_idle_timeout: Duration::from_secs(5),
+            plain_timeout: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/json_call.rs
@@ -0,0 +1,59 @@
+//! Calls with JSON bodies.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::time::timeout;
+use http::{HeaderValue, Method, Request, Uri, header::CONTENT_TYPE};
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::{HttpError, HttpPool, HttpResult, WholeAnswer, http_connection::WholeRequest};
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// Makes a request without a body.
+pub(crate) fn bare_request(method: Method, path: Uri) -> WholeRequest {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = method;
+    *request.uri_mut() = path;
+    request
+}
+
+/// Makes a `POST` with a JSON body.
+///
+/// # Errors
+///
+/// [`HttpError::NotSent`] if the body cannot be written as JSON.
+pub(crate) fn json_request<T: Serialize>(path: &'static str, body: &T) -> HttpResult<WholeRequest> {
+    let body = serde_json::to_vec(body).map_err(|_| HttpError::NotSent)?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    request.headers_mut().insert(CONTENT_TYPE, JSON);
+    Ok(request)
+}
+
+/// Calls and reads the whole answer within the pool's call timeout.
+pub(crate) async fn call(
+    pool: &Rc<HttpPool>,
+    address: SocketAddr,
+    request: WholeRequest,
+) -> HttpResult<WholeAnswer> {
+    call_within(pool, address, request, pool.settings().call_timeout).await
+}
+
+/// Calls and reads the whole answer within `limit` from when the connection is open.
+pub(crate) async fn call_within(
+    pool: &Rc<HttpPool>,
+    address: SocketAddr,
+    request: WholeRequest,
+    limit: Duration,
+) -> HttpResult<WholeAnswer> {
+    let whole_limit = pool.settings().connect_timeout + limit;
+    let calling = async {
+        let answer = pool.send(address, request, limit).await?;
+        answer.whole(limit).await
+    };
+    timeout(whole_limit, calling).await.map_err(|_| HttpError::NoAnswer)?
+}
