Add stand-ins for the platform, the model engine and the plain service

Cause: other parts need something to talk to over real TCP. Change: servers on compio and hyper for the protocols in outside-protocols.md, with faults, records and crash markers; output is a pure function of prompt and position. Ruled out: a shared in-process model, since process tests need the real protocols. Not tested yet: builds and lints only; tests follow.

--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,12 @@
+//! The model engine: streams, batches, its place in a group, and reports.
+
+mod batch_queue;
+mod engine_server;
+mod engine_service;
+mod engine_settings;
+mod member_watch;
+mod stream_log;
+
+pub use engine_server::*;
+pub(crate) use engine_service::announce_vm;
+pub use engine_settings::*;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! Stand-ins for everything outside comfreyturn, for tests and for `comfreyturnctl`.
+//!
+//! Three kinds of them:
+//!
+//! - Servers over real TCP that speak the protocols of `docs/design/outside-protocols.md`:
+//!   [`PlatformServer`], [`EngineServer`] and [`PlainServer`].
+//! - In-memory [`fakes`] of the ports, driven by a manual clock, with a plan of faults.
+//!
+//! Model output is a pure function of prompt and position ([`output_token`]), so that any lost,
+//! doubled or foreign token shows.
+
+mod engine;
+mod error;
+pub mod fakes;
+mod http_client;
+mod http_server;
+mod output_text;
+mod plain_server;
+mod platform;
+mod run_journal;
+mod run_records;
+mod table_rows;
+mod task_set;
+
+pub use engine::*;
+pub use error::*;
+pub use output_text::*;
+pub use plain_server::*;
+pub use platform::*;
+pub use run_journal::*;
+pub use run_records::*;
+pub use table_rows::*;
--- /dev/null
+++ b/crates/standin/src/run_journal.rs
@@ -0,0 +1,21 @@
+//! Records that outlive the server that writes them.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Records that outlive the server that writes them, also on another thread.
+#[derive(Clone, Debug, Default)]
+pub struct RunJournal<R> {
+    records: Arc<Mutex<R>>,
+}
+
+impl<R: Clone> RunJournal<R> {
+    /// A copy of the records.
+    pub fn records(&self) -> R {
+        self.write(|records| records.clone())
+    }
+
+    /// Changes the records.
+    pub(crate) fn write<T>(&self, change: impl FnOnce(&mut R) -> T) -> T {
+        change(&mut self.records.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/run_records.rs
@@ -0,0 +1,159 @@
+//! What stand-ins record of a run, for tests that count.
+//!
+//! Times are milliseconds on one clock for the whole run: the machine's wall clock in servers,
+//! virtual time in fakes.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use comfreyturn_types::{
+    FencingNumber, GroupAssignment, GroupGeneration, GroupId, Incarnation, StreamId, VmId,
+};
+use serde::{Deserialize, Serialize};
+
+/// How a run of a request at a backend server ended.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum ExecutionEnd {
+    /// It has not ended, or the backend server was stopped meanwhile.
+    #[default]
+    Running,
+    /// The answer was whole.
+    Finished,
+    /// The group broke, or got another place.
+    Broken,
+    /// It was cancelled, or nobody read it for the retention time.
+    Cancelled,
+    /// The backend server crashed.
+    Crashed,
+}
+
+/// One run of a completion at a model engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecutionRecord {
+    /// The engine.
+    pub vm: VmId,
+
+    /// The run of the engine.
+    pub incarnation: Incarnation,
+
+    /// The stream.
+    pub stream: StreamId,
+
+    /// The prompt, by [`content_hash`](crate::content_hash).
+    pub prompt_hash: u64,
+
+    /// The group that ran it.
+    pub group: GroupId,
+
+    /// The generation that ran it.
+    pub generation: GroupGeneration,
+
+    /// When the engine took it in.
+    pub accepted_ms: u64,
+
+    /// When it got its place in the batch, if it did.
+    pub started_ms: Option<u64>,
+
+    /// When it ended, if it did.
+    pub ended_ms: Option<u64>,
+
+    /// The position of its first token.
+    pub first_position: u32,
+
+    /// Tokens that it generated.
+    pub tokens: u32,
+
+    /// How it ended.
+    pub end: ExecutionEnd,
+}
+
+/// A change of a model engine's place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceRecord {
+    /// The engine.
+    pub vm: VmId,
+
+    /// When the order took effect.
+    pub at_ms: u64,
+
+    /// The order's fencing number.
+    pub fencing: FencingNumber,
+
+    /// The place from then on.
+    pub assignment: Option<GroupAssignment>,
+}
+
+/// What a model engine recorded: the answer to `GET /control/records`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRecords {
+    /// Runs, in the order in which they were taken in.
+    pub executions: Vec<ExecutionRecord>,
+
+    /// Orders that changed its place, in order of time.
+    pub places: Vec<PlaceRecord>,
+
+    /// When it began to leave.
+    pub leaving_ms: Option<u64>,
+
+    /// Attempts that were refused as not started.
+    pub not_started: u64,
+
+    /// Attempts whose delivered output is not the output of their prompt.
+    pub foreign_output: u64,
+
+    /// Orders that were refused for their fencing number.
+    pub fenced_orders: u64,
+}
+
+/// One run of a request at a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainExecution {
+    /// The backend server.
+    pub vm: VmId,
+
+    /// The number of the run at this backend server, from one.
+    pub execution: u64,
+
+    /// The header `Idempotency-Key`, if there was one.
+    pub key: Option<String>,
+
+    /// The HTTP method.
+    pub method: String,
+
+    /// Path and query.
+    pub path: String,
+
+    /// The body, by [`content_hash`](crate::content_hash).
+    pub body_hash: u64,
+
+    /// When it began.
+    pub started_ms: u64,
+
+    /// When it ended, if it did.
+    pub ended_ms: Option<u64>,
+
+    /// How it ended.
+    pub end: ExecutionEnd,
+}
+
+/// What a plain service recorded: the answer to `GET /control/records`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainRecords {
+    /// Runs, in the order in which they began.
+    pub executions: Vec<PlainExecution>,
+
+    /// When it began to leave.
+    pub leaving_ms: Option<u64>,
+
+    /// Requests that were refused as not started.
+    pub not_started: u64,
+}
+
+/// The present time on the run's clock, in milliseconds.
+pub(crate) fn run_time_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
