--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -31,6 +31,18 @@
     Batch,
 }
 
+impl PriorityClass {
+    /// Share of what its customer gets, relative to the customer's other classes.
+    #[inline]
+    pub fn share(self) -> f64 {
+        match self {
+            Self::Interactive => 8.0,
+            Self::Standard => 4.0,
+            Self::Batch => 1.0,
+        }
+    }
+}
+
 /// What a request asks for.
 #[derive(Clone, Debug)]
 pub struct AdmissionQuery {
--- /dev/null
+++ b/crates/policy/src/fair_queue.rs
@@ -0,0 +1,295 @@
+//! The admission queue with limits and fair shares.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{CustomerName, RefusalReason, ServiceName};
+use rand::{SeedableRng, rngs::Xoshiro256PlusPlus};
+
+use crate::{
+    AdmissionDecision, AdmissionQuery, AdmissionQueue, AdmissionTicket, CustomerShare,
+    PriorityClass,
+    customer_limits::CustomerLimits,
+    service_lane::{LaneRequest, ServiceLane},
+};
+
+/// Settings of a [`FairQueue`].
+#[derive(Clone, Debug)]
+pub struct FairQueueSettings {
+    /// What a customer that was idle may use at once, as time at its limit.
+    pub burst: Duration,
+
+    /// Longest predicted wait of an interactive request.
+    pub max_interactive_wait: Duration,
+
+    /// Longest predicted wait of a standard request.
+    pub max_standard_wait: Duration,
+
+    /// Longest predicted wait of a batch request.
+    pub max_batch_wait: Duration,
+
+    /// Requests of a service that may wait at once.
+    pub max_waiting: usize,
+
+    /// Estimated tokens a second of one running request, until requests have been measured.
+    pub initial_tokens_per_second: f64,
+
+    /// When refused requests should come back while a service has no capacity.
+    pub capacity_retry: Duration,
+
+    /// The latest time to come back that is handed out.
+    pub max_retry_after: Duration,
+}
+
+impl Default for FairQueueSettings {
+    fn default() -> Self {
+        Self {
+            burst: Duration::from_secs(2),
+            max_interactive_wait: Duration::from_millis(300),
+            max_standard_wait: Duration::from_millis(300),
+            max_batch_wait: Duration::from_secs(30),
+            max_waiting: 10_000,
+            initial_tokens_per_second: 50.0,
+            capacity_retry: Duration::from_secs(2),
+            max_retry_after: Duration::from_secs(30),
+        }
+    }
+}
+
+impl FairQueueSettings {
+    fn max_wait(&self, class: PriorityClass) -> Duration {
+        match class {
+            PriorityClass::Interactive => self.max_interactive_wait,
+            PriorityClass::Standard => self.max_standard_wait,
+            PriorityClass::Batch => self.max_batch_wait,
+        }
+    }
+}
+
+/// A request leaves the queue once it waited for this many times its class's longest wait.
+const EXPIRY_RATIO: u32 = 2;
+
+/// Admits requests within their customers' limits, in weighted fair order by customer, and within a
+/// customer by class; refuses at once what would wait for too long.
+///
+/// The caller calls [`AdmissionQueue::release`] after each [`AdmissionQueue::finish`] and
+/// [`AdmissionQueue::set_capacity`], and at least every few hundred milliseconds while requests
+/// wait. A customer without a share has used up its limit.
+#[derive(Debug)]
+pub struct FairQueue {
+    settings: FairQueueSettings,
+    lanes: BTreeMap<ServiceName, ServiceLane>,
+    limits: HashMap<CustomerName, CustomerLimits>,
+
+    /// The service of each ticket that waits or runs.
+    tickets: HashMap<AdmissionTicket, ServiceName>,
+
+    next_ticket: u64,
+    rng: Xoshiro256PlusPlus,
+}
+
+impl FairQueue {
+    /// An empty queue. Nodes take different seeds, so that their times to come back differ.
+    pub fn new(settings: FairQueueSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            lanes: BTreeMap::new(),
+            limits: HashMap::new(),
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    /// Requests of a service that run from this node.
+    pub fn running(&self, service: &ServiceName) -> usize {
+        self.lanes.get(service).map_or(0, ServiceLane::running)
+    }
+
+    /// Requests of a service that wait at this node.
+    pub fn waiting(&self, service: &ServiceName) -> usize {
+        self.lanes.get(service).map_or(0, ServiceLane::waiting)
+    }
+
+    fn draw_ticket(&mut self, service: &ServiceName) -> AdmissionTicket {
+        self.next_ticket += 1;
+        let ticket = AdmissionTicket(self.next_ticket);
+        self.tickets.insert(ticket, service.clone());
+        ticket
+    }
+
+    fn refuse_without_capacity(&mut self, now: Instant) -> AdmissionDecision {
+        let base = self.settings.capacity_retry;
+        let retry_after = base + self.jitter(now, base);
+        AdmissionDecision::Refuse { reason: RefusalReason::NoCapacity, retry_after }
+    }
+
+    fn jitter(&mut self, _now: Instant, spread: Duration) -> Duration {
+        spread.mul_f64(rand::RngExt::random::<f64>(&mut self.rng))
+    }
+
+    /// Refuses a request that does not fit its customer's limits.
+    fn check_limits(&mut self, now: Instant, query: &AdmissionQuery) -> Option<AdmissionDecision> {
+        let latest = self.settings.max_retry_after;
+        let reason = RefusalReason::LimitReached;
+        let Some(limits) = self.limits.get_mut(&query.customer) else {
+            return Some(AdmissionDecision::Refuse { reason, retry_after: latest });
+        };
+        let cost = cost_of(query);
+        let wait = limits.wait_for(now, cost);
+        if wait.is_zero() {
+            return None;
+        }
+        let interval = limits.interval(cost);
+        let retry_after = limits.comeback.reserve(now, wait, interval, latest, &mut self.rng);
+        Some(AdmissionDecision::Refuse { reason, retry_after })
+    }
+
+    /// Refuses a request that would wait for too long.
+    fn check_wait(&mut self, now: Instant, query: &AdmissionQuery) -> Option<AdmissionDecision> {
+        let lane = self.lanes.get_mut(&query.service)?;
+        let cost = cost_of(query);
+        let wait = lane.predicted_wait(query, weight_of(query), cost);
+        let left = query.deadline.saturating_duration_since(now).as_secs_f64();
+        let max_wait = self.settings.max_wait(query.class).as_secs_f64();
+        let allowed = max_wait.min(left - lane.meter.service_time(cost));
+        if wait <= allowed && lane.waiting() < self.settings.max_waiting {
+            return None;
+        }
+        let excess = Duration::try_from_secs_f64(wait - allowed).unwrap_or_default();
+        let interval =
+            Duration::try_from_secs_f64(lane.meter.end_interval(lane.capacity)).unwrap_or_default();
+        let latest = self.settings.max_retry_after;
+        let retry_after = lane.comeback.reserve(now, excess, interval, latest, &mut self.rng);
+        Some(AdmissionDecision::Refuse { reason: RefusalReason::Overloaded, retry_after })
+    }
+
+    fn lane_request(&self, now: Instant, query: &AdmissionQuery) -> LaneRequest {
+        LaneRequest {
+            customer: query.customer.clone(),
+            class: query.class,
+            weight: weight_of(query),
+            cost: cost_of(query),
+            expires_at: query
+                .deadline
+                .min(now + self.settings.max_wait(query.class) * EXPIRY_RATIO),
+            deadline: query.deadline,
+        }
+    }
+
+    /// Refuses a request whose time in the queue is over.
+    fn refuse_expired(&mut self, now: Instant, request: &LaneRequest) -> AdmissionDecision {
+        if let Some(limits) = self.limits.get_mut(&request.customer) {
+            limits.refund(now, request.cost);
+        }
+        let reason = if request.deadline <= now {
+            RefusalReason::DeadlineExceeded
+        } else {
+            RefusalReason::Overloaded
+        };
+        let spread = self.settings.capacity_retry;
+        AdmissionDecision::Refuse { reason, retry_after: self.jitter(now, spread) }
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<(AdmissionTicket, AdmissionDecision)> {
+        let mut expired = Vec::new();
+        for lane in self.lanes.values_mut() {
+            while let Some(found) = lane.expire_next(now) {
+                expired.push(found);
+            }
+        }
+        let refuse = |(ticket, request): (AdmissionTicket, LaneRequest)| {
+            self.tickets.remove(&ticket);
+            (ticket, self.refuse_expired(now, &request))
+        };
+        expired.into_iter().map(refuse).collect()
+    }
+}
+
+impl AdmissionQueue for FairQueue {
+    fn set_capacity(&mut self, _now: Instant, service: &ServiceName, concurrent: u32) {
+        let tokens_per_second = self.settings.initial_tokens_per_second;
+        let lane = self
+            .lanes
+            .entry(service.clone())
+            .or_insert_with(|| ServiceLane::new(tokens_per_second));
+        lane.capacity = concurrent;
+        lane.forget_idle();
+    }
+
+    fn set_share(&mut self, now: Instant, customer: &CustomerName, share: CustomerShare) {
+        let burst = self.settings.burst;
+        match self.limits.get_mut(customer) {
+            Some(limits) => limits.set_share(now, share, burst),
+            None => {
+                let limits = CustomerLimits::new(now, share, burst);
+                self.limits.insert(customer.clone(), limits);
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Instant, query: &AdmissionQuery) -> AdmissionDecision {
+        if self.lanes.get(&query.service).is_none_or(|lane| lane.capacity == 0) {
+            return self.refuse_without_capacity(now);
+        }
+        if let Some(refusal) = self.check_limits(now, query) {
+            return refusal;
+        }
+        if let Some(refusal) = self.check_wait(now, query) {
+            return refusal;
+        }
+        let ticket = self.draw_ticket(&query.service);
+        let request = self.lane_request(now, query);
+        if let Some(limits) = self.limits.get_mut(&query.customer) {
+            limits.charge(now, request.cost);
+        }
+        let lane = self.lanes.get_mut(&query.service).expect("looked up above");
+        if lane.has_room() && lane.waiting() == 0 {
+            lane.run(now, ticket, request);
+            return AdmissionDecision::Run(ticket);
+        }
+        lane.enqueue(ticket, request);
+        AdmissionDecision::Wait(ticket)
+    }
+
+    fn release(&mut self, now: Instant) -> Vec<(AdmissionTicket, AdmissionDecision)> {
+        let mut released = self.expire(now);
+        for lane in self.lanes.values_mut() {
+            while let Some(ticket) = lane.run_next(now) {
+                released.push((ticket, AdmissionDecision::Run(ticket)));
+            }
+        }
+        released
+    }
+
+    fn finish(&mut self, now: Instant, ticket: AdmissionTicket, tokens: u32) {
+        let Some(service) = self.tickets.get(&ticket) else { return };
+        let Some(lane) = self.lanes.get_mut(service) else { return };
+        let tokens = f64::from(tokens);
+        let Some(request) = lane.finish(now, ticket, tokens) else { return };
+        self.tickets.remove(&ticket);
+        if let Some(limits) = self.limits.get_mut(&request.customer) {
+            limits.correct(now, tokens - request.cost);
+        }
+    }
+
+    fn withdraw(&mut self, now: Instant, ticket: AdmissionTicket) {
+        let Some(service) = self.tickets.get(&ticket) else { return };
+        let Some(lane) = self.lanes.get_mut(service) else { return };
+        let Some(request) = lane.remove_waiting(ticket) else { return };
+        self.tickets.remove(&ticket);
+        if let Some(limits) = self.limits.get_mut(&request.customer) {
+            limits.refund(now, request.cost);
+        }
+    }
+}
+
+fn cost_of(query: &AdmissionQuery) -> f64 {
+    f64::from(query.tokens.max(1))
+}
+
+fn weight_of(query: &AdmissionQuery) -> f64 {
+    f64::from(query.weight.max(1))
+}
--- /dev/null
+++ b/crates/policy/src/share_retry_budget.rs
@@ -0,0 +1,100 @@
+//! A retry budget as a share of recent requests.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use crate::RetryBudget;
+
+/// Settings of a [`ShareRetryBudget`].
+#[derive(Clone, Debug)]
+pub struct RetryBudgetSettings {
+    /// Repeated attempts allowed for each request within the window.
+    pub share: f64,
+
+    /// Repeated attempts allowed within the window whatever the number of requests, so that a
+    /// single failure on an idle node can be repeated.
+    pub floor: u32,
+
+    /// How far back requests and repeated attempts count.
+    pub window: Duration,
+
+    /// Parts that the window is counted in. Invariant: at least one.
+    pub slots: u32,
+}
+
+impl Default for RetryBudgetSettings {
+    fn default() -> Self {
+        Self { share: 0.1, floor: 3, window: Duration::from_secs(10), slots: 10 }
+    }
+}
+
+/// Counts of one part of the window.
+#[derive(Clone, Copy, Debug)]
+struct BudgetSlot {
+    started_at: Instant,
+    requests: u32,
+    retries: u32,
+}
+
+/// Allows repeated attempts up to a share of the requests within a sliding window.
+#[derive(Debug)]
+pub struct ShareRetryBudget {
+    settings: RetryBudgetSettings,
+
+    /// Oldest first. Invariant: at most `settings.slots + 1` entries.
+    slots: VecDeque<BudgetSlot>,
+}
+
+impl ShareRetryBudget {
+    /// A budget that has seen no request yet.
+    pub fn new(settings: RetryBudgetSettings) -> Self {
+        Self { settings, slots: VecDeque::new() }
+    }
+
+    fn current_slot(&mut self, now: Instant) -> &mut BudgetSlot {
+        let window = self.settings.window;
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| now.saturating_duration_since(slot.started_at) >= window)
+        {
+            self.slots.pop_front();
+        }
+        let width = window / self.settings.slots.max(1);
+        let fits = self
+            .slots
+            .back()
+            .is_some_and(|slot| now.saturating_duration_since(slot.started_at) < width);
+        if !fits {
+            self.slots.push_back(BudgetSlot { started_at: now, requests: 0, retries: 0 });
+        }
+        self.slots.back_mut().expect("a slot was pushed if there was none")
+    }
+}
+
+impl Default for ShareRetryBudget {
+    fn default() -> Self {
+        Self::new(RetryBudgetSettings::default())
+    }
+}
+
+impl RetryBudget for ShareRetryBudget {
+    fn record_request(&mut self, now: Instant) {
+        let slot = self.current_slot(now);
+        slot.requests = slot.requests.saturating_add(1);
+    }
+
+    fn try_retry(&mut self, now: Instant) -> bool {
+        self.current_slot(now);
+        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
+        let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
+        let allowed = f64::from(requests) * self.settings.share;
+        if f64::from(retries) + 1.0 > allowed.max(f64::from(self.settings.floor)) {
+            return false;
+        }
+        self.current_slot(now).retries += 1;
+        true
+    }
+}
