--- /dev/null
+++ b/crates/adapters/tests/backend_client.rs
@@ -0,0 +1,265 @@
+//! What the backend client makes of answers and of their absence.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use comfreyturn_adapters::{BackendClient, BackendSettings, ByteMeter, HttpPool, HttpSettings};
+use comfreyturn_ports::{
+    BackendError, BackendResult, BackendTransport, CompletionAttempt, CompletionEvent,
+    CompletionStream, PlainRequest, Step,
+};
+use comfreyturn_types::GroupGeneration;
+use futures_util::StreamExt;
+use support::{Act, ScriptServer, answer, dead_address, pool};
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const IDLE_TIMEOUT: Duration = Duration::from_millis(200);
+
+fn client() -> BackendClient {
+    let settings =
+        BackendSettings { stream_idle_timeout: IDLE_TIMEOUT, ..BackendSettings::default() };
+    BackendClient::new(pool(), settings)
+}
+
+fn attempt() -> CompletionAttempt {
+    CompletionAttempt {
+        stream: "s-1".into(),
+        group: "g".into(),
+        generation: GroupGeneration(1),
+        prompt: "p".into(),
+        delivered: Vec::new(),
+        max_tokens: 4,
+        priority: 0,
+        parameters: serde_json::Map::new(),
+    }
+}
+
+async fn complete(address: SocketAddr) -> BackendResult<CompletionStream> {
+    client().complete(Step::RequestDispatch, address, &attempt()).await
+}
+
+async fn refusal(answer: &str) -> BackendError {
+    let server = ScriptServer::answering(answer);
+    complete(server.address).await.err().unwrap()
+}
+
+fn chunk(text: &str) -> Act {
+    Act::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+fn stream_server(mut rest: Vec<Act>) -> ScriptServer {
+    let mut script = vec![Act::Read, Act::Write(STREAM_HEAD.into())];
+    script.append(&mut rest);
+    ScriptServer::start(vec![script])
+}
+
+fn event(position: u32) -> String {
+    format!("data: {{\"position\":{position},\"text\":\"t{position}\"}}\n\n")
+}
+
+/// The positions received, and how the stream ended.
+async fn drain(mut stream: CompletionStream) -> (Vec<u32>, Option<BackendResult<String>>) {
+    let mut positions = Vec::new();
+    while let Some(event) = stream.next().await {
+        let end = match event {
+            Ok(CompletionEvent::Token(token)) => {
+                positions.push(token.position);
+                continue;
+            }
+            Ok(CompletionEvent::Finished { reason }) => Ok(reason),
+            Err(error) => Err(error),
+        };
+        assert!(stream.next().await.is_none(), "the stream goes on after its end");
+        return (positions, Some(end));
+    }
+    (positions, None)
+}
+
+#[compio::test]
+async fn nobody_listens() {
+    assert_eq!(complete(dead_address()).await.err(), Some(BackendError::NotSent));
+    let resumed = client().resume(Step::RequestResume, dead_address(), &"s-1".into(), 0).await;
+    assert_eq!(resumed.err(), Some(BackendError::NotSent));
+    let called = client().call(Step::ClaimDispatch, dead_address(), &plain_request()).await;
+    assert_eq!(called.err(), Some(BackendError::NotSent));
+}
+
+#[compio::test]
+async fn closed_after_the_request_was_read() {
+    let server = ScriptServer::start(vec![vec![Act::Read]]);
+    assert_eq!(complete(server.address).await.err(), Some(BackendError::Broken));
+    assert_eq!(server.connections(), 1, "a request that was sent is not sent again");
+}
+
+#[compio::test]
+async fn closed_before_the_request_was_read_counts_as_sent() {
+    let server = ScriptServer::start(vec![vec![Act::Wait(Duration::from_millis(50))]]);
+    assert_eq!(complete(server.address).await.err(), Some(BackendError::Broken));
+}
+
+#[compio::test]
+async fn refusals() {
+    let not_started = r#"{"error":"not-started"}"#;
+    let at_once = BackendError::NotStarted { retry_after: None };
+    assert_eq!(refusal(&answer("409 Conflict", "", not_started)).await, at_once);
+    let later = BackendError::NotStarted { retry_after: Some(Duration::from_secs(2)) };
+    assert_eq!(refusal(&answer("503 Busy", "Retry-After: 2\r\n", not_started)).await, later);
+    let rejected = |status| BackendError::Rejected { status };
+    assert_eq!(refusal(&answer("409 Conflict", "", r#"{"error":"odd"}"#)).await, rejected(409));
+    assert_eq!(refusal(&answer("500 Error", "", not_started)).await, rejected(500));
+    assert_eq!(refusal(&answer("404 Gone", "", "")).await, rejected(404));
+}
+
+#[compio::test]
+async fn answers_that_say_nothing_are_broken() {
+    assert_eq!(refusal(&answer("200 OK", "", "{}")).await, BackendError::Broken);
+    assert_eq!(refusal(&answer("302 Found", "", "")).await, BackendError::Broken);
+    assert_eq!(refusal("no HTTP at all\r\n\r\n").await, BackendError::Broken);
+    let cut = "HTTP/1.1 409 Conflict\r\nContent-Length: 23\r\n\r\n{\"error\":".to_owned();
+    let server = ScriptServer::start(vec![vec![Act::Read, Act::Write(cut)]]);
+    assert_eq!(complete(server.address).await.err(), Some(BackendError::Broken));
+}
+
+#[compio::test]
+async fn whole_stream_in_odd_pieces() {
+    let text = format!(": hello\n\n{}{}data: {{\"finished\":\"stop\"}}\n\n", event(0), event(1));
+    let mut pieces: Vec<Act> = Vec::new();
+    for piece in text.as_bytes().chunks(7) {
+        pieces.push(chunk(std::str::from_utf8(piece).unwrap()));
+        pieces.push(Act::Wait(Duration::from_millis(2)));
+    }
+    pieces.push(Act::Write("0\r\n\r\n".into()));
+    pieces.push(Act::AwaitClose);
+    let server = stream_server(pieces);
+    let stream = complete(server.address).await.unwrap();
+    assert_eq!(drain(stream).await, (vec![0, 1], Some(Ok("stop".into()))));
+}
+
+#[compio::test]
+async fn connection_is_used_again_after_a_whole_stream() {
+    let finished = || chunk("data: {\"finished\":\"length\"}\n\n");
+    let end = || Act::Write("0\r\n\r\n".into());
+    let head = || Act::Write(STREAM_HEAD.into());
+    let again = vec![finished(), end(), Act::Read, head(), finished(), end(), Act::AwaitClose];
+    let server = stream_server(again);
+    let client = client();
+    for _ in 0..2 {
+        let attempt = attempt();
+        let stream = client.complete(Step::RequestDispatch, server.address, &attempt).await;
+        assert_eq!(drain(stream.unwrap()).await.1, Some(Ok("length".into())));
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(server.connections(), 1);
+}
+
+#[compio::test]
+async fn stream_that_ends_without_finished() {
+    let orderly = stream_server(vec![chunk(&event(0)), Act::Write("0\r\n\r\n".into())]);
+    let cut = stream_server(vec![chunk(&event(0))]);
+    for server in [orderly, cut] {
+        let stream = complete(server.address).await.unwrap();
+        assert_eq!(drain(stream).await, (vec![0], Some(Err(BackendError::Broken))));
+    }
+}
+
+#[compio::test]
+async fn stream_with_a_malformed_event() {
+    let server = stream_server(vec![chunk(&event(0)), chunk("data: {\"odd\":1}\n\n")]);
+    let stream = complete(server.address).await.unwrap();
+    assert_eq!(drain(stream).await, (vec![0], Some(Err(BackendError::Broken))));
+}
+
+#[compio::test]
+async fn stalled_stream() {
+    let server = stream_server(vec![chunk(&event(0)), Act::AwaitClose]);
+    let started = Instant::now();
+    let stream = complete(server.address).await.unwrap();
+    assert_eq!(drain(stream).await, (vec![0], Some(Err(BackendError::Broken))));
+    assert!(started.elapsed() >= IDLE_TIMEOUT);
+    assert!(started.elapsed() < IDLE_TIMEOUT * 5);
+}
+
+#[compio::test]
+async fn dropped_stream_closes_its_connection() {
+    let server = stream_server(vec![chunk(&event(0)), Act::AwaitClose]);
+    let mut stream = complete(server.address).await.unwrap();
+    stream.next().await.unwrap().unwrap();
+    assert_eq!(server.closes(), 0);
+    drop(stream);
+    compio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(server.closes(), 1);
+}
+
+#[compio::test]
+async fn resume_and_cancel() {
+    let gone = ScriptServer::answering(&answer("404 Gone", "", ""));
+    let resumed = client().resume(Step::RequestResume, gone.address, &"s-1".into(), 3).await;
+    assert_eq!(resumed.err(), Some(BackendError::UnknownStream));
+    let request = gone.requests().remove(0);
+    assert!(request.starts_with("GET /v1/streams/s-1?position=3 "), "{request}");
+    let gone = ScriptServer::answering(&answer("404 Gone", "", ""));
+    let cancelled = client().cancel(Step::RequestCancel, gone.address, &"s-1".into()).await;
+    assert_eq!(cancelled, Err(BackendError::UnknownStream));
+    let done = ScriptServer::answering("HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(client().cancel(Step::RequestCancel, done.address, &"s-1".into()).await, Ok(()));
+    let odd = client().cancel(Step::RequestCancel, done.address, &"../x?y".into()).await;
+    assert_eq!(odd, Err(BackendError::UnknownStream));
+}
+
+fn plain_request() -> PlainRequest {
+    let request = http::Request::post("http://callers.example/book?day=1")
+        .header("Connection", "X-Secret, close")
+        .header("X-Secret", "s")
+        .header("X-Kept", "k")
+        .body(())
+        .unwrap();
+    PlainRequest { head: request.into_parts().0, body: Bytes::from_static(b"body") }
+}
+
+#[compio::test]
+async fn plain_calls() {
+    let headers = "Keep-Alive: timeout=5\r\nX-Own: o\r\n";
+    let server = ScriptServer::answering(&answer("500 Error", headers, "text"));
+    let called = client().call(Step::RequestDispatch, server.address, &plain_request()).await;
+    let response = called.unwrap();
+    assert_eq!((response.status.as_u16(), &response.body[..]), (500, &b"text"[..]));
+    assert_eq!(response.headers.get("x-own").unwrap(), "o");
+    assert!(response.headers.get("keep-alive").is_none());
+    let request = server.requests().remove(0).to_ascii_lowercase();
+    assert!(request.starts_with("post /book?day=1 http/1.1\r\n"), "{request}");
+    assert!(request.contains("x-kept: k") && request.ends_with("\r\n\r\nbody"), "{request}");
+    assert!(!request.contains("x-secret") && !request.contains("connection"), "{request}");
+}
+
+#[compio::test]
+async fn plain_call_that_was_not_started() {
+    let headers = "X-Not-Started: true\r\nRetry-After: 1\r\n";
+    let server = ScriptServer::answering(&answer("503 Busy", headers, ""));
+    let called = client().call(Step::RequestDispatch, server.address, &plain_request()).await;
+    let refused = BackendError::NotStarted { retry_after: Some(Duration::from_secs(1)) };
+    assert_eq!(called.err(), Some(refused));
+    let server = ScriptServer::answering(&answer("503 Busy", "", ""));
+    let called = client().call(Step::RequestDispatch, server.address, &plain_request()).await;
+    assert_eq!(called.unwrap().status.as_u16(), 503);
+}
+
+#[compio::test]
+async fn connections_to_one_address_are_bounded() {
+    let server = stream_server(vec![Act::AwaitClose]);
+    let settings = HttpSettings { connections_per_address: 1, ..HttpSettings::default() };
+    let meter = ByteMeter::default();
+    let pool = HttpPool::new(settings, meter.clone());
+    let client = BackendClient::new(pool, BackendSettings::default());
+    let stream = client.complete(Step::RequestDispatch, server.address, &attempt()).await.unwrap();
+    let second = client.complete(Step::RequestDispatch, server.address, &attempt()).await;
+    assert_eq!(second.err(), Some(BackendError::NotSent));
+    assert_eq!(server.connections(), 1);
+    drop(stream);
+    assert!(meter.sent() > 0 && meter.received() >= u64::try_from(STREAM_HEAD.len()).unwrap());
+}
