--- a/crates/ports/src/step.rs
+++ b/crates/ports/src/step.rs
@@ -120,6 +120,8 @@
     SuspectNotify,
     /// Runs a suspect request again.
     SuspectRetry,
+    /// Takes or gives back the right to run a suspect request at a group.
+    SuspectSlot,
 }
 
 impl Step {
@@ -152,7 +154,7 @@
             | Self::ClaimOutcome
             | Self::ClaimJoin => Protocol::Claim,
             Self::ShutdownAnnounce | Self::ShutdownGiveBack => Protocol::Shutdown,
-            Self::SuspectNotify | Self::SuspectRetry => Protocol::Suspect,
+            Self::SuspectNotify | Self::SuspectRetry | Self::SuspectSlot => Protocol::Suspect,
         }
     }
 }
--- /dev/null
+++ b/crates/serving/src/admission_desk.rs
@@ -0,0 +1,152 @@
+//! Waiting for the admission queue.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use comfreyturn_policy::{AdmissionDecision, AdmissionQuery, AdmissionTicket, CustomerShare};
+use comfreyturn_types::{CustomerName, RefusalReason, ServiceName};
+
+use crate::{Refusal, Result, ServingPolicies, ServingPorts};
+
+type DeskReply = Result<AdmissionPermit>;
+
+/// Turns the decisions of the admission queue into something to await.
+pub(crate) struct AdmissionDesk {
+    ports: ServingPorts,
+    policies: Rc<RefCell<ServingPolicies>>,
+    poll_period: Duration,
+    waiters: RefCell<BTreeMap<AdmissionTicket, flume::Sender<DeskReply>>>,
+    polling: Cell<bool>,
+}
+
+impl AdmissionDesk {
+    pub(crate) fn new(
+        ports: ServingPorts,
+        policies: Rc<RefCell<ServingPolicies>>,
+        poll_period: Duration,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            ports,
+            policies,
+            poll_period,
+            waiters: RefCell::default(),
+            polling: Cell::new(false),
+        })
+    }
+
+    /// Tells the queue what it needs to know of a customer and a service.
+    pub(crate) fn prepare(
+        &self,
+        service: &ServiceName,
+        concurrent: u32,
+        customer: &CustomerName,
+        share: CustomerShare,
+    ) {
+        let now = self.ports.now();
+        let mut policies = self.policies.borrow_mut();
+        policies.queue.set_capacity(now, service, concurrent);
+        policies.queue.set_share(now, customer, share);
+    }
+
+    /// Awaits that a request may run.
+    pub(crate) async fn admit(self: &Rc<Self>, query: &AdmissionQuery) -> DeskReply {
+        let decision = self.policies.borrow_mut().queue.submit(self.ports.now(), query);
+        match decision {
+            AdmissionDecision::Run(ticket) => Ok(self.permit(ticket)),
+            AdmissionDecision::Refuse { reason, retry_after } => {
+                Err(Refusal::not_run(reason).after(retry_after))
+            }
+            AdmissionDecision::Wait(ticket) => self.wait(ticket).await,
+        }
+    }
+
+    async fn wait(self: &Rc<Self>, ticket: AdmissionTicket) -> DeskReply {
+        let (sender, receiver) = flume::bounded(1);
+        self.waiters.borrow_mut().insert(ticket, sender);
+        let _place = QueuePlace { desk: self.clone(), ticket };
+        self.start_polling();
+        match receiver.recv_async().await {
+            Ok(reply) => reply,
+            Err(_) => Err(Refusal::not_run(RefusalReason::Overloaded)),
+        }
+    }
+
+    fn permit(self: &Rc<Self>, ticket: AdmissionTicket) -> AdmissionPermit {
+        AdmissionPermit { desk: self.clone(), ticket, tokens: Cell::new(0) }
+    }
+
+    fn start_polling(self: &Rc<Self>) {
+        if self.polling.replace(true) {
+            return;
+        }
+        let desk = self.clone();
+        self.ports.spawner.spawn(Box::pin(async move { desk.poll().await }));
+    }
+
+    async fn poll(self: Rc<Self>) {
+        while !self.waiters.borrow().is_empty() {
+            self.ports.clock.sleep(self.poll_period).await;
+            self.release();
+        }
+        self.polling.set(false);
+    }
+
+    fn release(self: &Rc<Self>) {
+        let released = self.policies.borrow_mut().queue.release(self.ports.now());
+        for (ticket, decision) in released {
+            let reply = match decision {
+                AdmissionDecision::Run(ticket) => Ok(self.permit(ticket)),
+                AdmissionDecision::Refuse { reason, retry_after } => {
+                    Err(Refusal::not_run(reason).after(retry_after))
+                }
+                AdmissionDecision::Wait(_) => continue,
+            };
+            let waiter = self.waiters.borrow_mut().remove(&ticket);
+            if let Some(waiter) = waiter {
+                let _ = waiter.send(reply);
+            }
+        }
+    }
+}
+
+/// A place in the queue; dropped before its turn, it is withdrawn.
+struct QueuePlace {
+    desk: Rc<AdmissionDesk>,
+    ticket: AdmissionTicket,
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let waiting = self.desk.waiters.borrow_mut().remove(&self.ticket);
+        if waiting.is_some() {
+            let now = self.desk.ports.now();
+            self.desk.policies.borrow_mut().queue.withdraw(now, self.ticket);
+        }
+    }
+}
+
+/// The right to run one request; dropped when that ended.
+pub(crate) struct AdmissionPermit {
+    desk: Rc<AdmissionDesk>,
+    ticket: AdmissionTicket,
+    tokens: Cell<u32>,
+}
+
+impl AdmissionPermit {
+    /// Says what the request cost in truth.
+    pub(crate) fn charge(&self, tokens: u32) {
+        self.tokens.set(tokens);
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        let now = self.desk.ports.now();
+        self.desk.policies.borrow_mut().queue.finish(now, self.ticket, self.tokens.get());
+        self.desk.release();
+    }
+}
--- /dev/null
+++ b/crates/serving/src/claim_book.rs
@@ -0,0 +1,350 @@
+//! The rows that let a request run at most once.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_ports::{PeerIdentity, RowCheck, RowKey, RowWrite, Step, TableResult, TableRow};
+use comfreyturn_types::{CustomerName, IdempotencyKey, RowVersion, StreamId};
+
+use crate::{
+    ClaimPhase, ClaimRecord, ServingPorts, ServingSettings, ServingView, StoredAnswer,
+    claim_hold::ClaimHold,
+    row_batcher::{RowBatcher, RowOutcome},
+};
+
+/// Writes whose answer was lost are repeated this often before the insertion is given up.
+const INSERT_TRIES: u32 = 3;
+
+/// How often an abandoned claim is looked for, as its write may still be on its way.
+const ABANDON_TRIES: u32 = 6;
+
+/// What became of an insertion.
+pub(crate) enum ClaimInsert {
+    /// This submission holds the claim.
+    Held(ClaimHold),
+    /// Another submission holds it.
+    Taken,
+    /// The table could not be reached. A claim that was written all the same is deleted later.
+    Unavailable,
+}
+
+/// What a submission finds under its key.
+pub(crate) enum ClaimJoin {
+    /// Nothing.
+    Vacant,
+    /// The end of an earlier submission.
+    Settled(StoredAnswer),
+    /// An earlier submission whose owner runs it no longer.
+    Orphaned {
+        /// The claim.
+        record: ClaimRecord,
+        /// Where it ran, if it ran.
+        address: SocketAddr,
+        /// The stream at a model engine.
+        stream: Option<StreamId>,
+    },
+    /// An earlier submission with another body.
+    OtherBody,
+    /// The table could not be reached.
+    Unavailable,
+}
+
+/// The claims of a cell, as one node sees them.
+pub(crate) struct ClaimBook {
+    identity: PeerIdentity,
+    ports: ServingPorts,
+    view: Rc<dyn ServingView>,
+    settings: ServingSettings,
+    inserts: Rc<RowBatcher>,
+    outcomes: Rc<RowBatcher>,
+    next_serial: Cell<u64>,
+    /// Claims of this run that may still be dispatched or settled.
+    live: RefCell<BTreeSet<u64>>,
+}
+
+impl ClaimBook {
+    pub(crate) fn new(
+        identity: PeerIdentity,
+        ports: ServingPorts,
+        view: Rc<dyn ServingView>,
+        settings: ServingSettings,
+    ) -> Rc<Self> {
+        let batcher = |step| {
+            let delay = settings.claim_batch_delay;
+            RowBatcher::new(ports.clone(), step, delay, settings.claim_batch_rows)
+        };
+        Rc::new(Self {
+            inserts: batcher(Step::ClaimInsert),
+            outcomes: batcher(Step::ClaimOutcome),
+            identity,
+            ports,
+            view,
+            settings,
+            next_serial: Cell::new(0),
+            live: RefCell::default(),
+        })
+    }
+
+    /// The row of a key. Slashes of the customer's name are escaped, so that no customer reaches
+    /// another one's claims.
+    pub(crate) fn row_key(&self, customer: &CustomerName, key: &IdempotencyKey) -> RowKey {
+        let customer = customer.as_str().replace('%', "%25").replace('/', "%2F");
+        RowKey::from(format!("{}/claim/{customer}/{key}", self.identity.cell))
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Inserting
+
+    /// Inserts a claim right before its dispatch.
+    pub(crate) async fn insert(
+        self: &Rc<Self>,
+        key: RowKey,
+        body_hash: u64,
+        phase: ClaimPhase,
+    ) -> ClaimInsert {
+        let record = self.new_record(body_hash, phase);
+        let mut hold = ClaimHold::new(self.clone(), key, record, self.ports.now());
+        for attempt in 0..INSERT_TRIES {
+            let outcome = self.write_claim(&mut hold).await;
+            match outcome {
+                RowOutcome::Written => return self.held(hold),
+                RowOutcome::Conflict if attempt == 0 => {
+                    hold.forget();
+                    return ClaimInsert::Taken;
+                }
+                RowOutcome::Unavailable if attempt == 0 => {
+                    hold.forget();
+                    return ClaimInsert::Unavailable;
+                }
+                RowOutcome::Conflict | RowOutcome::NoAnswer | RowOutcome::Unavailable => {}
+            }
+            match self.read(Step::ClaimReadBack, &hold.key).await {
+                Ok(None) => {}
+                Ok(Some((_, record))) if hold.is(&record) => return self.held(hold),
+                Ok(Some(_)) => {
+                    hold.forget();
+                    return ClaimInsert::Taken;
+                }
+                Err(_) => return ClaimInsert::Unavailable,
+            }
+        }
+        ClaimInsert::Unavailable
+    }
+
+    async fn write_claim(&self, hold: &mut ClaimHold) -> RowOutcome {
+        let check = RowCheck { key: hold.key.clone(), version: RowVersion(0) };
+        let write = RowWrite { key: hold.key.clone(), value: Some(to_text(&hold.record)) };
+        self.inserts.write(check, write).await
+    }
+
+    fn held(&self, mut hold: ClaimHold) -> ClaimInsert {
+        hold.confirmed_at = self.ports.now();
+        ClaimInsert::Held(hold)
+    }
+
+    fn new_record(&self, body_hash: u64, phase: ClaimPhase) -> ClaimRecord {
+        let serial = self.next_serial.get();
+        self.next_serial.set(serial + 1);
+        self.live.borrow_mut().insert(serial);
+        ClaimRecord {
+            node: self.identity.node.clone(),
+            owner: self.identity.incarnation,
+            serial,
+            body_hash,
+            phase,
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Joining
+
+    /// Looks for an earlier submission, and waits for its end. `claimed` says that a claim is known
+    /// to be there; from then on the table's failures are waited out.
+    pub(crate) async fn join(
+        &self,
+        key: &RowKey,
+        body_hash: u64,
+        claimed: &Cell<bool>,
+    ) -> ClaimJoin {
+        let mut pause = self.settings.claim_read_pause;
+        loop {
+            match self.read(Step::ClaimJoin, key).await {
+                Ok(None) => return ClaimJoin::Vacant,
+                Ok(Some((_, record))) => {
+                    claimed.set(true);
+                    if let Some(end) = self.judge(record, body_hash) {
+                        return end;
+                    }
+                }
+                Err(_) if claimed.get() => {}
+                Err(_) => return ClaimJoin::Unavailable,
+            }
+            self.ports.clock.sleep(pause).await;
+            pause = self.next_pause(pause);
+        }
+    }
+
+    /// What a claim means to a submission; `None` while its owner runs it.
+    fn judge(&self, record: ClaimRecord, body_hash: u64) -> Option<ClaimJoin> {
+        if record.body_hash != body_hash {
+            return Some(ClaimJoin::OtherBody);
+        }
+        match record.phase.clone() {
+            ClaimPhase::Settled(answer) => Some(ClaimJoin::Settled(answer)),
+            ClaimPhase::Dispatching { address, stream } if self.is_orphaned(&record) => {
+                Some(ClaimJoin::Orphaned { record, address, stream })
+            }
+            ClaimPhase::Dispatching { .. } => None,
+        }
+    }
+
+    fn is_orphaned(&self, record: &ClaimRecord) -> bool {
+        if record.owner == self.identity.incarnation {
+            return !self.live.borrow().contains(&record.serial);
+        }
+        self.view.incarnation_gone(&record.owner)
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Owning
+
+    /// Whether a claim still stands as it was inserted.
+    pub(crate) async fn still_holds(&self, hold: &ClaimHold) -> TableResult<bool> {
+        let row = self.read(Step::ClaimReadBack, &hold.key).await?;
+        Ok(row.is_some_and(|(_, record)| record == hold.record))
+    }
+
+    /// Writes where a claimed request runs now. Best effort: it only helps those who join.
+    pub(crate) async fn move_claim(self: &Rc<Self>, hold: &ClaimHold) {
+        let Ok(Some((version, record))) = self.read(Step::ClaimReadBack, &hold.key).await else {
+            return;
+        };
+        if hold.is(&record) {
+            self.replace(&hold.key, version, &hold.record).await;
+        }
+    }
+
+    /// Records the end of a claimed request, trying again while the table is down.
+    pub(crate) async fn settle(
+        self: &Rc<Self>,
+        key: &RowKey,
+        owned: &ClaimRecord,
+        answer: StoredAnswer,
+    ) {
+        let phase = ClaimPhase::Settled(answer);
+        let settled = ClaimRecord { phase, ..owned.clone() };
+        let give_up = self.ports.now() + self.settings.outcome_patience;
+        let mut pause = self.settings.claim_read_pause;
+        while self.ports.now() < give_up {
+            match self.read(Step::ClaimOutcome, key).await {
+                Ok(Some((_, record))) if record == settled => return,
+                Ok(Some((version, record))) if is_same(&record, owned) => {
+                    if self.replace(key, version, &settled).await == RowOutcome::Written {
+                        return;
+                    }
+                }
+                Ok(_) => return,
+                Err(_) => {}
+            }
+            self.ports.clock.sleep(pause).await;
+            pause = self.next_pause(pause);
+        }
+        log::warn!("claims: outcome of {key} not recorded.");
+    }
+
+    /// Deletes a claim that was never dispatched, so that the request can be sent again.
+    pub(crate) async fn abandon(self: &Rc<Self>, key: RowKey, owned: ClaimRecord) {
+        self.delete_claim(&key, &owned).await;
+        self.release(&owned);
+    }
+
+    async fn delete_claim(self: &Rc<Self>, key: &RowKey, owned: &ClaimRecord) {
+        let mut pause = self.settings.claim_read_pause;
+        let mut absent = 0;
+        let give_up = self.ports.now() + self.settings.outcome_patience;
+        while absent < ABANDON_TRIES && self.ports.now() < give_up {
+            match self.read(Step::ClaimOutcome, key).await {
+                Ok(Some((version, record))) if is_same(&record, owned) => {
+                    if self.delete(key, version).await == RowOutcome::Written {
+                        return;
+                    }
+                }
+                Ok(Some(_)) => return,
+                Ok(None) => absent += 1,
+                Err(_) => {}
+            }
+            self.ports.clock.sleep(pause).await;
+            pause = self.next_pause(pause);
+        }
+    }
+
+    /// This node does nothing more about a claim.
+    pub(crate) fn release(&self, owned: &ClaimRecord) {
+        self.live.borrow_mut().remove(&owned.serial);
+    }
+
+    /// Starts a task of the book.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.ports.spawner.spawn(Box::pin(task));
+    }
+
+    /// Whether a claim was confirmed too long ago to be relied on.
+    pub(crate) fn is_late(&self, confirmed_at: Instant) -> bool {
+        let age = self.ports.now().saturating_duration_since(confirmed_at);
+        age > self.settings.claim_dispatch_limit
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Rows
+
+    async fn replace(
+        self: &Rc<Self>,
+        key: &RowKey,
+        version: RowVersion,
+        record: &ClaimRecord,
+    ) -> RowOutcome {
+        let check = RowCheck { key: key.clone(), version };
+        let write = RowWrite { key: key.clone(), value: Some(to_text(record)) };
+        self.outcomes.write(check, write).await
+    }
+
+    async fn delete(self: &Rc<Self>, key: &RowKey, version: RowVersion) -> RowOutcome {
+        let check = RowCheck { key: key.clone(), version };
+        let write = RowWrite { key: key.clone(), value: None };
+        self.outcomes.write(check, write).await
+    }
+
+    async fn read(
+        &self,
+        step: Step,
+        key: &RowKey,
+    ) -> TableResult<Option<(RowVersion, ClaimRecord)>> {
+        let rows = self.ports.table.read(step, std::slice::from_ref(key)).await?;
+        let row = rows.into_iter().next().flatten();
+        row.map(parse_row).transpose()
+    }
+
+    fn next_pause(&self, pause: Duration) -> Duration {
+        (pause * 2).min(self.settings.claim_read_ceiling)
+    }
+}
+
+/// Whether two records are of the same submission.
+pub(crate) fn is_same(record: &ClaimRecord, owned: &ClaimRecord) -> bool {
+    record.owner == owned.owner && record.serial == owned.serial
+}
+
+fn parse_row(row: TableRow) -> TableResult<(RowVersion, ClaimRecord)> {
+    let record =
+        serde_json::from_str(&row.value).map_err(|_| comfreyturn_ports::TableError::Malformed)?;
+    Ok((row.version, record))
+}
+
+fn to_text(record: &ClaimRecord) -> String {
+    serde_json::to_string(record).expect("claims consist of text and numbers")
+}
--- /dev/null
+++ b/crates/serving/src/claim_record.rs
@@ -0,0 +1,127 @@
+//! Claims as the table's rows hold them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use comfreyturn_ports::PlainResponse;
+use comfreyturn_types::{Incarnation, NodeId, OutcomeWord, RefusalReason, StreamId};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use serde::{Deserialize, Serialize};
+
+/// The row of a claim: who runs a request that must run at most once, and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// The node that runs it.
+    pub node: NodeId,
+
+    /// The run of that node. Invariant: never changes. No node takes a claim over, because its
+    /// owner may be frozen right before it dispatches.
+    pub owner: Incarnation,
+
+    /// Tells submissions of one node apart. Invariant: unique within `owner`.
+    pub serial: u64,
+
+    /// Hash of the body; another body under the same key is refused.
+    pub body_hash: u64,
+
+    /// Where it stands.
+    pub phase: ClaimPhase,
+}
+
+/// Where a claimed request stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ClaimPhase {
+    /// It is about to be sent to a backend server, or runs there.
+    Dispatching {
+        /// The backend server.
+        address: SocketAddr,
+        /// The stream at a model engine.
+        stream: Option<StreamId>,
+    },
+
+    /// It ended.
+    Settled(StoredAnswer),
+}
+
+/// The end of a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoredAnswer {
+    /// A whole completion.
+    Completion {
+        /// The tokens in order.
+        tokens: Vec<String>,
+        /// Why generation ended.
+        reason: String,
+    },
+
+    /// A whole answer of a plain service.
+    Plain {
+        /// The HTTP status.
+        status: u16,
+        /// The headers.
+        headers: Vec<(String, String)>,
+        /// The body, one character for each byte.
+        body: String,
+    },
+
+    /// It ran to its end; the answer was too large to store.
+    TooLarge,
+
+    /// It ended without success.
+    Refused {
+        /// What became of it.
+        outcome: OutcomeWord,
+        /// Why.
+        reason: RefusalReason,
+    },
+}
+
+impl StoredAnswer {
+    /// The end of a request of which nobody can say whether it ran.
+    pub(crate) fn unknown(reason: RefusalReason) -> Self {
+        Self::Refused { outcome: OutcomeWord::Unknown, reason }
+    }
+
+    /// Stores an answer of a plain service if it has at most `limit` bytes.
+    pub(crate) fn from_plain(response: &PlainResponse, limit: usize) -> Self {
+        if response.body.len() > limit {
+            return Self::TooLarge;
+        }
+        Self::Plain {
+            status: response.status.as_u16(),
+            headers: response.headers.iter().filter_map(header_text).collect(),
+            body: response.body.iter().copied().map(char::from).collect(),
+        }
+    }
+
+    /// Stores a completion if it has at most `limit` bytes.
+    pub(crate) fn from_completion(tokens: &[String], reason: &str, limit: usize) -> Self {
+        let size: usize = tokens.iter().map(String::len).sum();
+        if size > limit {
+            return Self::TooLarge;
+        }
+        Self::Completion { tokens: tokens.to_vec(), reason: reason.to_owned() }
+    }
+
+    /// The stored answer of a plain service.
+    pub(crate) fn to_plain(&self) -> Option<PlainResponse> {
+        let Self::Plain { status, headers, body } = self else {
+            return None;
+        };
+        Some(PlainResponse {
+            status: StatusCode::from_u16(*status).ok()?,
+            headers: headers.iter().filter_map(parse_header).collect::<HeaderMap>(),
+            body: body.chars().map(u8::try_from).collect::<Result<Bytes, _>>().ok()?,
+        })
+    }
+}
+
+fn header_text((name, value): (&HeaderName, &HeaderValue)) -> Option<(String, String)> {
+    Some((name.to_string(), value.to_str().ok()?.to_owned()))
+}
+
+fn parse_header((name, value): &(String, String)) -> Option<(HeaderName, HeaderValue)> {
+    Some((name.parse().ok()?, value.parse().ok()?))
+}
--- /dev/null
+++ b/crates/serving/src/completion_run.rs
@@ -0,0 +1,536 @@
+//! One completion from admission to its end.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_policy::{RouteEnd, RouteQuery, WholeGroup};
+use comfreyturn_ports::{
+    BackendError, BackendResult, CompletionAttempt, CompletionEvent, CompletionStream,
+    CompletionToken, Step,
+};
+use comfreyturn_types::{GroupId, RefusalReason, StreamId};
+use futures_util::StreamExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    CompletionCall, Refusal, StoredAnswer,
+    admission_desk::AdmissionPermit,
+    answer_stream::AnswerSink,
+    run_scope::{KnownVm, RunResult, RunScope, RunStop, Wait},
+    suspect_slots::SlotHold,
+};
+
+/// Length of the prompt's part that is hashed for prefix affinity, in bytes.
+const PREFIX_BYTES: usize = 1024;
+
+/// Estimated length of a token, in bytes.
+const TOKEN_BYTES: usize = 4;
+
+/// Rounds of a submission that finds its key taken, and then free again.
+pub(crate) const CLAIM_ROUNDS: u32 = 3;
+
+/// Tries to cancel a stream that nobody awaits.
+const CANCEL_TRIES: u32 = 3;
+
+/// Pause between two such tries.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
+
+/// Where an attempt goes.
+struct Placement {
+    group: WholeGroup,
+    stream: StreamId,
+    known: Vec<KnownVm>,
+    /// Held by suspects until they ended.
+    slot: Option<SlotHold>,
+}
+
+/// How an attempt ended.
+enum AttemptEnd {
+    Finished(String),
+    NotStarted { retry_after: Option<Duration> },
+    NotSent,
+    Rejected,
+    Lost,
+}
+
+/// How reading a stream ended.
+pub(crate) enum StreamEnd {
+    Finished(String),
+    Rejected,
+    Broken,
+}
+
+/// One completion from admission to its end.
+pub(crate) struct CompletionRun {
+    pub(crate) run: RunScope,
+    call: CompletionCall,
+    sink: AnswerSink,
+    permit: Option<AdmissionPermit>,
+    pub(crate) delivered: Vec<String>,
+    refused_by: Vec<GroupId>,
+    avoid: Vec<GroupId>,
+    retry_after: Option<Duration>,
+    started_at: Instant,
+    last_token_at: Option<Instant>,
+}
+
+impl CompletionRun {
+    pub(crate) fn new(
+        run: RunScope,
+        call: CompletionCall,
+        sink: AnswerSink,
+        started_at: Instant,
+    ) -> Self {
+        Self {
+            run,
+            call,
+            sink,
+            permit: None,
+            delivered: Vec::new(),
+            refused_by: Vec::new(),
+            avoid: Vec::new(),
+            retry_after: None,
+            started_at,
+            last_token_at: None,
+        }
+    }
+
+    /// Runs the request and hands its answer on.
+    pub(crate) async fn run(mut self) {
+        let end = self.serve().await;
+        self.charge();
+        match end {
+            Ok(reason) => self.finish(reason).await,
+            Err(RunStop::Refused(refusal)) => self.refuse(refusal).await,
+            Err(RunStop::CallerGone | RunStop::ClaimTaken) => {}
+        }
+    }
+
+    /// Joins an earlier submission of the same key, or runs the request.
+    async fn serve(&mut self) -> RunResult<String> {
+        let claimed = Cell::new(false);
+        for _ in 0..CLAIM_ROUNDS {
+            if let Some(reason) = self.join(&claimed).await? {
+                return Ok(reason);
+            }
+            self.permit = Some(self.run.admit(self.tokens()).await?);
+            match self.run_attempts().await {
+                Err(RunStop::ClaimTaken) => claimed.set(true),
+                end => return end,
+            }
+            self.permit = None;
+        }
+        Err(self.run.stop(RefusalReason::DuplicateKey))
+    }
+
+    async fn run_attempts(&mut self) -> RunResult<String> {
+        self.run.service.policies.borrow_mut().retries.record_request(self.run.now());
+        loop {
+            let placement = self.place().await?;
+            let (address, stream) = (placement.group.entry.address, placement.stream.clone());
+            self.run.hold_claim(address, Some(stream)).await?;
+            self.run.check_dispatch().await?;
+            if !self.may_go(&placement) {
+                continue;
+            }
+            match self.attempt(&placement).await? {
+                AttemptEnd::Finished(reason) => return Ok(reason),
+                AttemptEnd::Rejected => return Err(self.run.stop(RefusalReason::BackendError)),
+                AttemptEnd::NotStarted { retry_after } => self.pass_over(&placement, retry_after),
+                AttemptEnd::NotSent => {
+                    self.pass_over(&placement, None);
+                    self.run.service.view.probe(&placement.group.entry.vm).await;
+                }
+                AttemptEnd::Lost => self.give_up_attempt(&placement).await?,
+            }
+        }
+    }
+
+    /// Whether what was true when the group was chosen still is.
+    fn may_go(&self, placement: &Placement) -> bool {
+        let alone = placement.slot.is_some() || !self.run.is_suspect();
+        alone && self.is_whole(&placement.group)
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Placing
+
+    /// Chooses a group. A request that already ran waits for one; another one waits only while
+    /// the groups are busy.
+    async fn place(&mut self) -> RunResult<Placement> {
+        let give_up = self.run.now() + self.run.service.settings.group_wait;
+        loop {
+            self.run.check_condemned()?;
+            if let Some(placement) = self.try_place().await? {
+                return Ok(placement);
+            }
+            let busy = !self.open_groups().is_empty();
+            let late = self.run.now() >= give_up && !self.run.is_suspect();
+            if late || !(busy || self.run.sent) {
+                return Err(self.no_group(busy));
+            }
+            self.run.pause(self.run.service.settings.poll_period).await?;
+            if self.run.sent {
+                self.refused_by.clear();
+            }
+        }
+    }
+
+    fn no_group(&self, busy: bool) -> RunStop {
+        let overloaded = busy || !self.refused_by.is_empty();
+        let reason = if overloaded { RefusalReason::Overloaded } else { RefusalReason::NoCapacity };
+        RunStop::Refused(Refusal { retry_after: self.retry_after, ..self.run.refusal(reason) })
+    }
+
+    async fn try_place(&mut self) -> RunResult<Option<Placement>> {
+        let suspect = self.run.is_suspect();
+        let mut groups = self.open_groups();
+        while !groups.is_empty() {
+            let Some(group) = self.choose(&groups) else {
+                return Ok(None);
+            };
+            groups.retain(|other| other.assignment.group != group.assignment.group);
+            let slot = match self.slot(&group, suspect).await? {
+                Slot::NotNeeded => None,
+                Slot::Held(hold) => Some(hold),
+                Slot::Busy => continue,
+            };
+            if self.recheck(&group).await? {
+                return Ok(Some(self.placement(group, slot)));
+            }
+        }
+        Ok(None)
+    }
+
+    fn open_groups(&self) -> Vec<WholeGroup> {
+        let view = &self.run.service.view;
+        let mut groups = view.whole_groups(self.run.now(), &self.run.scope.service);
+        groups.retain(|group| !self.refused_by.contains(&group.assignment.group));
+        groups
+    }
+
+    fn choose(&self, groups: &[WholeGroup]) -> Option<WholeGroup> {
+        let query = self.route_query();
+        let now = self.run.now();
+        let mut policies = self.run.service.policies.borrow_mut();
+        let chosen = policies.router.choose(now, &query, groups)?;
+        groups.iter().find(|group| group.assignment.group == chosen).cloned()
+    }
+
+    fn route_query(&self) -> RouteQuery {
+        let prompt = self.call.prompt.as_bytes();
+        let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
+        RouteQuery {
+            customer: self.run.scope.customer.clone(),
+            prefix: xxh3_64(prefix),
+            prompt_tokens: u32::try_from(prompt.len() / TOKEN_BYTES).unwrap_or(u32::MAX),
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    async fn slot(&self, group: &WholeGroup, suspect: bool) -> RunResult<Slot> {
+        if !suspect {
+            return Ok(Slot::NotNeeded);
+        }
+        let place = group.assignment.group.as_str();
+        let slots = self.run.service.slots.clone();
+        if !slots.may_ask(self.run.now(), place) {
+            return Ok(Slot::Busy);
+        }
+        let hold = self.run.within_deadline(slots.take(place)).await?;
+        Ok(hold.map_or(Slot::Busy, Slot::Held))
+    }
+
+    /// Whether a group may still take the request; polled at once if the evidence is old.
+    async fn recheck(&self, group: &WholeGroup) -> RunResult<bool> {
+        if self.is_whole(group) {
+            return Ok(true);
+        }
+        for vm in &group.assignment.members {
+            self.run.within_deadline(self.run.service.view.probe(vm)).await?;
+        }
+        Ok(self.is_whole(group))
+    }
+
+    fn is_whole(&self, group: &WholeGroup) -> bool {
+        let assignment = &group.assignment;
+        let view = &self.run.service.view;
+        view.is_group_whole(self.run.now(), &assignment.group, assignment.generation)
+    }
+
+    fn placement(&self, group: WholeGroup, slot: Option<SlotHold>) -> Placement {
+        Placement {
+            known: self.run.known_vms(&group.assignment.members),
+            stream: self.run.service.next_stream(),
+            group,
+            slot,
+        }
+    }
+
+    /// A group did not start the request; it is not asked again.
+    fn pass_over(&mut self, placement: &Placement, retry_after: Option<Duration>) {
+        self.refused_by.push(placement.group.assignment.group.clone());
+        self.retry_after = match (self.retry_after, retry_after) {
+            (Some(earlier), Some(later)) => Some(earlier.min(later)),
+            (earlier, later) => earlier.or(later),
+        };
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // One attempt
+
+    async fn attempt(&mut self, placement: &Placement) -> RunResult<AttemptEnd> {
+        let (group, query) = (placement.group.assignment.group.clone(), self.route_query());
+        let service = self.run.service.clone();
+        service.policies.borrow_mut().router.started(self.run.now(), &group, &query);
+        let end = self.dispatch(placement).await;
+        let route_end = match &end {
+            Ok(AttemptEnd::Finished(_)) => RouteEnd::Finished,
+            Ok(_) => RouteEnd::Failed,
+            Err(_) => RouteEnd::Abandoned,
+        };
+        service.policies.borrow_mut().router.ended(self.run.now(), &group, route_end);
+        if matches!(end, Err(_) | Ok(AttemptEnd::Lost)) {
+            self.cancel(placement);
+        }
+        end
+    }
+
+    /// Sends the attempt, and follows its stream over broken connections.
+    async fn dispatch(&mut self, placement: &Placement) -> RunResult<AttemptEnd> {
+        let sent_before = self.run.sent;
+        self.run.dispatched();
+        let dispatched_at = self.run.now();
+        let mut opened = match self.open(placement).await? {
+            Err(BackendError::NotSent) => {
+                self.run.not_started(sent_before);
+                return Ok(AttemptEnd::NotSent);
+            }
+            Err(BackendError::NotStarted { retry_after }) => {
+                self.run.not_started(sent_before);
+                return Ok(AttemptEnd::NotStarted { retry_after });
+            }
+            Err(BackendError::Rejected { .. }) => return Ok(AttemptEnd::Rejected),
+            opened => opened.ok(),
+        };
+        let address = placement.group.entry.address;
+        let source = (placement.group.assignment.group.clone(), dispatched_at);
+        let mut idle_resumes = 0;
+        loop {
+            let progress = self.delivered.len();
+            if let Some(stream) = opened {
+                match self.read(stream, Some(&source)).await? {
+                    StreamEnd::Finished(reason) => return Ok(AttemptEnd::Finished(reason)),
+                    StreamEnd::Rejected => return Ok(AttemptEnd::Rejected),
+                    StreamEnd::Broken => {}
+                }
+            }
+            if self.delivered.len() > progress {
+                idle_resumes = 0;
+            }
+            if idle_resumes >= self.max_resumes() {
+                return Ok(AttemptEnd::Lost);
+            }
+            self.pause_before_resume(idle_resumes).await?;
+            idle_resumes += 1;
+            opened = match self.resume(address, &placement.stream).await? {
+                Ok(stream) => Some(stream),
+                Err(BackendError::NotSent | BackendError::Broken) => None,
+                Err(_) => return Ok(AttemptEnd::Lost),
+            };
+        }
+    }
+
+    async fn open(&self, placement: &Placement) -> RunResult<BackendResult<CompletionStream>> {
+        let assignment = &placement.group.assignment;
+        let attempt = CompletionAttempt {
+            stream: placement.stream.clone(),
+            group: assignment.group.clone(),
+            generation: assignment.generation,
+            prompt: self.call.prompt.clone(),
+            delivered: self.delivered.clone(),
+            max_tokens: self.call.max_tokens,
+            priority: self.run.scope.class as u32,
+            parameters: self.call.parameters.clone(),
+        };
+        let address = placement.group.entry.address;
+        let backends = self.run.service.ports.backends.clone();
+        self.or_broken(backends.complete(self.dispatch_step(placement), address, &attempt)).await
+    }
+
+    fn dispatch_step(&self, placement: &Placement) -> Step {
+        if placement.slot.is_some() {
+            Step::SuspectRetry
+        } else if self.run.claim.is_some() {
+            Step::ClaimDispatch
+        } else {
+            Step::RequestDispatch
+        }
+    }
+
+    pub(crate) async fn resume(
+        &self,
+        address: SocketAddr,
+        stream: &StreamId,
+    ) -> RunResult<BackendResult<CompletionStream>> {
+        self.run.metrics.resumed();
+        let backends = self.run.service.ports.backends.clone();
+        let position = self.position();
+        self.or_broken(backends.resume(Step::RequestResume, address, stream, position)).await
+    }
+
+    /// Silence counts as a broken connection.
+    async fn or_broken(
+        &self,
+        work: impl Future<Output = BackendResult<CompletionStream>>,
+    ) -> RunResult<BackendResult<CompletionStream>> {
+        match self.run.wait(self.run.service.settings.stall_timeout, work).await {
+            Wait::Ready(opened) => Ok(opened),
+            Wait::TimedOut => Ok(Err(BackendError::Broken)),
+            Wait::DeadlinePassed => Err(self.run.stop(RefusalReason::DeadlineExceeded)),
+            Wait::CallerGone => Err(RunStop::CallerGone),
+        }
+    }
+
+    async fn pause_before_resume(&self, idle_resumes: u32) -> RunResult<()> {
+        if idle_resumes == 0 {
+            return Ok(());
+        }
+        let pause = self.run.service.settings.resume_pause * 2u32.saturating_pow(idle_resumes - 1);
+        self.run.pause(pause).await
+    }
+
+    fn max_resumes(&self) -> u32 {
+        let settings = &self.run.service.settings;
+        if self.run.scope.non_idempotent { settings.max_sole_resumes } else { settings.max_resumes }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Reading an answer
+
+    /// Hands on the parts of a stream, each position once. `source` is the group and the time of
+    /// the dispatch, unless the stream is of an earlier submission.
+    pub(crate) async fn read(
+        &mut self,
+        mut stream: CompletionStream,
+        source: Option<&(GroupId, Instant)>,
+    ) -> RunResult<StreamEnd> {
+        loop {
+            let stall = self.run.service.settings.stall_timeout;
+            let part = match self.run.wait(stall, stream.next()).await {
+                Wait::Ready(part) => part,
+                Wait::TimedOut => return Ok(StreamEnd::Broken),
+                Wait::DeadlinePassed => {
+                    return Err(self.run.stop(RefusalReason::DeadlineExceeded));
+                }
+                Wait::CallerGone => return Err(RunStop::CallerGone),
+            };
+            match part {
+                Some(Ok(CompletionEvent::Token(token))) if token.position < self.position() => {}
+                Some(Ok(CompletionEvent::Token(token))) if token.position == self.position() => {
+                    self.note_token(source);
+                    self.deliver(token).await?;
+                }
+                Some(Ok(CompletionEvent::Finished { reason })) if self.is_plausible(&reason) => {
+                    return Ok(StreamEnd::Finished(reason));
+                }
+                Some(Err(BackendError::Rejected { .. })) => return Ok(StreamEnd::Rejected),
+                _ => return Ok(StreamEnd::Broken),
+            }
+        }
+    }
+
+    /// An answer that ended for its length has that length, else a part of it was lost.
+    fn is_plausible(&self, reason: &str) -> bool {
+        reason != "length" || self.position() >= self.call.max_tokens
+    }
+
+    pub(crate) async fn deliver(&mut self, token: CompletionToken) -> RunResult<()> {
+        self.delivered.push(token.text.clone());
+        let sent = self.sink.send(Ok(CompletionEvent::Token(token)));
+        let sent = self.run.within_deadline(sent).await?;
+        if sent || self.run.claim.is_some() { Ok(()) } else { Err(RunStop::CallerGone) }
+    }
+
+    fn note_token(&mut self, source: Option<&(GroupId, Instant)>) {
+        let now = self.run.now();
+        if let Some(last) = self.last_token_at.replace(now) {
+            self.run.metrics.between_tokens(now.saturating_duration_since(last));
+            return;
+        }
+        self.run.metrics.first_token(now.saturating_duration_since(self.started_at));
+        if let Some((group, dispatched_at)) = source {
+            let elapsed = now.saturating_duration_since(*dispatched_at);
+            self.run.service.policies.borrow_mut().router.first_token(now, group, elapsed);
+        }
+    }
+
+    pub(crate) fn position(&self) -> u32 {
+        u32::try_from(self.delivered.len()).unwrap_or(u32::MAX)
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // After an attempt
+
+    async fn give_up_attempt(&mut self, placement: &Placement) -> RunResult<()> {
+        let group = placement.group.assignment.group.clone();
+        self.run.give_up_attempt(group.as_str(), &placement.known).await?;
+        self.avoid.push(group);
+        Ok(())
+    }
+
+    /// Tells the engine that nobody awaits a stream.
+    fn cancel(&self, placement: &Placement) {
+        let ports = self.run.service.ports.clone();
+        let (address, stream) = (placement.group.entry.address, placement.stream.clone());
+        self.run.metrics.cancelled();
+        self.run.service.ports.spawner.spawn(Box::pin(async move {
+            for _ in 0..CANCEL_TRIES {
+                match ports.backends.cancel(Step::RequestCancel, address, &stream).await {
+                    Err(BackendError::NotSent | BackendError::Broken) => {
+                        ports.clock.sleep(CANCEL_PAUSE).await;
+                    }
+                    _ => return,
+                }
+            }
+        }));
+    }
+
+    /// Tokens that the request costs, estimated from above.
+    fn tokens(&self) -> u32 {
+        self.route_query().prompt_tokens.saturating_add(self.call.max_tokens)
+    }
+
+    fn charge(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            let prompt = self.route_query().prompt_tokens;
+            permit.charge(prompt.saturating_add(self.position()));
+        }
+    }
+
+    async fn finish(&mut self, reason: String) {
+        self.run.clear_suspicion();
+        let limit = self.run.service.settings.stored_answer_bytes;
+        self.run.settle(StoredAnswer::from_completion(&self.delivered, &reason, limit));
+        let elapsed = self.run.now().saturating_duration_since(self.started_at);
+        self.run.metrics.whole_answer(elapsed);
+        self.sink.send(Ok(CompletionEvent::Finished { reason })).await;
+    }
+
+    async fn refuse(&mut self, refusal: Refusal) {
+        self.run.settle_refused(&refusal);
+        let refusal = self.run.service.complete_refusal(&self.run.scope, refusal);
+        self.run.metrics.refused(&refusal);
+        self.sink.send(Err(refusal)).await;
+    }
+}
+
+/// What came of asking for the right to run a suspect.
+enum Slot {
+    NotNeeded,
+    Held(SlotHold),
+    Busy,
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder.
+//! Runs callers' requests: each admitted one is answered once and whole, or refused in a word that
+//! is true of it.
+//!
+//! [`RequestService`] is where to start. A completion becomes one task (`CompletionRun`) that goes
+//! straight down: join an earlier submission, be admitted, choose a group, hold a claim if the
+//! request must not run twice, send, follow the stream over broken connections and groups. A call
+//! of a plain service does the same without a stream (`PlainRun`).
+//!
+//! All input and output goes through [`ServingPorts`] and [`ServingView`]; decisions are
+//! [`ServingPolicies`].
+
+mod admission_desk;
+mod answer_stream;
+mod caller_request;
+mod claim_book;
+mod claim_hold;
+mod claim_record;
+mod completion_join;
+mod completion_run;
+mod in_flight;
+mod plain_load;
+mod plain_run;
+mod refusal;
+mod request_service;
+mod row_batcher;
+mod run_scope;
+mod serving_metrics;
+mod serving_policies;
+mod serving_ports;
+mod serving_settings;
+mod serving_view;
+mod suspect_slots;
+
+pub use answer_stream::AnswerStream;
+pub use caller_request::*;
+pub use claim_record::*;
+pub use refusal::*;
+pub use request_service::RequestService;
+pub use serving_policies::ServingPolicies;
+pub use serving_ports::ServingPorts;
+pub use serving_settings::ServingSettings;
+pub use serving_view::*;
--- /dev/null
+++ b/crates/serving/src/plain_run.rs
@@ -0,0 +1,238 @@
+//! One call of a plain service from admission to its end.
+
+use std::{cell::Cell, rc::Rc, time::Instant};
+
+use comfreyturn_ports::{BackendError, BackendResult, PlainRequest, PlainResponse, Step};
+use comfreyturn_types::{RefusalReason, VmId, VmRecord};
+
+use crate::{
+    PlainCall, Refusal, Result, StoredAnswer,
+    claim_book::ClaimJoin,
+    completion_run::CLAIM_ROUNDS,
+    run_scope::{KnownVm, RunResult, RunScope, RunStop, Wait},
+    suspect_slots::SlotHold,
+};
+
+/// Where an attempt goes.
+struct Placement {
+    backend: VmRecord,
+    known: Vec<KnownVm>,
+    /// Held by suspects until they ended.
+    slot: Option<SlotHold>,
+    /// Counts the call at the backend server.
+    _load: Rc<VmId>,
+}
+
+/// One call of a plain service from admission to its end.
+pub(crate) struct PlainRun {
+    run: RunScope,
+    request: PlainRequest,
+    passed_over: Vec<VmId>,
+    started_at: Instant,
+}
+
+impl PlainRun {
+    pub(crate) fn new(run: RunScope, call: PlainCall, started_at: Instant) -> Self {
+        let request = PlainRequest { head: call.head, body: call.body };
+        Self { run, request, passed_over: Vec::new(), started_at }
+    }
+
+    /// Runs the call; `None` if nobody awaits its answer.
+    pub(crate) async fn run(mut self) -> Option<Result<PlainResponse>> {
+        match self.serve().await {
+            Ok(response) => {
+                self.finish(&response);
+                Some(Ok(response))
+            }
+            Err(RunStop::Refused(refusal)) => Some(Err(self.refuse(refusal))),
+            Err(RunStop::CallerGone | RunStop::ClaimTaken) => None,
+        }
+    }
+
+    /// Joins an earlier submission of the same key, or runs the call.
+    async fn serve(&mut self) -> RunResult<PlainResponse> {
+        let claimed = Cell::new(false);
+        for _ in 0..CLAIM_ROUNDS {
+            if let Some(response) = self.join(&claimed).await? {
+                return Ok(response);
+            }
+            let _permit = self.run.admit(0).await?;
+            match self.run_attempts().await {
+                Err(RunStop::ClaimTaken) => claimed.set(true),
+                end => return end,
+            }
+        }
+        Err(self.run.stop(RefusalReason::DuplicateKey))
+    }
+
+    async fn join(&self, claimed: &Cell<bool>) -> RunResult<Option<PlainResponse>> {
+        let join = match self.run.join_claim(claimed).await? {
+            ClaimJoin::Vacant => return Ok(None),
+            join => join,
+        };
+        if let ClaimJoin::Orphaned { record, .. } = &join {
+            let answer = StoredAnswer::unknown(RefusalReason::BackendLost);
+            self.run.settle_orphan(record.clone(), answer);
+        }
+        match &join {
+            ClaimJoin::Settled(answer) if answer.to_plain().is_some() => Ok(answer.to_plain()),
+            _ => Err(self.run.stop_joined(join)),
+        }
+    }
+
+    async fn run_attempts(&mut self) -> RunResult<PlainResponse> {
+        self.run.service.policies.borrow_mut().retries.record_request(self.run.now());
+        loop {
+            let placement = self.place().await?;
+            self.run.hold_claim(placement.backend.address, None).await?;
+            self.run.check_dispatch().await?;
+            if !self.may_go(&placement) {
+                continue;
+            }
+            let sent_before = self.run.sent;
+            self.run.dispatched();
+            match self.call(&placement).await? {
+                Ok(response) => return Ok(response),
+                Err(BackendError::NotSent) => {
+                    self.run.not_started(sent_before);
+                    self.passed_over.push(placement.backend.vm.clone());
+                    self.run.service.view.probe(&placement.backend.vm).await;
+                }
+                Err(BackendError::NotStarted { .. }) => {
+                    self.run.not_started(sent_before);
+                    self.passed_over.push(placement.backend.vm.clone());
+                }
+                Err(BackendError::Rejected { .. }) => {
+                    return Err(self.run.stop(RefusalReason::BackendError));
+                }
+                Err(BackendError::Broken | BackendError::UnknownStream) => {
+                    self.passed_over.push(placement.backend.vm.clone());
+                    let place = placement.backend.vm.as_str();
+                    self.run.give_up_attempt(place, &placement.known).await?;
+                }
+            }
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Placing
+
+    /// Chooses the backend server with the fewest calls of this node.
+    async fn place(&mut self) -> RunResult<Placement> {
+        let give_up = self.run.now() + self.run.service.settings.group_wait;
+        loop {
+            self.run.check_condemned()?;
+            if let Some(placement) = self.try_place().await? {
+                return Ok(placement);
+            }
+            let busy = !self.open_backends().is_empty();
+            let late = self.run.now() >= give_up && !self.run.is_suspect();
+            if late || !(busy || self.run.sent) {
+                return Err(self.run.stop(RefusalReason::NoCapacity));
+            }
+            self.run.pause(self.run.service.settings.poll_period).await?;
+            if self.run.sent {
+                self.passed_over.clear();
+            }
+        }
+    }
+
+    async fn try_place(&self) -> RunResult<Option<Placement>> {
+        let suspect = self.run.is_suspect();
+        for backend in self.open_backends() {
+            let slot = if suspect { self.take_slot(&backend).await? } else { None };
+            if (!suspect || slot.is_some()) && self.is_open(&backend) {
+                return Ok(Some(self.placement(backend, slot)));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn take_slot(&self, backend: &VmRecord) -> RunResult<Option<SlotHold>> {
+        let slots = self.run.service.slots.clone();
+        if !slots.may_ask(self.run.now(), backend.vm.as_str()) {
+            return Ok(None);
+        }
+        self.run.within_deadline(slots.take(backend.vm.as_str())).await
+    }
+
+    fn open_backends(&self) -> Vec<VmRecord> {
+        let service = &self.run.service;
+        let mut backends = service.view.plain_backends(self.run.now(), &self.run.scope.service);
+        backends.retain(|backend| !self.passed_over.contains(&backend.vm));
+        backends.sort_by_key(|backend| service.plain_load.count(&backend.vm));
+        backends
+    }
+
+    fn is_open(&self, backend: &VmRecord) -> bool {
+        self.open_backends().iter().any(|open| open.vm == backend.vm)
+    }
+
+    fn may_go(&self, placement: &Placement) -> bool {
+        let alone = placement.slot.is_some() || !self.run.is_suspect();
+        alone && self.is_open(&placement.backend)
+    }
+
+    fn placement(&self, backend: VmRecord, slot: Option<SlotHold>) -> Placement {
+        let known = self.run.known_vms(std::slice::from_ref(&backend.vm));
+        let load = self.run.service.plain_load.enter(&backend.vm);
+        Placement { backend, known, slot, _load: load }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // One attempt
+
+    /// Calls the backend server. While it is silent it is polled: a dead one is not awaited.
+    async fn call(&self, placement: &Placement) -> RunResult<BackendResult<PlainResponse>> {
+        let backends = self.run.service.ports.backends.clone();
+        let step = self.dispatch_step(placement);
+        let work = backends.call(step, placement.backend.address, &self.request);
+        let mut work = std::pin::pin!(work);
+        loop {
+            let stall = self.run.service.settings.stall_timeout;
+            match self.run.wait(stall, &mut work).await {
+                Wait::Ready(answer) => return Ok(answer),
+                Wait::TimedOut if self.is_silent(placement).await => {
+                    return Ok(Err(BackendError::Broken));
+                }
+                Wait::TimedOut => {}
+                Wait::DeadlinePassed => {
+                    return Err(self.run.stop(RefusalReason::DeadlineExceeded));
+                }
+                Wait::CallerGone => return Err(RunStop::CallerGone),
+            }
+        }
+    }
+
+    async fn is_silent(&self, placement: &Placement) -> bool {
+        self.run.service.view.probe(&placement.backend.vm).await.is_none()
+    }
+
+    fn dispatch_step(&self, placement: &Placement) -> Step {
+        if placement.slot.is_some() {
+            Step::SuspectRetry
+        } else if self.run.claim.is_some() {
+            Step::ClaimDispatch
+        } else {
+            Step::RequestDispatch
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // The end
+
+    fn finish(&mut self, response: &PlainResponse) {
+        self.run.clear_suspicion();
+        let limit = self.run.service.settings.stored_answer_bytes;
+        self.run.settle(StoredAnswer::from_plain(response, limit));
+        let elapsed = self.run.now().saturating_duration_since(self.started_at);
+        self.run.metrics.whole_answer(elapsed);
+    }
+
+    fn refuse(&mut self, refusal: Refusal) -> Refusal {
+        self.run.settle_refused(&refusal);
+        let refusal = self.run.service.complete_refusal(&self.run.scope, refusal);
+        self.run.metrics.refused(&refusal);
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/serving/src/refusal.rs
@@ -0,0 +1,51 @@
+//! Answers other than success.
+
+use std::{net::SocketAddr, time::Duration};
+
+use comfreyturn_types::{OutcomeWord, RefusalReason};
+
+/// The final answer to a request that did not succeed.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{outcome}: {reason}")]
+pub struct Refusal {
+    /// What became of the request.
+    pub outcome: OutcomeWord,
+
+    /// Why.
+    pub reason: RefusalReason,
+
+    /// When to come back, where that makes sense.
+    pub retry_after: Option<Duration>,
+
+    /// Where else to go, the preferred address first.
+    pub other_addresses: Vec<SocketAddr>,
+}
+
+impl Refusal {
+    /// A refusal of a request of which no byte went to a backend server.
+    pub(crate) fn not_run(reason: RefusalReason) -> Self {
+        Self::new(OutcomeWord::NotRun, reason)
+    }
+
+    /// An answer that leaves open whether the request ran.
+    pub(crate) fn unknown(reason: RefusalReason) -> Self {
+        Self::new(OutcomeWord::Unknown, reason)
+    }
+
+    /// A final failure.
+    pub(crate) fn failed(reason: RefusalReason) -> Self {
+        Self::new(OutcomeWord::Failed, reason)
+    }
+
+    /// The same with the time to come back.
+    pub(crate) fn after(self, retry_after: Duration) -> Self {
+        Self { retry_after: Some(retry_after), ..self }
+    }
+
+    fn new(outcome: OutcomeWord, reason: RefusalReason) -> Self {
+        Self { outcome, reason, retry_after: None, other_addresses: Vec::new() }
+    }
+}
+
+/// Result of serving a request.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/serving/src/request_service.rs
@@ -0,0 +1,291 @@
+//! The requests of a node.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use comfreyturn_policy::AdmissionQuery;
+use comfreyturn_ports::{PeerIdentity, PeerNotice, PlainResponse, Step};
+use comfreyturn_types::{CustomerIntent, RefusalReason, ServiceBackend, StreamId};
+
+use crate::{
+    AnswerStream, CallScope, CompletionCall, PlainCall, Refusal, Result, ServingPolicies,
+    ServingPorts, ServingSettings, ServingView,
+    admission_desk::AdmissionDesk,
+    answer_stream::CallerPresence,
+    claim_book::ClaimBook,
+    completion_run::CompletionRun,
+    in_flight::{InFlightCount, InFlightGuard},
+    plain_load::PlainLoad,
+    plain_run::PlainRun,
+    request_fingerprint,
+    run_scope::RunScope,
+    serving_metrics::ServingMetrics,
+    suspect_slots::SuspectSlots,
+};
+
+/// What a service is served by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BackendKind {
+    Model,
+    Plain,
+}
+
+/// Runs the requests of a node's callers.
+pub struct RequestService {
+    identity: PeerIdentity,
+    pub(crate) view: Rc<dyn ServingView>,
+    pub(crate) ports: ServingPorts,
+    pub(crate) policies: Rc<RefCell<ServingPolicies>>,
+    pub(crate) settings: ServingSettings,
+    pub(crate) desk: Rc<AdmissionDesk>,
+    pub(crate) claims: Rc<ClaimBook>,
+    pub(crate) slots: Rc<SuspectSlots>,
+    pub(crate) plain_load: PlainLoad,
+    in_flight: InFlightCount,
+    refusing: Cell<bool>,
+    next_stream: Cell<u64>,
+}
+
+impl RequestService {
+    /// Creates the service of one run of a node.
+    pub fn new(
+        identity: PeerIdentity,
+        view: Rc<dyn ServingView>,
+        ports: ServingPorts,
+        policies: ServingPolicies,
+        settings: ServingSettings,
+    ) -> Rc<Self> {
+        let policies = Rc::new(RefCell::new(policies));
+        Rc::new(Self {
+            desk: AdmissionDesk::new(ports.clone(), policies.clone(), settings.poll_period),
+            claims: ClaimBook::new(identity.clone(), ports.clone(), view.clone(), settings.clone()),
+            slots: SuspectSlots::new(identity.clone(), ports.clone(), view.clone()),
+            plain_load: PlainLoad::default(),
+            in_flight: InFlightCount::default(),
+            refusing: Cell::new(false),
+            next_stream: Cell::new(0),
+            identity,
+            view,
+            ports,
+            policies,
+            settings,
+        })
+    }
+
+    /// Runs a completion. Returns once its answer starts, or with the final answer if it never
+    /// does. Dropped before that, the request is cancelled as if the stream were dropped.
+    pub async fn complete(self: &Rc<Self>, call: CompletionCall) -> Result<AnswerStream> {
+        let guard = self.in_flight.enter();
+        let metrics = ServingMetrics::new(&call.scope.customer, call.scope.class);
+        self.check(&call.scope, BackendKind::Model, &metrics)?;
+        let (sink, answer) = AnswerStream::channel(self.settings.answer_buffer);
+        let presence = sink.presence.clone();
+        let scope = call.scope.clone();
+        let run = self.scope(scope, call.body_hash, presence, metrics, guard);
+        let run = CompletionRun::new(run, call, sink, self.ports.now());
+        self.ports.spawner.spawn(Box::pin(run.run()));
+        answer.started().await
+    }
+
+    /// Runs a call of a plain service. Dropped before it returns, the call is cancelled, unless it
+    /// holds a claim.
+    pub async fn call_plain(self: &Rc<Self>, call: PlainCall) -> Result<PlainResponse> {
+        let guard = self.in_flight.enter();
+        let metrics = ServingMetrics::new(&call.scope.customer, call.scope.class);
+        self.check(&call.scope, BackendKind::Plain, &metrics)?;
+        let (presence, _present) = CallerPresence::new();
+        let (reply, answer) = flume::bounded(1);
+        let run = self.scope(call.scope.clone(), call.body_hash(), presence, metrics, guard);
+        let run = PlainRun::new(run, call, self.ports.now());
+        self.ports.spawner.spawn(Box::pin(async move {
+            if let Some(answer) = run.run().await {
+                let _ = reply.send(answer);
+            }
+        }));
+        answer
+            .recv_async()
+            .await
+            .unwrap_or_else(|_| Err(Refusal::unknown(RefusalReason::BackendLost)))
+    }
+
+    /// Shuts down gracefully: tells peers, goes on serving while callers may still use this node's
+    /// address, then refuses new requests, and completes once the last one ended.
+    pub async fn drain(&self) {
+        log::info!("serving: leaving.");
+        self.view.notify(Step::ShutdownAnnounce, PeerNotice::NodeLeaving).await;
+        self.ports.clock.sleep(self.settings.address_validity).await;
+        self.refusing.set(true);
+        while self.in_flight.count() > 0 {
+            self.ports.clock.sleep(self.settings.poll_period).await;
+        }
+        log::info!("serving: last request ended.");
+    }
+
+    /// Requests in progress, waiting ones and outcomes not yet recorded among them.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.count()
+    }
+
+    /// Takes in what a peer says of suspect requests; other notices are not for this part.
+    pub fn take_notice(&self, notice: &PeerNotice) {
+        let now = self.ports.now();
+        let mut policies = self.policies.borrow_mut();
+        match *notice {
+            PeerNotice::Suspect { fingerprint, death } => {
+                policies.suspects.record_death(now, fingerprint, death);
+            }
+            PeerNotice::SuspectCleared { fingerprint } => {
+                policies.suspects.clear(now, fingerprint);
+            }
+            _ => {}
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Checks
+
+    fn check(&self, scope: &CallScope, kind: BackendKind, metrics: &ServingMetrics) -> Result<()> {
+        self.check_scope(scope, kind).map_err(|refusal| {
+            let refusal = self.complete_refusal(scope, refusal);
+            metrics.refused(&refusal);
+            refusal
+        })
+    }
+
+    fn check_scope(&self, scope: &CallScope, kind: BackendKind) -> Result<()> {
+        let now = self.ports.now();
+        if self.refusing.get() {
+            return Err(Refusal::not_run(RefusalReason::NodeLeaving));
+        }
+        if !self.view.may_admit(now) {
+            return Err(Refusal::not_run(RefusalReason::StaleConfig));
+        }
+        if now >= scope.deadline {
+            return Err(Refusal::not_run(RefusalReason::DeadlineExceeded));
+        }
+        let config = self.view.config();
+        let Some(customer) = config.customers.get(&scope.customer) else {
+            return Err(Refusal::not_run(RefusalReason::UnknownCustomer));
+        };
+        let Some(service) = config.services.get(&scope.service) else {
+            return Err(Refusal::not_run(RefusalReason::UnknownService));
+        };
+        if !may_use(customer, scope) {
+            return Err(Refusal::not_run(RefusalReason::Forbidden));
+        }
+        if backend_kind(&service.backend) != kind {
+            return Err(Refusal::not_run(RefusalReason::BadRequest));
+        }
+        let share = self.view.customer_share(now, customer);
+        self.desk.prepare(&scope.service, self.capacity(scope, kind), &scope.customer, share);
+        Ok(())
+    }
+
+    /// How many requests of a service may run at once from this node. While nothing serves it,
+    /// one may: it is refused for want of capacity.
+    fn capacity(&self, scope: &CallScope, kind: BackendKind) -> u32 {
+        let now = self.ports.now();
+        let capacity = match kind {
+            BackendKind::Model => {
+                let groups = self.view.whole_groups(now, &scope.service);
+                groups.iter().map(|group| self.group_capacity(group.load.capacity)).sum()
+            }
+            BackendKind::Plain => {
+                let backends = self.view.plain_backends(now, &scope.service).len();
+                let backends = u32::try_from(backends).unwrap_or(u32::MAX);
+                backends.saturating_mul(self.settings.plain_capacity)
+            }
+        };
+        capacity.max(1)
+    }
+
+    fn group_capacity(&self, reported: u32) -> u32 {
+        if reported == 0 { self.settings.group_capacity } else { reported }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // For the runs
+
+    fn scope(
+        self: &Rc<Self>,
+        scope: CallScope,
+        body_hash: u64,
+        presence: CallerPresence,
+        metrics: ServingMetrics,
+        in_flight: InFlightGuard,
+    ) -> RunScope {
+        RunScope {
+            fingerprint: request_fingerprint(&scope.customer, body_hash),
+            service: self.clone(),
+            scope,
+            presence,
+            metrics,
+            body_hash,
+            sent: false,
+            lost: 0,
+            claim: None,
+            in_flight,
+        }
+    }
+
+    /// Names a stream that no other attempt at any node has.
+    pub(crate) fn next_stream(&self) -> StreamId {
+        let number = self.next_stream.get();
+        self.next_stream.set(number + 1);
+        StreamId::from(format!("{}-{number}", self.identity.incarnation))
+    }
+
+    pub(crate) fn admission_query(&self, scope: &CallScope, tokens: u32) -> AdmissionQuery {
+        let config = self.view.config();
+        AdmissionQuery {
+            customer: scope.customer.clone(),
+            weight: config.customers.get(&scope.customer).map_or(1, |customer| customer.weight),
+            class: scope.class,
+            service: scope.service.clone(),
+            tokens,
+            deadline: scope.deadline,
+        }
+    }
+
+    /// Adds when and where to come back.
+    pub(crate) fn complete_refusal(&self, scope: &CallScope, refusal: Refusal) -> Refusal {
+        let retry_after = refusal.retry_after.or_else(|| self.retry_after(refusal.reason));
+        let other_addresses = if self.view.is_leaving() || sends_elsewhere(refusal.reason) {
+            self.view.other_addresses(self.ports.now(), &scope.service, &scope.customer)
+        } else {
+            Vec::new()
+        };
+        Refusal { retry_after, other_addresses, ..refusal }
+    }
+
+    fn retry_after(&self, reason: RefusalReason) -> Option<std::time::Duration> {
+        let passes = matches!(
+            reason,
+            RefusalReason::StaleConfig
+                | RefusalReason::LimitReached
+                | RefusalReason::Overloaded
+                | RefusalReason::NoCapacity
+                | RefusalReason::TableUnavailable
+                | RefusalReason::RetriesExhausted
+        );
+        passes.then_some(self.settings.retry_after)
+    }
+}
+
+fn may_use(customer: &CustomerIntent, scope: &CallScope) -> bool {
+    customer.services.is_empty() || customer.services.contains(&scope.service)
+}
+
+fn backend_kind(backend: &ServiceBackend) -> BackendKind {
+    match backend {
+        ServiceBackend::Model(_) => BackendKind::Model,
+        ServiceBackend::Plain => BackendKind::Plain,
+    }
+}
+
+/// Whether another node may well do what this one refuses.
+fn sends_elsewhere(reason: RefusalReason) -> bool {
+    matches!(reason, RefusalReason::NodeLeaving | RefusalReason::StaleConfig)
+}
--- /dev/null
+++ b/crates/serving/src/suspect_slots.rs
@@ -0,0 +1,203 @@
+//! The right to run a suspect request at a place, one at a time over all nodes.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_ports::{
+    CommitOutcome, PeerIdentity, RowCheck, RowKey, RowWrite, Step, TableError, TableResult,
+    TableTransaction,
+};
+use comfreyturn_types::{Incarnation, RowVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::{ServingPorts, ServingView};
+
+/// How long a place that another node holds is not asked for again.
+const SLOT_RETRY: Duration = Duration::from_millis(250);
+
+/// How often giving a slot back is tried.
+const RELEASE_TRIES: u32 = 60;
+
+/// Pause between two such tries.
+const RELEASE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The row of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SlotRecord {
+    /// The run of the node that holds it.
+    owner: Incarnation,
+
+    /// Tells the holds of one run apart.
+    serial: u64,
+}
+
+enum SlotTake {
+    Taken,
+    Busy,
+    TableLost,
+}
+
+/// The right to run a suspect request at a place (a group or a plain backend server).
+///
+/// It is a row of the table, so that of two suspects at different nodes only one runs at a place:
+/// if the place dies again, it is that one which counts as guilty. While the table is down the
+/// right is kept among the requests of this node only.
+pub(crate) struct SuspectSlots {
+    identity: PeerIdentity,
+    ports: ServingPorts,
+    view: Rc<dyn ServingView>,
+    held: RefCell<BTreeSet<String>>,
+    busy: RefCell<BTreeMap<String, Instant>>,
+    next_serial: Cell<u64>,
+}
+
+impl SuspectSlots {
+    pub(crate) fn new(
+        identity: PeerIdentity,
+        ports: ServingPorts,
+        view: Rc<dyn ServingView>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            identity,
+            ports,
+            view,
+            held: RefCell::default(),
+            busy: RefCell::default(),
+            next_serial: Cell::new(0),
+        })
+    }
+
+    /// Whether it makes sense to ask for a place now.
+    pub(crate) fn may_ask(&self, now: Instant, place: &str) -> bool {
+        self.busy.borrow_mut().retain(|_, until| *until > now);
+        !self.held.borrow().contains(place) && !self.busy.borrow().contains_key(place)
+    }
+
+    /// Takes a place if no other suspect runs there.
+    pub(crate) async fn take(self: &Rc<Self>, place: &str) -> Option<SlotHold> {
+        if !self.held.borrow_mut().insert(place.to_owned()) {
+            return None;
+        }
+        let hold = self.new_hold(place);
+        match self.take_row(place, hold.serial).await {
+            SlotTake::Taken => {}
+            SlotTake::TableLost => log::warn!("suspects: table down, {place} held locally."),
+            SlotTake::Busy => {
+                hold.has_row.set(false);
+                let until = self.ports.now() + SLOT_RETRY;
+                self.busy.borrow_mut().insert(place.to_owned(), until);
+                return None;
+            }
+        }
+        Some(hold)
+    }
+
+    fn new_hold(self: &Rc<Self>, place: &str) -> SlotHold {
+        let serial = self.next_serial.get();
+        self.next_serial.set(serial + 1);
+        SlotHold { slots: self.clone(), place: place.to_owned(), serial, has_row: Cell::new(true) }
+    }
+
+    async fn take_row(&self, place: &str, serial: u64) -> SlotTake {
+        let key = self.row_key(place);
+        let row = match self.read(&key).await {
+            Ok(row) => row,
+            Err(_) => return SlotTake::TableLost,
+        };
+        let version = match row {
+            None => RowVersion(0),
+            Some((version, record)) if self.is_free(&record) => version,
+            Some(_) => return SlotTake::Busy,
+        };
+        let record = SlotRecord { owner: self.identity.incarnation, serial };
+        match self.write(&key, version, Some(&record)).await {
+            Ok(CommitOutcome::Committed) => SlotTake::Taken,
+            Ok(CommitOutcome::Conflict(_)) => SlotTake::Busy,
+            Err(TableError::Unavailable) => SlotTake::TableLost,
+            Err(_) => self.read_back(&key, &record).await,
+        }
+    }
+
+    async fn read_back(&self, key: &RowKey, record: &SlotRecord) -> SlotTake {
+        match self.read(key).await {
+            Ok(Some((_, found))) if found == *record => SlotTake::Taken,
+            Ok(_) => SlotTake::Busy,
+            Err(_) => SlotTake::TableLost,
+        }
+    }
+
+    /// A row of this run that no request here holds is left over; one of a run that is gone too.
+    fn is_free(&self, record: &SlotRecord) -> bool {
+        record.owner == self.identity.incarnation || self.view.incarnation_gone(&record.owner)
+    }
+
+    async fn release(&self, place: &str, serial: u64) {
+        let key = self.row_key(place);
+        let mine = SlotRecord { owner: self.identity.incarnation, serial };
+        for _ in 0..RELEASE_TRIES {
+            match self.read(&key).await {
+                Ok(Some((version, record))) if record == mine => {
+                    if let Ok(CommitOutcome::Committed) = self.write(&key, version, None).await {
+                        return;
+                    }
+                }
+                Ok(_) => return,
+                Err(_) => {}
+            }
+            self.ports.clock.sleep(RELEASE_PAUSE).await;
+        }
+    }
+
+    fn row_key(&self, place: &str) -> RowKey {
+        RowKey::from(format!("{}/suspect/{place}", self.identity.cell))
+    }
+
+    async fn read(&self, key: &RowKey) -> TableResult<Option<(RowVersion, SlotRecord)>> {
+        let rows = self.ports.table.read(Step::SuspectSlot, std::slice::from_ref(key)).await?;
+        let Some(row) = rows.into_iter().next().flatten() else {
+            return Ok(None);
+        };
+        let record = serde_json::from_str(&row.value).map_err(|_| TableError::Malformed)?;
+        Ok(Some((row.version, record)))
+    }
+
+    async fn write(
+        &self,
+        key: &RowKey,
+        version: RowVersion,
+        record: Option<&SlotRecord>,
+    ) -> TableResult<CommitOutcome> {
+        let value = record
+            .map(|record| serde_json::to_string(record).expect("a slot consists of two numbers"));
+        let transaction = TableTransaction {
+            checks: vec![RowCheck { key: key.clone(), version }],
+            writes: vec![RowWrite { key: key.clone(), value }],
+        };
+        self.ports.table.commit(Step::SuspectSlot, transaction).await
+    }
+}
+
+/// The right to run one suspect request at a place; dropped when it ended.
+pub(crate) struct SlotHold {
+    slots: Rc<SuspectSlots>,
+    place: String,
+    serial: u64,
+    has_row: Cell<bool>,
+}
+
+impl Drop for SlotHold {
+    fn drop(&mut self) {
+        self.slots.held.borrow_mut().remove(&self.place);
+        if !self.has_row.get() {
+            return;
+        }
+        let (slots, place, serial) = (self.slots.clone(), self.place.clone(), self.serial);
+        self.slots.ports.spawner.spawn(Box::pin(async move {
+            slots.release(&place, serial).await;
+        }));
+    }
+}
