--- a/crates/standin/src/engine/engine_service.rs
+++ b/crates/standin/src/engine/engine_service.rs
@@ -28,6 +28,7 @@
     http_client::json_call,
     http_server::{
         HttpAnswer, HttpHandler, empty_answer, error_answer, event_answer, json_answer, json_body,
+        malformed_answer,
     },
     output_length, output_token,
     run_records::run_time_ms,
@@ -166,9 +167,8 @@
     // Orders
 
     fn order(self: &Rc<Self>, body: &[u8]) -> HttpAnswer {
-        let order: EngineOrder = match json_body(body) {
-            Ok(order) => order,
-            Err(answer) => return answer,
+        let Some(order) = json_body::<EngineOrder>(body) else {
+            return malformed_answer();
         };
         let seen = self.place.borrow().fencing;
         if self.settings.checks_fencing && order.fencing < seen {
@@ -255,9 +255,8 @@
     // Streams
 
     async fn complete(self: &Rc<Self>, body: &[u8]) -> HttpAnswer {
-        let attempt: CompletionAttempt = match json_body(body) {
-            Ok(attempt) => attempt,
-            Err(answer) => return answer,
+        let Some(attempt) = json_body::<CompletionAttempt>(body) else {
+            return malformed_answer();
         };
         if !self.serves(&attempt).await {
             self.journal.write(|records| records.not_started += 1);
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -119,9 +119,14 @@
     Ok(Frame::data(Bytes::from(format!("data: {data}\n\n"))))
 }
 
-/// Reads a JSON body, or answers that it is malformed.
-pub(crate) fn json_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, HttpAnswer> {
-    serde_json::from_slice(body).map_err(|_| error_answer(StatusCode::BAD_REQUEST, "malformed"))
+/// Reads a JSON body, if it is one.
+pub(crate) fn json_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+/// The answer to a body that cannot be read.
+pub(crate) fn malformed_answer() -> HttpAnswer {
+    error_answer(StatusCode::BAD_REQUEST, "malformed")
 }
 
 fn answer_with(status: StatusCode, content_type: Option<&'static str>, body: Bytes) -> HttpAnswer {
--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -19,7 +19,7 @@
     PlatformFaults, ServerEnd, StandinResult, TableFaults, TableRows, VmList, WeightStore,
     http_server::{
         DropConnection, HttpAnswer, HttpHandler, empty_answer, error_answer, json_answer,
-        json_body, listen, serve_http,
+        json_body, listen, malformed_answer, serve_http,
     },
 };
 
@@ -148,9 +148,8 @@
     }
 
     fn read(&self, body: &[u8]) -> HttpAnswer {
-        let read: ReadBody = match json_body(body) {
-            Ok(read) => read,
-            Err(answer) => return answer,
+        let Some(read) = json_body::<ReadBody>(body) else {
+            return malformed_answer();
         };
         self.records.borrow_mut().reads += 1;
         let rows = self.rows.borrow().read(&read.keys);
@@ -158,9 +157,8 @@
     }
 
     fn scan(&self, body: &[u8]) -> HttpAnswer {
-        let scan: ScanBody = match json_body(body) {
-            Ok(scan) => scan,
-            Err(answer) => return answer,
+        let Some(scan) = json_body::<ScanBody>(body) else {
+            return malformed_answer();
         };
         self.records.borrow_mut().reads += 1;
         let rows = self.rows.borrow().scan(&scan.prefix);
@@ -168,9 +166,8 @@
     }
 
     fn commit(&self, body: &[u8]) -> HttpAnswer {
-        let transaction: TableTransaction = match json_body(body) {
-            Ok(transaction) => transaction,
-            Err(answer) => return answer,
+        let Some(transaction) = json_body::<TableTransaction>(body) else {
+            return malformed_answer();
         };
         let outcome = self.rows.borrow_mut().commit(&transaction);
         let lost = self.faults.borrow_mut().loses_answer();
@@ -191,9 +188,8 @@
     }
 
     fn set_faults(&self, body: &[u8]) -> HttpAnswer {
-        let faults: PlatformFaults = match json_body(body) {
-            Ok(faults) => faults,
-            Err(answer) => return answer,
+        let Some(faults) = json_body::<PlatformFaults>(body) else {
+            return malformed_answer();
         };
         self.faults.borrow_mut().apply(Instant::now(), &faults);
         if let Some(lag) = faults.list_lag_ms {
@@ -203,9 +199,8 @@
     }
 
     fn put_vm(&self, body: &[u8]) -> HttpAnswer {
-        let record: VmRecord = match json_body(body) {
-            Ok(record) => record,
-            Err(answer) => return answer,
+        let Some(record) = json_body::<VmRecord>(body) else {
+            return malformed_answer();
         };
         self.list.borrow_mut().put(Instant::now(), record);
         empty_answer(StatusCode::NO_CONTENT)
@@ -217,9 +212,8 @@
     }
 
     async fn load_weights(&self, body: &[u8]) -> HttpAnswer {
-        let weights: WeightsBody = match json_body(body) {
-            Ok(weights) => weights,
-            Err(answer) => return answer,
+        let Some(weights) = json_body::<WeightsBody>(body) else {
+            return malformed_answer();
         };
         let sent_at = self.weights.borrow_mut().reserve(Instant::now(), weights.bytes);
         compio::time::sleep_until(sent_at).await;
