--- a/crates/types/src/config_intent.rs
+++ b/crates/types/src/config_intent.rs
@@ -91,7 +91,7 @@
     pub key: String,
 
     /// Share of a contended service, relative to other customers. Invariant: at least one.
-    #[serde(default = "one")]
+    #[serde(default = "default_weight")]
     pub weight: u32,
 
     /// Requests a second over all nodes.
@@ -127,11 +127,18 @@
     }
 }
 
-fn one() -> u32 {
-    1
+impl CustomerIntent {
+    /// Weight of a customer that states none.
+    pub const DEFAULT_WEIGHT: u32 = 1;
+
+    /// Deadline of requests of a customer that states none.
+    pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+}
+
+fn default_weight() -> u32 {
+    CustomerIntent::DEFAULT_WEIGHT
 }
 
 fn default_deadline() -> Duration {
-    const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-    DEFAULT_DEADLINE
+    CustomerIntent::DEFAULT_DEADLINE
 }
