Carry operators' calls over one HTTP/2 connection

The command line needs a transport for tonic's generated client that lives on one compio thread; tonic's own needs tokio. GrpcChannel is hyper's HTTP/2 connection behind tower's Service. Byte counting was left out here: hyper's HTTP/2 asks for a stream that can move between threads.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`SystemClock`] and [`CompioSpawner`] give time and tasks.
 //! - [`HttpPool`] keeps connections to HTTP servers alive. [`TableClient`], [`DirectoryClient`],
 //!   [`EngineClient`] and [`BackendClient`] call the platform and backend servers through it.
+//! - [`GrpcChannel`] carries the generated client of the operators' calls.
 //! - [`PeerClient`] asks other nodes, and [`PeerServer`] answers them: one connection and one task
 //!   for each peer, one protobuf envelope in each length-delimited frame.
 //!
@@ -18,6 +19,7 @@
 mod directory_client;
 mod engine_client;
 mod event_decoder;
+mod grpc_channel;
 mod http_answer;
 mod http_connection;
 mod http_pool;
@@ -39,6 +41,7 @@
 pub use directory_client::*;
 pub use engine_client::*;
 pub use event_decoder::*;
+pub use grpc_channel::*;
 pub use http_answer::*;
 pub use http_pool::*;
 pub use http_settings::*;
