--- /dev/null
+++ b/crates/control/src/config_apply.rs
@@ -0,0 +1,286 @@
+//! The protocol that changes the configuration.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use comfreyturn_policy::{AckTally, ConfigState, MemberRun, subject_of};
+use comfreyturn_ports::{CommitOutcome, PeerAnswer, PeerQuestion, Step, TableError};
+use comfreyturn_types::{
+    ConfigChange, ConfigEntry, ConfigVersion, NodeId, OperationId, RosterMember,
+};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+
+use crate::{
+    ApplyCommand, ApplyError, ApplyObstacle, ApplyResult, ChangePrecondition, NodeControl,
+    config_store::ConfigFront,
+};
+
+/// How often a change is tried against others that come first.
+const MAX_COMMIT_ATTEMPTS: u32 = 16;
+
+/// When to come back after a refusal or an unfinished change.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The pause after a commit that got no answer.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(200);
+
+/// The pause before a member that does not know a version is told again.
+const PUSH_PAUSE: Duration = Duration::from_millis(200);
+
+/// What came of one attempt to write a change.
+enum CommitAttempt {
+    /// It took effect as this version.
+    Done(ConfigVersion),
+
+    /// Another change came first.
+    Overtaken,
+
+    /// It may have taken effect.
+    Unknown,
+}
+
+impl NodeControl {
+    /// Applies changes. Returns their version once they are accepted: durable in the table, and
+    /// known to a strict majority of the roster.
+    pub async fn apply(&self, command: ApplyCommand) -> ApplyResult<ConfigVersion> {
+        let version = self.write_change(&command).await?;
+        self.await_accepted(&command.operation, version, &command.gone_nodes).await
+    }
+
+    /// Writes a change, and reads back by its operation whenever an answer was lost.
+    async fn write_change(&self, command: &ApplyCommand) -> ApplyResult<ConfigVersion> {
+        let mut unknown = false;
+        for _ in 0..MAX_COMMIT_ATTEMPTS {
+            let attempt = match self.try_write(command, unknown).await {
+                Err(ApplyError::Unavailable { .. }) if unknown => break,
+                attempt => attempt?,
+            };
+            match attempt {
+                CommitAttempt::Done(version) => return Ok(version),
+                CommitAttempt::Overtaken => {}
+                CommitAttempt::Unknown => {
+                    unknown = true;
+                    self.ports.sleep(READ_BACK_PAUSE).await;
+                }
+            }
+        }
+        if unknown {
+            return Err(pending(ConfigVersion::default(), &command.operation));
+        }
+        Err(unavailable(ApplyObstacle::Contended))
+    }
+
+    async fn try_write(
+        &self,
+        command: &ApplyCommand,
+        read_back: bool,
+    ) -> ApplyResult<CommitAttempt> {
+        let step = if read_back { Step::ConfigReadBack } else { Step::ConfigReadHead };
+        let known = self.log.version();
+        let front = self.store.read_front(step, &command.operation, known).await;
+        let front = front.map_err(|_| unavailable(ApplyObstacle::TableUnavailable))?;
+        self.log.set_confirmed(front.confirmed);
+        self.catch_up(front.head)
+            .await
+            .map_err(|_| unavailable(ApplyObstacle::TableUnavailable))?;
+        if let Some(version) = front.done {
+            return Ok(CommitAttempt::Done(version));
+        }
+        let before = self.log.state();
+        if before.version != front.head {
+            return Ok(CommitAttempt::Overtaken);
+        }
+        check_command(command, &before)?;
+        self.check_majority(command, &before, &front)?;
+        self.commit_change(command, &before, &front).await
+    }
+
+    async fn commit_change(
+        &self,
+        command: &ApplyCommand,
+        before: &ConfigState,
+        front: &ConfigFront,
+    ) -> ApplyResult<CommitAttempt> {
+        let changes = command.changes.iter().map(|(_, change)| change.clone()).collect();
+        let version = before.version.next();
+        let entry = ConfigEntry { version, operation: command.operation.clone(), changes };
+        let mut after = before.clone();
+        after.apply(&entry).expect("the entry follows the version that it was made for");
+        match self.store.commit(front, before, &after, &entry).await {
+            Ok(CommitOutcome::Committed) => {
+                self.append_entries(&[entry]);
+                Ok(CommitAttempt::Done(version))
+            }
+            Ok(CommitOutcome::Conflict(_)) => Ok(CommitAttempt::Overtaken),
+            Err(TableError::Unavailable) => Err(unavailable(ApplyObstacle::TableUnavailable)),
+            Err(TableError::NoAnswer | TableError::Malformed) => Ok(CommitAttempt::Unknown),
+        }
+    }
+
+    /// Refuses a change that could not be accepted, before it is written.
+    fn check_majority(
+        &self,
+        command: &ApplyCommand,
+        state: &ConfigState,
+        front: &ConfigFront,
+    ) -> ApplyResult<()> {
+        let roster_changes = command.changes.iter().any(|(_, change)| change.changes_roster());
+        if roster_changes && state.roster.version > front.confirmed {
+            return Err(unavailable(ApplyObstacle::RosterUnconfirmed));
+        }
+        let mut reach = self.reach_tally();
+        reach.dead.extend(self.gone_runs(&command.gone_nodes));
+        if !reach.is_accepted(ConfigVersion::default(), &state.roster, front.confirmed) {
+            return Err(unavailable(ApplyObstacle::NoMajority));
+        }
+        Ok(())
+    }
+
+    /// Pushes a version to all members until enough of them know it.
+    async fn await_accepted(
+        &self,
+        operation: &OperationId,
+        version: ConfigVersion,
+        gone_nodes: &BTreeSet<NodeId>,
+    ) -> ApplyResult<ConfigVersion> {
+        let wait = self.push_until_accepted(version, gone_nodes);
+        let accepted = self.ports.within(self.settings.accept_timeout, wait).await;
+        accepted.ok_or_else(|| pending(version, operation))?;
+        self.confirm_roster(gone_nodes).await;
+        Ok(version)
+    }
+
+    async fn push_until_accepted(&self, version: ConfigVersion, gone_nodes: &BTreeSet<NodeId>) {
+        let mut pushes: FuturesUnordered<_> = self
+            .counted_members()
+            .into_iter()
+            .map(|member| self.push_until_known(member, version))
+            .collect();
+        while !self.is_accepted(version, gone_nodes) {
+            if pushes.next().await.is_none() {
+                self.ports.sleep(PUSH_PAUSE).await;
+            }
+        }
+        self.spawn_pushes(version);
+    }
+
+    /// Pushes a version to a member until it knows it, or is known to be gone.
+    async fn push_until_known(&self, member: RosterMember, version: ConfigVersion) {
+        let run = (member.node.clone(), member.incarnation);
+        while !self.knows(&run, version) && !self.tally.borrow().dead.contains(&run) {
+            self.push_once(&member).await;
+            if !self.knows(&run, version) {
+                self.ports.sleep(PUSH_PAUSE).await;
+            }
+        }
+    }
+
+    /// Pushes the newest version once to members that are not known to know it, in the
+    /// background.
+    pub(crate) fn spawn_pushes(&self, version: ConfigVersion) {
+        let Some(control) = self.this.upgrade() else { return };
+        for member in self.counted_members() {
+            let run = (member.node.clone(), member.incarnation);
+            if self.knows(&run, version) {
+                continue;
+            }
+            let control = control.clone();
+            self.spawn(async move { control.push_once(&member).await });
+        }
+    }
+
+    /// Tells a member the entries that it does not know.
+    async fn push_once(&self, member: &RosterMember) {
+        let run = (member.node.clone(), member.incarnation);
+        let known = self.tally.borrow().known.get(&run).copied();
+        let mut entries = known.map(|known| self.log.entries_after(known)).unwrap_or_default();
+        if entries.is_empty() {
+            entries.extend(self.log.entry(self.log.version()));
+        }
+        let question = PeerQuestion::ConfigPush { entries };
+        match self.ports.exchange(Step::ConfigPush, member, question).await {
+            Ok(PeerAnswer::ConfigKnown { config }) => self.record_known(run, config),
+            Ok(_) => log::warn!("config: {} answered a push with something else.", member.node),
+            Err(error) => self.note_peer_error(member, &error),
+        }
+    }
+
+    /// Writes that the last change of the roster is confirmed, if it is.
+    pub(crate) async fn confirm_roster(&self, gone_nodes: &BTreeSet<NodeId>) {
+        let roster = self.log.state().roster.clone();
+        if roster.version <= self.log.confirmed() || !self.is_accepted(roster.version, gone_nodes) {
+            return;
+        }
+        match self.store.confirm_roster(roster.version).await {
+            Ok(()) => self.log.set_confirmed(roster.version),
+            Err(error) => log::debug!("roster: change not confirmed yet: {error}."),
+        }
+    }
+
+    /// Whether enough members know a version.
+    pub(crate) fn is_accepted(
+        &self,
+        version: ConfigVersion,
+        gone_nodes: &BTreeSet<NodeId>,
+    ) -> bool {
+        let state = self.log.state();
+        let mut tally = self.tally.borrow().clone();
+        tally.record(self.run(), state.version);
+        tally.dead.extend(self.gone_runs(gone_nodes));
+        tally.is_accepted(version, &state.roster, self.log.confirmed())
+    }
+
+    /// The members that answered recently, as if all of them knew everything.
+    fn reach_tally(&self) -> AckTally {
+        let now = self.now();
+        let mut reach = AckTally { dead: self.tally.borrow().dead.clone(), ..AckTally::default() };
+        reach.record(self.run(), ConfigVersion::default());
+        for (run, peer) in self.peers.borrow().iter() {
+            if peer.is_heard(now) {
+                reach.record(run.clone(), ConfigVersion::default());
+            }
+        }
+        reach
+    }
+
+    /// The runs that the roster names of nodes that are gone.
+    fn gone_runs(&self, gone_nodes: &BTreeSet<NodeId>) -> Vec<MemberRun> {
+        let members = self.counted_members().into_iter();
+        let gone = members.filter(|member| gone_nodes.contains(&member.node));
+        gone.map(|member| (member.node, member.incarnation)).collect()
+    }
+
+    fn knows(&self, run: &MemberRun, version: ConfigVersion) -> bool {
+        *run == self.run()
+            || self.tally.borrow().known.get(run).is_some_and(|known| *known >= version)
+    }
+}
+
+/// Checks a command against the configuration that it would change.
+fn check_command(command: &ApplyCommand, state: &ConfigState) -> ApplyResult<()> {
+    let current = state.version;
+    if command.expected.is_some_and(|expected| expected != current) {
+        return Err(ApplyError::Conflict { current, subject: "version".to_owned() });
+    }
+    for (precondition, change) in &command.changes {
+        let holds = match precondition {
+            ChangePrecondition::Any => true,
+            ChangePrecondition::Absent => !state.contains_subject(change),
+            ChangePrecondition::Present => state.contains_subject(change),
+        };
+        if !holds {
+            return Err(ApplyError::Conflict { current, subject: subject_of(change) });
+        }
+    }
+    let changes: Vec<&ConfigChange> = command.changes.iter().map(|(_, change)| change).collect();
+    state
+        .validate_all(changes)
+        .map_err(|error| ApplyError::Invalid { subject: error.subject, reason: error.fault })
+}
+
+fn unavailable(reason: ApplyObstacle) -> ApplyError {
+    ApplyError::Unavailable { reason, retry_after: RETRY_AFTER }
+}
+
+fn pending(version: ConfigVersion, operation: &OperationId) -> ApplyError {
+    ApplyError::Pending { version, operation: operation.clone(), retry_after: RETRY_AFTER }
+}
--- /dev/null
+++ b/crates/control/src/config_loop.rs
@@ -0,0 +1,80 @@
+//! Following the configuration log, and whether the configuration is fresh.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use comfreyturn_policy::MemberRun;
+use comfreyturn_ports::TableResult;
+use comfreyturn_types::{ConfigEntry, ConfigVersion};
+
+use crate::NodeControl;
+
+impl NodeControl {
+    /// Reads the head of the log each period, and what is new.
+    pub(crate) async fn run_config(self: Rc<Self>) {
+        loop {
+            if let Err(error) = self.read_head().await {
+                log::debug!("config: head not read: {error}.");
+            }
+            self.confirm_roster(&BTreeSet::new()).await;
+            self.ports.sleep(self.settings.head_period).await;
+        }
+    }
+
+    /// Reads the head of the log, and what is new.
+    pub(crate) async fn read_head(&self) -> TableResult<()> {
+        let asked_at = self.now();
+        let (head, confirmed) = self.store.read_head().await?;
+        self.log.set_confirmed(confirmed);
+        self.gauge.borrow_mut().record_head(asked_at, head);
+        self.catch_up(head).await
+    }
+
+    /// Reads from the table what leads up to `head`: the entries, or the whole configuration if
+    /// nothing is known yet or the entries are not kept any longer.
+    pub(crate) async fn catch_up(&self, head: ConfigVersion) -> TableResult<()> {
+        let known = self.log.version();
+        if known >= head {
+            return Ok(());
+        }
+        if known > ConfigVersion::default() && head.0 - known.0 <= self.settings.kept_entries {
+            let entries = self.store.read_entries(known, head).await?;
+            self.append_entries(&entries);
+        }
+        if self.log.version() < head
+            && let Some(state) = self.store.load().await?
+        {
+            log::info!("config: loaded as a whole at version {}.", state.version);
+            self.log.replace(state);
+            self.note_roster();
+        }
+        Ok(())
+    }
+
+    /// Applies entries that came from the table or from a peer.
+    pub(crate) fn append_entries(&self, entries: &[ConfigEntry]) {
+        if let Err(gap) = self.log.append(entries) {
+            log::debug!("config: {gap}.");
+        }
+        self.note_roster();
+    }
+
+    /// A run knows a version.
+    pub(crate) fn record_known(&self, run: MemberRun, version: ConfigVersion) {
+        self.tally.borrow_mut().record(run, version);
+    }
+
+    /// Takes note of whether the roster names this run.
+    fn note_roster(&self) {
+        let state = self.log.state();
+        let roster = &state.roster.current;
+        if roster.names(&self.member.node, self.member.incarnation) {
+            self.was_named.set(true);
+        }
+        let successor = roster.members.get(&self.member.node);
+        let replaced = successor.is_some_and(|run| run.incarnation != self.member.incarnation);
+        if replaced && self.was_named.get() && !self.superseded.replace(true) {
+            log::error!("roster: another run of {} has taken this one's place.", self.member.node);
+            self.leaving.set(true);
+        }
+    }
+}
--- a/crates/policy/src/config_rules.rs
+++ b/crates/policy/src/config_rules.rs
@@ -47,9 +47,6 @@
     /// The roster already names this run of the node.
     #[display("already on the roster")]
     AlreadyJoined,
-    /// One entry may change the roster once.
-    #[display("one roster change at a time")]
-    SecondRosterChange,
     /// The last member may not leave.
     #[display("last member of the roster")]
     LastMember,
@@ -81,13 +78,8 @@
         changes: impl IntoIterator<Item = &'a ConfigChange>,
     ) -> ConfigResult<()> {
         let mut state = self.clone();
-        let mut roster_changed = false;
         for change in changes {
             state.validate(change)?;
-            if change.changes_roster() && std::mem::replace(&mut roster_changed, true) {
-                let fault = ConfigFault::SecondRosterChange;
-                return Err(ConfigError { subject: subject_of(change), fault });
-            }
             state.apply_change(change);
         }
         Ok(())
--- a/crates/policy/src/config_state.rs
+++ b/crates/policy/src/config_state.rs
@@ -57,7 +57,8 @@
     /// The members.
     pub current: Roster,
 
-    /// The members before the last change. While that change is not confirmed, both count.
+    /// The members before the last entry that changed them. While that entry is not confirmed,
+    /// both count, so that one entry may change any number of members.
     pub previous: Roster,
 
     /// The entry that made the last change; zero if there was none.
@@ -75,6 +76,10 @@
             return Err(ConfigGap { version: self.version, entry: entry.version });
         }
         self.version = entry.version;
+        if entry.changes.iter().any(ConfigChange::changes_roster) {
+            self.roster.previous = self.roster.current.clone();
+            self.roster.version = entry.version;
+        }
         for change in &entry.changes {
             self.apply_change(change);
         }
@@ -122,22 +127,15 @@
                 set_member(&mut self.drained_nodes, node, drained);
             }
             ConfigChange::JoinRoster(member) => {
-                self.begin_roster_change();
                 self.roster.current.members.insert(member.node.clone(), member);
             }
             ConfigChange::LeaveRoster { node, incarnation } => {
-                self.begin_roster_change();
                 if self.roster.current.names(&node, incarnation) {
                     self.roster.current.members.remove(&node);
                 }
             }
         }
     }
-
-    fn begin_roster_change(&mut self) {
-        self.roster.previous = self.roster.current.clone();
-        self.roster.version = self.version;
-    }
 }
 
 fn set_member<T: Ord>(set: &mut BTreeSet<T>, item: T, present: bool) {
