Test the stand-ins, and give tests a client for them

Cause: others count on lost answers, fencing, resuming, group breaks and execution counts. Change: ServerClient and EventStream; tests of the servers over TCP and of each fake. Ruled out: a test client of its own in each test file.

--- a/crates/standin/src/fakes/memory_backends.rs
+++ b/crates/standin/src/fakes/memory_backends.rs
@@ -221,6 +221,13 @@
         self.with_backend(address, |backend| backend.rejects_with = status);
     }
 
+    /// The run of the backend server that listens at an address now.
+    pub fn live_incarnation(&self, address: SocketAddr) -> Option<Incarnation> {
+        let backends = self.backends.borrow();
+        let backend = backends.get(&address).filter(|backend| backend.is_alive)?;
+        Some(backend.incarnation)
+    }
+
     /// All runs of completions, by address and then in order.
     pub fn executions(&self) -> Vec<ExecutionRecord> {
         let now = self.now();
--- a/crates/standin/src/http_client.rs
+++ b/crates/standin/src/http_client.rs
@@ -67,8 +67,15 @@
     content: &impl Serialize,
     timeout: Duration,
 ) -> StandinResult<T> {
-    let (status, body) =
-        call(address, json_request(address, method, path, content), timeout).await?;
+    let request = json_request(address, method, path, content);
+    read_json(address, call(address, request, timeout).await?)
+}
+
+/// Reads a JSON answer. An empty one reads as `null`.
+pub(crate) fn read_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    (status, body): (StatusCode, Bytes),
+) -> StandinResult<T> {
     if !status.is_success() {
         return Err(StandinError::Status { address, status: status.as_u16() });
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod engine;
 mod error;
+mod event_stream;
 pub mod fakes;
 mod http_client;
 mod http_server;
@@ -19,14 +20,17 @@
 mod platform;
 mod run_journal;
 mod run_records;
+mod server_client;
 mod table_rows;
 mod task_set;
 
 pub use engine::*;
 pub use error::*;
+pub use event_stream::*;
 pub use output_text::*;
 pub use plain_server::*;
 pub use platform::*;
 pub use run_journal::*;
 pub use run_records::*;
+pub use server_client::*;
 pub use table_rows::*;
--- /dev/null
+++ b/crates/standin/tests/servers/main.rs
@@ -0,0 +1,6 @@
+//! The servers over TCP.
+
+mod common;
+mod engine_server;
+mod plain_server;
+mod platform_server;
