Add the node: callers over HTTP, operators over gRPC, settings, metrics, shutdown

Cause: the parts below need a process that joins them. Change: run_node binds peers' port first (whoever listens there is the only run of the node), joins control, serving and adapters on one thread, and shuts down in the order of the design: announce, serve on while addresses are valid, refuse, end connections, give back. Settings are checked with file, line and key. Ruled out: a global metrics recorder, since several nodes share a process in the lab.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer_loop;
 mod peer_view;
 mod quiet_watch;
+mod request_view;
 mod roster_loop;
 mod row_keys;
 mod status_view;
--- /dev/null
+++ b/crates/control/src/request_view.rs
@@ -0,0 +1,48 @@
+//! What a node's requests need to know of groups, backend servers and peers.
+
+use std::time::Instant;
+
+use comfreyturn_types::{
+    GroupAssignment, GroupGeneration, GroupId, NodeId, RosterMember, VmId, VmReport,
+};
+
+use crate::NodeControl;
+
+impl NodeControl {
+    /// This run of this node.
+    pub fn member(&self) -> &RosterMember {
+        &self.member
+    }
+
+    /// Whether a node told that it is leaving.
+    pub fn is_peer_leaving(&self, node: &NodeId) -> bool {
+        let peers = self.peers.borrow();
+        peers.iter().any(|((name, _), peer)| name == node && peer.leaving)
+    }
+
+    /// Whether every VM of this generation of a group was recently heard to hold its place.
+    pub fn is_group_whole(
+        &self,
+        now: Instant,
+        group: &GroupId,
+        generation: GroupGeneration,
+    ) -> bool {
+        let table = self.table.borrow();
+        let names = |assignment: &&GroupAssignment| {
+            assignment.group == *group && assignment.generation == generation
+        };
+        let mut reports = table.all_evidence().values().filter_map(|e| e.report.as_ref());
+        let assignment = reports.find_map(|report| report.assignment.as_ref().filter(names));
+        assignment.is_some_and(|assignment| table.defect(now, assignment).is_none())
+    }
+
+    /// The newest report of a backend server, however old; `None` if its last poll failed.
+    pub fn newest_report(&self, vm: &VmId) -> Option<VmReport> {
+        self.table.borrow().evidence(vm)?.report.clone()
+    }
+
+    /// Takes in that a request found a backend server dead, and looks again.
+    pub fn report_lost(&self, vm: &VmId) {
+        self.take_in_loss(vm.clone());
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Processes and raw HTTP for tests of the whole path.
+#![allow(dead_code, clippy::allow_attributes, reason = "each test uses a part of it")]
+
+pub mod http;
+pub mod process;
--- /dev/null
+++ b/crates/node/src/caller/answer_body.rs
@@ -0,0 +1,36 @@
+//! Bodies of answers.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::Frame;
+use send_wrapper::SendWrapper;
+use serde::Serialize;
+
+/// The body of an answer, whole or streamed.
+pub type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// A body that is there at once.
+pub fn whole_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// A body that comes in parts. All connections of a node stay on its thread, as the wrapper
+/// demands.
+pub fn streamed_body(parts: impl Stream<Item = Bytes> + 'static) -> AnswerBody {
+    let frames = parts.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)));
+    StreamBody::new(SendWrapper::new(Box::pin(frames))).boxed_unsync()
+}
+
+/// An answer with a JSON body.
+pub fn json_answer(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = Response::new(whole_body(text));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
--- /dev/null
+++ b/crates/node/src/caller/completion_answer.rs
@@ -0,0 +1,132 @@
+//! Answers to completion requests, in the usual JSON.
+
+use bytes::Bytes;
+use comfreyturn_ports::CompletionEvent;
+use comfreyturn_serving::{AnswerStream, Refusal};
+use comfreyturn_types::{OutcomeWord, RefusalReason, RequestId, ServiceName};
+use futures_util::{StreamExt, stream};
+use http::{HeaderValue, Response, StatusCode, header};
+use serde_json::{Value, json};
+
+use super::{
+    answer_body::{AnswerBody, json_answer, streamed_body},
+    completion_body::CompletionShape,
+    error_answer::ErrorAnswer,
+};
+
+/// Ends a stream of events.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Gives a completion its shape on the wire.
+#[derive(Clone, Debug)]
+pub struct CompletionFormat {
+    /// Which call it answers.
+    pub shape: CompletionShape,
+
+    /// Names the request.
+    pub request: RequestId,
+
+    /// The service, called `model` on the wire.
+    pub service: ServiceName,
+}
+
+impl CompletionFormat {
+    /// Streams the answer as server-sent events. A failure after the first token is an event too.
+    pub fn streamed(self, answer: AnswerStream) -> Response<AnswerBody> {
+        let parts = stream::unfold(Some((self, answer)), |state| async move {
+            let (format, mut answer) = state?;
+            match answer.next().await {
+                Some(Ok(CompletionEvent::Token(token))) => {
+                    let event = format.event(Some(&token.text), None);
+                    Some((event, Some((format, answer))))
+                }
+                Some(Ok(CompletionEvent::Finished { reason })) => {
+                    let mut last = format.event(None, Some(&reason)).to_vec();
+                    last.extend_from_slice(DONE_EVENT);
+                    Some((Bytes::from(last), None))
+                }
+                Some(Err(refusal)) => Some((error_event(refusal), None)),
+                None => None,
+            }
+        });
+        let mut response = Response::new(streamed_body(parts));
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        response
+    }
+
+    /// Collects the answer and gives it whole.
+    ///
+    /// # Errors
+    /// The refusal that ended the stream; nothing of the answer is given then.
+    pub async fn whole(self, mut answer: AnswerStream) -> Result<Response<AnswerBody>, Refusal> {
+        let mut text = String::new();
+        let mut tokens = 0u32;
+        while let Some(event) = answer.next().await {
+            match event? {
+                CompletionEvent::Token(token) => {
+                    text.push_str(&token.text);
+                    tokens += 1;
+                }
+                CompletionEvent::Finished { reason } => {
+                    return Ok(json_answer(StatusCode::OK, &self.body(&text, tokens, &reason)));
+                }
+            }
+        }
+        Err(Refusal {
+            outcome: OutcomeWord::Unknown,
+            reason: RefusalReason::BackendLost,
+            retry_after: None,
+            other_addresses: Vec::new(),
+        })
+    }
+
+    fn event(&self, text: Option<&str>, finish: Option<&str>) -> Bytes {
+        let choice = match self.shape {
+            CompletionShape::Text => {
+                json!({"index": 0, "text": text.unwrap_or_default(), "finish_reason": finish})
+            }
+            CompletionShape::Chat => {
+                let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
+                json!({"index": 0, "delta": delta, "finish_reason": finish})
+            }
+        };
+        let object = match self.shape {
+            CompletionShape::Text => "text_completion",
+            CompletionShape::Chat => "chat.completion.chunk",
+        };
+        let value = json!({
+            "id": self.request,
+            "object": object,
+            "model": self.service,
+            "choices": [choice],
+        });
+        Bytes::from(format!("data: {value}\n\n"))
+    }
+
+    fn body(&self, text: &str, tokens: u32, finish: &str) -> Value {
+        let (object, choice) = match self.shape {
+            CompletionShape::Text => {
+                ("text_completion", json!({"index": 0, "text": text, "finish_reason": finish}))
+            }
+            CompletionShape::Chat => {
+                let message = json!({"role": "assistant", "content": text});
+                let choice = json!({"index": 0, "message": message, "finish_reason": finish});
+                ("chat.completion", choice)
+            }
+        };
+        json!({
+            "id": self.request,
+            "object": object,
+            "model": self.service,
+            "choices": [choice],
+            "usage": {"completion_tokens": tokens},
+        })
+    }
+}
+
+fn error_event(refusal: Refusal) -> Bytes {
+    let text = serde_json::to_string(&ErrorAnswer::from(refusal)).unwrap_or_default();
+    Bytes::from(format!("data: {text}\n\n"))
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,102 @@
-//! The node.
-fn main() {}
+//! The node's command line.
+
+use std::{path::Path, process::ExitCode};
+
+use comfreyturn_node::{NodeSettings, StopSignal, run_node};
+use flexi_logger::{Logger, LoggerHandle, opt_format};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// A node of comfreyturn: serves callers, operators and peers.
+        cmd comfreyturn {
+            /// Runs the node until it is told to stop.
+            default cmd run {
+                /// The settings file.
+                required --settings file: PathBuf
+                /// Which log lines are written to standard error: error, warn, info, debug.
+                optional --log level: String
+            }
+            /// Checks a settings file and ends.
+            cmd check {
+                /// The settings file.
+                required --settings file: PathBuf
+            }
+        }
+    }
+}
+
+/// Exit code for wrong usage and wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = flags::Comfreyturn::from_env_or_exit();
+    match flags.subcommand {
+        flags::ComfreyturnCmd::Check(check) => check_settings(&check.settings),
+        flags::ComfreyturnCmd::Run(run) => run_process(&run.settings, run.log.as_deref()),
+    }
+}
+
+fn check_settings(file: &Path) -> ExitCode {
+    match NodeSettings::read(file) {
+        Ok(_) => {
+            println!("{}: ok", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) => usage_error(&error),
+    }
+}
+
+fn run_process(file: &Path, level: Option<&str>) -> ExitCode {
+    let settings = match NodeSettings::read(file) {
+        Ok(settings) => settings,
+        Err(error) => return usage_error(&error),
+    };
+    let _logger = match start_logging(level.unwrap_or("info")) {
+        Ok(logger) => logger,
+        Err(error) => return usage_error(&error),
+    };
+    let stop = match stop_signals() {
+        Ok(stop) => stop,
+        Err(error) => return failure(&error),
+    };
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return failure(&error),
+    };
+    match runtime.block_on(run_node(settings, stop)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failure(&error),
+    }
+}
+
+fn start_logging(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
+    Logger::try_with_str(level)?.format(opt_format).log_to_stderr().start()
+}
+
+/// Turns each SIGTERM and SIGINT into a signal to the node.
+fn stop_signals() -> std::io::Result<flume::Receiver<StopSignal>> {
+    let (sender, receiver) = flume::unbounded();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            let _ = sender.send(StopSignal::Graceful);
+        }
+    });
+    Ok(receiver)
+}
+
+fn usage_error(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("comfreyturn: {error}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn failure(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("comfreyturn: {error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/node/src/operator/mod.rs
@@ -0,0 +1,8 @@
+//! Operators: gRPC, and metrics as text on the same port.
+
+mod operator_lists;
+mod operator_server;
+mod operator_service;
+
+pub use operator_server::OperatorServer;
+pub use operator_service::OperatorService;
--- /dev/null
+++ b/crates/node/src/run_node.rs
@@ -0,0 +1,232 @@
+//! Joins the parts of a node, runs it, and shuts it down.
+
+use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use comfreyturn_adapters::{
+    BackendClient, BackendSettings, ByteMeter, CompioSpawner, DirectoryClient, EngineClient,
+    HttpPool, HttpSettings, PeerClient, PeerServer, PeerSettings, SystemClock, TableClient,
+};
+use comfreyturn_control::{ControlPorts, ControlSettings, NodeControl};
+use comfreyturn_policy::{
+    CrashLedger, CrashLedgerSettings, FairQueue, FairQueueSettings, LoadRouter, LoadRouterSettings,
+    RetryBudgetSettings, ShareRetryBudget,
+};
+use comfreyturn_ports::{Clock, PeerIdentity, PeerLink, Spawner};
+use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
+use comfreyturn_types::RosterMember;
+use compio::net::TcpListener;
+use futures_util::{FutureExt, future::OptionFuture, pin_mut, select_biased};
+
+use crate::{
+    NodeError, NodeSettings, Result, StopSignal,
+    caller::{CallerEdge, CallerServer},
+    limit_desk::LimitDesk,
+    node_gauges::NodeGauges,
+    node_metrics::node_recorder,
+    node_view::NodeView,
+    operator::{OperatorServer, OperatorService},
+};
+
+/// Runs a node until it is told to stop. Must be called inside a compio runtime, on a thread that
+/// runs no other node.
+///
+/// # Errors
+/// If an address of the settings cannot be listened on.
+pub async fn run_node(settings: NodeSettings, stop: flume::Receiver<StopSignal>) -> Result<()> {
+    let recorder = node_recorder();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let listeners = NodeListeners::open(&settings).await?;
+    let parts = NodeParts::join(&settings);
+    log::info!("node: {} runs as {}.", settings.node, parts.control.member().incarnation);
+    let (drain_end, draining) = flume::bounded::<Infallible>(0);
+    parts.start(&settings, listeners, draining, recorder.handle());
+    let _ = stop.recv_async().await;
+    parts.shut_down(&settings, drain_end, &stop).await;
+    log::info!("node: {} ended.", settings.node);
+    Ok(())
+}
+
+/// The listening sockets of a node.
+struct NodeListeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl NodeListeners {
+    /// Opens them. Peers' first: whoever listens there is the only run of the node.
+    async fn open(settings: &NodeSettings) -> Result<Self> {
+        Ok(Self {
+            peers: listen(settings.peer_address).await?,
+            callers: listen(settings.caller_address).await?,
+            operators: listen(settings.operator_address).await?,
+        })
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })
+}
+
+/// The parts of a running node.
+struct NodeParts {
+    identity: PeerIdentity,
+    clock: Rc<dyn Clock>,
+    spawner: Rc<dyn Spawner>,
+    meter: ByteMeter,
+    control: Rc<NodeControl>,
+    view: Rc<NodeView>,
+    service: Rc<RequestService>,
+}
+
+impl NodeParts {
+    fn join(settings: &NodeSettings) -> Self {
+        let member = settings.roster_member();
+        let identity = identity(settings, &member);
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+        let spawner: Rc<dyn Spawner> = Rc::new(CompioSpawner);
+        let meter = ByteMeter::default();
+        let pool = HttpPool::new(HttpSettings::default(), meter.clone());
+        let peers: Rc<dyn PeerLink> = Rc::new(PeerClient::new(
+            identity.clone(),
+            clock.now(),
+            PeerSettings::default(),
+            meter.clone(),
+        ));
+        let table = Rc::new(TableClient::new(pool.clone(), settings.platform_address));
+        let ports = ControlPorts {
+            clock: clock.clone(),
+            spawner: spawner.clone(),
+            table: table.clone(),
+            directory: Rc::new(DirectoryClient::new(pool.clone(), settings.platform_address)),
+            engines: Rc::new(EngineClient::new(pool)),
+            peers: peers.clone(),
+        };
+        let control =
+            NodeControl::new(settings.cell.clone(), member, ports, ControlSettings::default());
+        let view = Rc::new(NodeView {
+            control: control.clone(),
+            peers,
+            limits: RefCell::new(LimitDesk::new(settings.node.clone())),
+            node: settings.node.clone(),
+        });
+        let data_pool = HttpPool::new(HttpSettings::default(), ByteMeter::default());
+        let serving_ports = ServingPorts {
+            clock: clock.clone(),
+            spawner: spawner.clone(),
+            table,
+            backends: Rc::new(BackendClient::new(data_pool, BackendSettings::default())),
+        };
+        let service = RequestService::new(
+            identity.clone(),
+            view.clone(),
+            serving_ports,
+            policies(),
+            serving_settings(settings),
+        );
+        Self { identity, clock, spawner, meter, control, view, service }
+    }
+
+    fn start(
+        &self,
+        settings: &NodeSettings,
+        listeners: NodeListeners,
+        draining: flume::Receiver<Infallible>,
+        metrics: metrics_exporter_prometheus::PrometheusHandle,
+    ) {
+        let service = self.service.clone();
+        self.control.on_notice(Rc::new(move |_, notice| service.take_notice(notice)));
+        self.control.start();
+        let gauges = NodeGauges::new(
+            self.control.clone(),
+            self.service.clone(),
+            self.clock.clone(),
+            self.meter.clone(),
+        );
+        self.spawner.spawn(Box::pin(gauges.run()));
+        let peers = PeerServer::new(
+            self.identity.clone(),
+            self.clock.now(),
+            PeerSettings::default(),
+            self.meter.clone(),
+            self.control.clone(),
+        );
+        self.spawner.spawn(Box::pin(peers.serve(listeners.peers)));
+        let edge = CallerEdge {
+            service: self.service.clone(),
+            view: self.view.clone(),
+            clock: self.clock.clone(),
+            settings: settings.callers.clone(),
+        };
+        let callers = CallerServer { edge: Rc::new(edge), draining, open: Rc::default() };
+        self.spawner.spawn(Box::pin(Rc::new(callers).run(listeners.callers)));
+        let service = OperatorService::new(self.control.clone(), self.clock.clone());
+        let operators = Rc::new(OperatorServer { service, metrics });
+        self.spawner.spawn(Box::pin(operators.run(listeners.operators)));
+    }
+
+    /// Shuts down gracefully, unless a second signal or the limit comes first.
+    async fn shut_down(
+        &self,
+        settings: &NodeSettings,
+        drain_end: flume::Sender<Infallible>,
+        stop: &flume::Receiver<StopSignal>,
+    ) {
+        let graceful = self.leave(drain_end).fuse();
+        pin_mut!(graceful);
+        let limit = settings.shutdown_limit.map(|limit| self.clock.sleep(limit));
+        let limit = OptionFuture::from(limit.map(FutureExt::fuse));
+        let limit = async move {
+            if limit.await.is_none() {
+                std::future::pending::<()>().await;
+            }
+        }
+        .fuse();
+        pin_mut!(limit);
+        let second = stop.recv_async().fuse();
+        pin_mut!(second);
+        select_biased! {
+            () = graceful => {}
+            () = limit => log::warn!("node: shutdown limit reached, requests are interrupted."),
+            _ = second => log::warn!("node: told again to stop, requests are interrupted."),
+        }
+    }
+
+    /// Announces, serves on while addresses are valid, ends requests and connections, gives back.
+    async fn leave(&self, drain_end: flume::Sender<Infallible>) {
+        self.control.set_leaving();
+        self.service.drain().await;
+        drop(drain_end);
+        if let Err(error) = self.control.give_back().await {
+            log::warn!("node: place on the roster not given back: {error}.");
+        }
+        self.clock.sleep(CONNECTION_END_TIME).await;
+    }
+}
+
+/// Time for connections to carry out their last bytes after the last request has ended.
+const CONNECTION_END_TIME: Duration = Duration::from_millis(200);
+
+fn identity(settings: &NodeSettings, member: &RosterMember) -> PeerIdentity {
+    PeerIdentity {
+        cell: settings.cell.clone(),
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+    }
+}
+
+fn policies() -> ServingPolicies {
+    ServingPolicies {
+        router: Box::new(LoadRouter::new(LoadRouterSettings::default(), rand::random())),
+        queue: Box::new(FairQueue::new(FairQueueSettings::default(), rand::random())),
+        retries: Box::new(ShareRetryBudget::new(RetryBudgetSettings::default())),
+        suspects: Box::new(CrashLedger::new(CrashLedgerSettings::default())),
+    }
+}
+
+fn serving_settings(settings: &NodeSettings) -> ServingSettings {
+    ServingSettings {
+        address_validity: settings.callers.address_validity,
+        ..ServingSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/caller_settings.rs
@@ -0,0 +1,57 @@
+//! What callers may send, and how long they may take.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Limits towards callers.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Largest head of a request, in bytes. At least 8192.
+    pub max_head_bytes: usize,
+
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+
+    /// Most open connections of callers.
+    pub max_connections: usize,
+
+    /// Time for a request's head, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "head_timeout_ms")]
+    pub head_timeout: Duration,
+
+    /// Time for a request's body, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "body_timeout_ms")]
+    pub body_timeout: Duration,
+
+    /// How long callers may keep the answer to an address question, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "address_validity_ms")]
+    pub address_validity: Duration,
+
+    /// Tokens generated at most for a request that states no limit.
+    pub default_max_tokens: u32,
+
+    /// Tokens that a request may ask for at most.
+    pub max_tokens: u32,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            max_connections: 10_000,
+            head_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            address_validity: Duration::from_secs(30),
+            default_max_tokens: 256,
+            max_tokens: 32_768,
+        }
+    }
+}
--- a/crates/types/src/vm_record.rs
+++ b/crates/types/src/vm_record.rs
@@ -7,8 +7,9 @@
 use crate::{FabricDomain, FailureDomain, ServiceName, VmId};
 
 /// What a VM is for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
 pub enum VmRole {
     /// Runs a node of this system.
     Entry,
