Add a load generator that checks every answer

Cause: the policy under load has to be measured by callers that notice wrong answers. Ruled out: closed-loop callers, which hide waiting. Against a real node: not run.

--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -14,6 +14,13 @@
         source: std::io::Error,
     },
 
+    /// A server did not take the connection; nothing was sent.
+    #[display("{address} not reached")]
+    NotReached {
+        /// The server.
+        address: SocketAddr,
+    },
+
     /// A call to another server was not answered.
     #[display("no answer from {address}")]
     NoAnswer {
--- a/crates/standin/src/fakes/fault_plan.rs
+++ b/crates/standin/src/fakes/fault_plan.rs
@@ -221,6 +221,11 @@
         self.state.table_down_until.set(self.elapsed() + duration);
     }
 
+    /// Takes back the faults that have not happened.
+    pub fn withdraw(&self) {
+        self.state.rules.borrow_mut().clear();
+    }
+
     /// Ends all outages and cuts. Frozen nodes stay frozen.
     pub fn heal(&self) {
         self.state.table_down_until.set(Duration::ZERO);
--- a/crates/standin/src/http_client.rs
+++ b/crates/standin/src/http_client.rs
@@ -27,7 +27,8 @@
     request: Request<Full<Bytes>>,
 ) -> StandinResult<HttpCall> {
     let no_answer = || StandinError::NoAnswer { address };
-    let stream = TcpStream::connect(address).await.map_err(|_| no_answer())?;
+    let stream =
+        TcpStream::connect(address).await.map_err(|_| StandinError::NotReached { address })?;
     stream.set_nodelay(true).map_err(|_| no_answer())?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - Servers over real TCP that speak the protocols of `docs/design/outside-protocols.md`:
 //!   [`PlatformServer`], [`EngineServer`] and [`PlainServer`].
+//! - Callers: [`run_load`], whose answers are checked.
 //! - In-memory [`fakes`] of the ports, driven by a manual clock, with a plan of faults.
 //!
 //! Model output is a pure function of prompt and position ([`output_token`]), so that any lost,
@@ -15,6 +16,7 @@
 pub mod fakes;
 mod http_client;
 mod http_server;
+mod load;
 mod output_text;
 mod plain_server;
 mod platform;
@@ -27,6 +29,7 @@
 pub use engine::*;
 pub use error::*;
 pub use event_stream::*;
+pub use load::*;
 pub use output_text::*;
 pub use plain_server::*;
 pub use platform::*;
--- /dev/null
+++ b/crates/standin/src/load/address_book.rs
@@ -0,0 +1,76 @@
+//! Which addresses callers use.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderName, HeaderValue};
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::LoadSettings;
+use crate::ServerClient;
+
+/// Time limit of the address question.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The answer to the address question.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+struct AddressAnswer {
+    addresses: Vec<SocketAddr>,
+
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    valid_ms: Duration,
+}
+
+/// An answer that is kept.
+#[derive(Default)]
+struct KnownAddresses {
+    addresses: Vec<SocketAddr>,
+    valid_until: Option<Instant>,
+}
+
+/// Which addresses callers use. Answers are kept as long as they are valid.
+pub(crate) struct AddressBook {
+    to: SocketAddr,
+    path: String,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    known: RefCell<KnownAddresses>,
+}
+
+impl AddressBook {
+    /// Knows only the first node.
+    pub(crate) fn new(settings: &LoadSettings, headers: Vec<(HeaderName, HeaderValue)>) -> Self {
+        let customer = settings.customer.as_ref().map(|name| format!("&customer={name}"));
+        let customer = customer.unwrap_or_default();
+        let path = format!("/v1/addresses?service={}{customer}", settings.service);
+        Self { to: settings.to, path, headers, known: RefCell::default() }
+    }
+
+    /// The addresses to try, in order. Old ones, if no node answers.
+    pub(crate) async fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        if self.known.borrow().valid_until.is_some_and(|until| now < until) {
+            return self.known.borrow().addresses.clone();
+        }
+        let mut nodes = vec![self.to];
+        nodes.extend(self.known.borrow().addresses.iter().copied());
+        for node in nodes {
+            if let Some(answer) = self.ask(node).await {
+                let valid_until = Some(now + answer.valid_ms);
+                let addresses = answer.addresses.clone();
+                *self.known.borrow_mut() = KnownAddresses { addresses, valid_until };
+                return answer.addresses;
+            }
+        }
+        self.known.borrow().addresses.clone()
+    }
+
+    async fn ask(&self, address: SocketAddr) -> Option<AddressAnswer> {
+        let client =
+            ServerClient { address, timeout: QUESTION_TIMEOUT, headers: self.headers.clone() };
+        client.get::<AddressAnswer>(&self.path).await.ok()
+    }
+}
--- a/crates/standin/tests/servers/engine_server.rs
+++ b/crates/standin/tests/servers/engine_server.rs
@@ -188,7 +188,7 @@
     assert_eq!(read_all(&mut bystander).await.1, None);
     assert_eq!(engine.end.await.unwrap(), ServerEnd::Crashed);
     let gone = engine.client.get::<VmReport>("/control/report").await;
-    assert!(matches!(gone, Err(StandinError::NoAnswer { .. })));
+    assert!(matches!(gone, Err(StandinError::NotReached { .. })));
     let ends: Vec<_> = journal.records().executions.iter().map(|run| run.end).collect();
     assert_eq!(ends, vec![ExecutionEnd::Crashed; 2]);
 }
