--- a/crates/policy/src/address_order.rs
+++ b/crates/policy/src/address_order.rs
@@ -23,3 +23,32 @@
 pub fn address_key(service: &ServiceName, customer: &CustomerName) -> String {
     format!("{service}\u{0}{customer}")
 }
+
+/// The nodes that a customer's limit is split over: the first `count` of its rendezvous order.
+///
+/// They are the same for all services, since a limit covers all of them.
+pub fn customer_homes<'a>(
+    customer: &CustomerName,
+    nodes: impl IntoIterator<Item = &'a NodeId>,
+    count: usize,
+) -> Vec<&'a NodeId> {
+    let mut homes = rendezvous_order(customer.as_str(), nodes);
+    homes.truncate(count);
+    homes
+}
+
+/// The order in which callers try nodes: the customer's homes first, then the others.
+///
+/// Within the homes the order depends on the service too, so that each service has its own first
+/// home and prefixes and claims stay local.
+pub fn address_order<'a>(
+    service: &ServiceName,
+    customer: &CustomerName,
+    nodes: impl IntoIterator<Item = &'a NodeId>,
+    homes: usize,
+) -> Vec<&'a NodeId> {
+    let mut nodes = rendezvous_order(customer.as_str(), nodes);
+    let others = nodes.split_off(homes.min(nodes.len()));
+    let key = address_key(service, customer);
+    rendezvous_order(&key, nodes).into_iter().chain(others).collect()
+}
--- a/crates/policy/src/customer_limits.rs
+++ b/crates/policy/src/customer_limits.rs
@@ -33,6 +33,12 @@
         self.tokens.set_rate(now, share.tokens_per_second, token_burst);
     }
 
+    /// Whether the share lets anything through.
+    #[inline]
+    pub(crate) fn is_open(&self) -> bool {
+        self.share.requests_per_second > 0.0 && self.share.tokens_per_second > 0.0
+    }
+
     /// How long until a request of this cost fits the limits; zero if it does now.
     pub(crate) fn wait_for(&mut self, now: Instant, tokens: f64) -> Duration {
         self.requests.wait_for(now, 1.0).max(self.tokens.wait_for(now, tokens))
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -6,7 +6,7 @@
 };
 
 use comfreyturn_types::{CustomerName, RefusalReason, ServiceName};
-use rand::{SeedableRng, rngs::Xoshiro256PlusPlus};
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 
 use crate::{
     AdmissionDecision, AdmissionQuery, AdmissionQueue, AdmissionTicket, CustomerShare,
@@ -18,7 +18,7 @@
 /// Settings of a [`FairQueue`].
 #[derive(Clone, Debug)]
 pub struct FairQueueSettings {
-    /// What a customer that was idle may use at once, as time at its limit.
+    /// What a customer that was idle may use at once, as time at its share.
     pub burst: Duration,
 
     /// Longest predicted wait of an interactive request.
@@ -36,7 +36,8 @@
     /// Estimated tokens a second of one running request, until requests have been measured.
     pub initial_tokens_per_second: f64,
 
-    /// When refused requests should come back while a service has no capacity.
+    /// When refused requests should come back while a service has no capacity, or while their
+    /// customer has no share at this node.
     pub capacity_retry: Duration,
 
     /// The latest time to come back that is handed out.
@@ -120,24 +121,25 @@
         ticket
     }
 
-    fn refuse_without_capacity(&mut self, now: Instant) -> AdmissionDecision {
+    /// Refuses a request that this node can do nothing for, until something changes.
+    fn refuse_for_now(&mut self, reason: RefusalReason) -> AdmissionDecision {
         let base = self.settings.capacity_retry;
-        let retry_after = base + self.jitter(now, base);
-        AdmissionDecision::Refuse { reason: RefusalReason::NoCapacity, retry_after }
+        AdmissionDecision::Refuse { reason, retry_after: base + self.jitter(base) }
     }
 
-    fn jitter(&mut self, _now: Instant, spread: Duration) -> Duration {
-        spread.mul_f64(rand::RngExt::random::<f64>(&mut self.rng))
+    fn jitter(&mut self, spread: Duration) -> Duration {
+        spread.mul_f64(self.rng.random::<f64>())
     }
 
     /// Refuses a request that does not fit its customer's limits.
     fn check_limits(&mut self, now: Instant, query: &AdmissionQuery) -> Option<AdmissionDecision> {
         let latest = self.settings.max_retry_after;
         let reason = RefusalReason::LimitReached;
-        let Some(limits) = self.limits.get_mut(&query.customer) else {
-            return Some(AdmissionDecision::Refuse { reason, retry_after: latest });
-        };
         let cost = cost_of(query);
+        let Some(limits) = self.limits.get_mut(&query.customer).filter(|limits| limits.is_open())
+        else {
+            return Some(self.refuse_for_now(reason));
+        };
         let wait = limits.wait_for(now, cost);
         if wait.is_zero() {
             return None;
@@ -190,7 +192,7 @@
             RefusalReason::Overloaded
         };
         let spread = self.settings.capacity_retry;
-        AdmissionDecision::Refuse { reason, retry_after: self.jitter(now, spread) }
+        AdmissionDecision::Refuse { reason, retry_after: self.jitter(spread) }
     }
 
     fn expire(&mut self, now: Instant) -> Vec<(AdmissionTicket, AdmissionDecision)> {
@@ -232,7 +234,7 @@
 
     fn submit(&mut self, now: Instant, query: &AdmissionQuery) -> AdmissionDecision {
         if self.lanes.get(&query.service).is_none_or(|lane| lane.capacity == 0) {
-            return self.refuse_without_capacity(now);
+            return self.refuse_for_now(RefusalReason::NoCapacity);
         }
         if let Some(refusal) = self.check_limits(now, query) {
             return refusal;
