Add the check of a run's records against the promises

Cause: process tests and the matrix need one judge of the eight promises. Change: RunRecords, check_promises and a typed violation for each breach; refusals as not started carry their time, so that work offered to leaving backend servers shows. Ruled out: judging by counts of outcomes, which cannot tell whose answer was wrong.

--- a/crates/standin/src/engine/engine_service.rs
+++ b/crates/standin/src/engine/engine_service.rs
@@ -259,7 +259,7 @@
             return malformed_answer();
         };
         if !self.serves(&attempt).await {
-            self.journal.write(|records| records.not_started += 1);
+            self.journal.write(|records| records.not_started_ms.push(run_time_ms()));
             return error_answer(StatusCode::CONFLICT, "not-started");
         }
         if self.streams.borrow().contains_key(&attempt.stream) {
@@ -270,7 +270,7 @@
             return error_answer(StatusCode::UNPROCESSABLE_ENTITY, "foreign-output");
         }
         let Some(place) = self.queue.enter(attempt.priority) else {
-            self.journal.write(|records| records.not_started += 1);
+            self.journal.write(|records| records.not_started_ms.push(run_time_ms()));
             return refuse_for_now();
         };
         event_answer(self.start_stream(attempt, place).events(0))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! - Callers: [`run_load`], whose answers are checked.
 //! - In-memory [`fakes`] of the ports, driven by a manual clock, with a plan of faults.
 //!
+//! What they record is checked by [`invariants`].
+//!
 //! Model output is a pure function of prompt and position ([`output_token`]), so that any lost,
 //! doubled or foreign token shows.
 
@@ -16,6 +18,7 @@
 pub mod fakes;
 mod http_client;
 mod http_server;
+pub mod invariants;
 mod load;
 mod output_text;
 mod plain_server;
--- a/crates/standin/src/plain_server.rs
+++ b/crates/standin/src/plain_server.rs
@@ -190,7 +190,7 @@
 
     async fn run(&self, head: &Parts, body: &[u8]) -> HttpAnswer {
         if self.leaving.get() {
-            self.journal.write(|records| records.not_started += 1);
+            self.journal.write(|records| records.not_started_ms.push(run_time_ms()));
             return refuse();
         }
         let execution = self.record_start(head, body);
--- a/crates/standin/src/run_records.rs
+++ b/crates/standin/src/run_records.rs
@@ -98,8 +98,8 @@
     /// When it began to leave.
     pub leaving_ms: Option<u64>,
 
-    /// Attempts that were refused as not started.
-    pub not_started: u64,
+    /// When attempts were refused as not started, in order.
+    pub not_started_ms: Vec<u64>,
 
     /// Attempts whose delivered output is not the output of their prompt.
     pub foreign_output: u64,
@@ -148,8 +148,8 @@
     /// When it began to leave.
     pub leaving_ms: Option<u64>,
 
-    /// Requests that were refused as not started.
-    pub not_started: u64,
+    /// When requests were refused as not started, in order.
+    pub not_started_ms: Vec<u64>,
 }
 
 /// The present time on the run's clock, in milliseconds.
--- a/crates/standin/tests/servers/engine_server.rs
+++ b/crates/standin/tests/servers/engine_server.rs
@@ -123,7 +123,7 @@
     let other = CompletionAttempt { group: "g2".into(), ..attempt("s4", "d", 5) };
     assert_eq!(complete(&engine.client, &other).await.status(), StatusCode::CONFLICT);
     let records = journal.records();
-    assert_eq!((records.executions.len(), records.not_started), (2, 2));
+    assert_eq!((records.executions.len(), records.not_started_ms.len()), (2, 2));
 }
 
 #[compio::test]
--- a/crates/standin/tests/servers/plain_server.rs
+++ b/crates/standin/tests/servers/plain_server.rs
@@ -34,7 +34,7 @@
     assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(refused.headers().get("x-not-started").unwrap(), "true");
     let records: PlainRecords = plain.client.get("/control/records").await.unwrap();
-    assert_eq!((records.executions.len(), records.not_started), (0, 1));
+    assert_eq!((records.executions.len(), records.not_started_ms.len()), (0, 1));
 }
 
 #[compio::test]
