--- a/crates/control/src/request_view.rs
+++ b/crates/control/src/request_view.rs
@@ -41,6 +41,13 @@
         self.table.borrow().evidence(vm)?.report.clone()
     }
 
+    /// The newest report of a backend server, if its question was sent at `asked_at` or later.
+    pub fn report_since(&self, vm: &VmId, asked_at: Instant) -> Option<VmReport> {
+        let table = self.table.borrow();
+        let evidence = table.evidence(vm).filter(|evidence| evidence.asked_at >= asked_at)?;
+        evidence.report.clone()
+    }
+
     /// Takes in that a request found a backend server dead, and looks again.
     pub fn report_lost(&self, vm: &VmId) {
         self.take_in_loss(vm.clone());
--- /dev/null
+++ b/crates/control/tests/support/control_cell.rs
@@ -0,0 +1,340 @@
+//! A cell of nodes over fakes on virtual time.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_control::{
+    ApplyCommand, ApplyError, ChangePrecondition, ControlPorts, ControlSettings, NodeControl,
+};
+use comfreyturn_ports::{Clock, PeerIdentity, Spawner};
+use comfreyturn_standin::fakes::{
+    FaultPlan, FaultSettings, LocalPool, LocalSpawner, ManualClock, MemoryDirectory,
+    MemoryEngineSettings, MemoryEngines, MemoryPeers, MemoryTable, run_for,
+};
+use comfreyturn_types::*;
+use futures_util::future::{Either, LocalBoxFuture, select};
+
+use super::PromiseCheck;
+
+pub const NODES: u32 = 5;
+pub const SERVICE: &str = "assistant";
+const ENGINES_PER_DOMAIN: u32 = 5;
+const GROUP_SIZE: u32 = 2;
+
+/// How often promises are checked.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Changes that were accepted, with when.
+pub type AcceptedChanges = Rc<RefCell<Vec<(ConfigVersion, Duration)>>>;
+
+/// Nodes, by name. A node that was killed stays until it is started again.
+pub type CellNodes = Rc<RefCell<BTreeMap<NodeId, Rc<NodeControl>>>>;
+
+/// A cell of nodes over fakes.
+pub struct ControlCell {
+    pub clock: ManualClock,
+    pub pool: LocalPool,
+    pub plan: FaultPlan,
+    pub table: MemoryTable,
+    pub directory: MemoryDirectory,
+    pub engines: MemoryEngines,
+    pub peers: MemoryPeers,
+    pub nodes: CellNodes,
+    pub accepted: AcceptedChanges,
+    pub check: PromiseCheck,
+    pub settings: ControlSettings,
+    pub desk: OperatorDesk,
+}
+
+impl ControlCell {
+    /// A cell of nodes that have just started.
+    pub fn start(settings: FaultSettings) -> Self {
+        let clock = ManualClock::new();
+        let pool = LocalPool::new();
+        let plan = FaultPlan::new(&clock, &pool, settings);
+        let engines = MemoryEngines::new(&plan);
+        let mut records: Vec<VmRecord> = (1..=NODES).map(entry_record).collect();
+        for index in 0..2 * ENGINES_PER_DOMAIN {
+            let record = engine_record(index);
+            let checks_fencing = index % 2 == 0;
+            let loading = Duration::from_secs(3);
+            engines.start(&record.vm, MemoryEngineSettings { checks_fencing, loading });
+            records.push(record);
+        }
+        let nodes = CellNodes::default();
+        let accepted = AcceptedChanges::default();
+        let desk = OperatorDesk {
+            plan: plan.clone(),
+            clock: clock.clone(),
+            nodes: nodes.clone(),
+            accepted: accepted.clone(),
+            operations: Rc::default(),
+            running: Rc::default(),
+        };
+        let cell = Self {
+            table: MemoryTable::new(&plan),
+            directory: MemoryDirectory::new(&plan, records),
+            peers: MemoryPeers::new(&plan),
+            clock,
+            pool,
+            plan,
+            engines,
+            nodes,
+            accepted,
+            desk,
+            check: PromiseCheck::default(),
+            settings: ControlSettings::default(),
+        };
+        for number in 1..=NODES {
+            cell.start_node(&node_name(number));
+        }
+        cell
+    }
+
+    /// A cell that has served two whole groups for a while.
+    pub fn started(settings: FaultSettings) -> Self {
+        let mut cell = Self::start(settings);
+        cell.run_until(60, "the roster is complete", |cell| {
+            let nodes = cell.nodes.borrow();
+            nodes.values().all(|n| n.config().roster.current.members.len() == NODES as usize)
+        });
+        cell.apply(vec![
+            ConfigChange::PutModelVersion(ModelVersion {
+                model: "drafts".into(),
+                version: "v1".into(),
+                vms_per_group: GROUP_SIZE,
+                weight_bytes: 1,
+            }),
+            declared_groups(2),
+        ]);
+        cell.await_groups(2);
+        cell
+    }
+
+    /// Starts a node, or starts it again.
+    pub fn start_node(&self, node: &NodeId) {
+        self.plan.restart(node);
+        let incarnation = Incarnation::random();
+        let name = CellName::from("cell-1");
+        let identity = PeerIdentity { cell: name.clone(), node: node.clone(), incarnation };
+        let ports = ControlPorts {
+            clock: self.plan.clock(node),
+            spawner: self.plan.spawner(node),
+            table: self.table.for_node(node),
+            directory: self.directory.for_node(node),
+            engines: self.engines.for_node(node),
+            peers: self.peers.link(&identity),
+        };
+        let member = roster_member(node, incarnation);
+        let control = NodeControl::new(name, member, ports, self.settings.clone());
+        self.peers.register(identity, control.clone());
+        control.start();
+        self.nodes.borrow_mut().insert(node.clone(), control);
+    }
+
+    /// Runs for a span of virtual time, and checks the promises all the while.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.clock.elapsed() + span;
+        while self.clock.elapsed() < end {
+            run_for(&self.clock, &mut self.pool, CHECK_PERIOD);
+            let now = self.clock.elapsed();
+            self.check.sample(now, &self.plan, &self.nodes.borrow(), &self.accepted.borrow());
+        }
+    }
+
+    /// Runs until something is true, and notes a violation if it is not in time.
+    pub fn run_until(&mut self, seconds: u64, what: &str, is_true: impl Fn(&Self) -> bool) {
+        let end = self.clock.elapsed() + Duration::from_secs(seconds);
+        while !is_true(self) {
+            if self.clock.elapsed() >= end {
+                self.check.violations.insert(format!("not within {seconds} s: {what}"));
+                return;
+            }
+            self.run(CHECK_PERIOD);
+        }
+    }
+
+    /// Applies changes as an operator would: again with the same operation, at the next node, until
+    /// there is a final answer. Does not wait.
+    pub fn submit(&self, changes: Vec<ConfigChange>) {
+        LocalSpawner::new(&self.pool).spawn(self.desk.apply(changes));
+    }
+
+    /// Applies changes and waits for the final answer.
+    pub fn apply(&mut self, changes: Vec<ConfigChange>) {
+        self.submit(changes);
+        self.await_operators();
+    }
+
+    /// Waits until all operators have their answers.
+    pub fn await_operators(&mut self) {
+        self.run_until(120, "operators have their answers", |cell| cell.desk.running.get() == 0);
+    }
+
+    /// Waits until all nodes see this many whole groups.
+    pub fn await_groups(&mut self, groups: usize) {
+        self.run_until(150, &format!("{groups} whole groups at all nodes"), |cell| {
+            let nodes = cell.nodes.borrow();
+            nodes.keys().all(|node| cell.whole_at(node) == groups)
+        });
+    }
+
+    /// How many whole groups a node sees.
+    pub fn whole_at(&self, node: &NodeId) -> usize {
+        let now = self.node_now(node);
+        let control = self.nodes.borrow()[node].clone();
+        if !self.plan.is_alive(node) { 0 } else { control.whole_groups(now, &SERVICE.into()).len() }
+    }
+
+    /// The time at a node.
+    pub fn node_now(&self, node: &NodeId) -> Instant {
+        self.plan.clock(node).now()
+    }
+
+    /// The node that holds the planner's lease, as most see it.
+    pub fn planner(&self) -> Option<NodeId> {
+        let row = self.table.row("cell-1/lease/planner")?;
+        let lease: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+        lease["holder"][0].as_str().map(NodeId::from)
+    }
+
+    /// Starts all dead nodes again.
+    pub fn restart_dead(&self) {
+        for number in 1..=NODES {
+            let node = node_name(number);
+            if !self.plan.is_alive(&node) {
+                self.start_node(&node);
+            }
+        }
+    }
+}
+
+/// Where operators work. Clones share the count of their operations.
+#[derive(Clone)]
+pub struct OperatorDesk {
+    plan: FaultPlan,
+    clock: ManualClock,
+    nodes: CellNodes,
+    accepted: AcceptedChanges,
+    operations: Rc<Cell<u32>>,
+    running: Rc<Cell<u32>>,
+}
+
+impl OperatorDesk {
+    /// One operator's work: the same operation again, at the next node, until there is a final
+    /// answer.
+    pub fn apply(&self, changes: Vec<ConfigChange>) -> LocalBoxFuture<'static, ()> {
+        let number = self.operations.get() + 1;
+        self.operations.set(number);
+        self.running.set(self.running.get() + 1);
+        let command = ApplyCommand {
+            operation: OperationId::from(format!("operation-{number}")),
+            expected: None,
+            changes: changes.into_iter().map(|c| (ChangePrecondition::Any, c)).collect(),
+            gone_nodes: BTreeSet::new(),
+        };
+        let desk = self.clone();
+        Box::pin(async move {
+            for turn in number.. {
+                if desk.try_at(&node_name(turn % NODES + 1), &command).await {
+                    break;
+                }
+                desk.clock.sleep(Duration::from_millis(500)).await;
+            }
+            desk.running.set(desk.running.get() - 1);
+        })
+    }
+
+    /// Whether a node gave a final answer.
+    async fn try_at(&self, node: &NodeId, command: &ApplyCommand) -> bool {
+        let control = self.nodes.borrow().get(node).cloned();
+        let Some(control) = control.filter(|_| self.plan.is_alive(node)) else { return false };
+        let call = self.plan.on_node(node, control.apply(command.clone()));
+        match select(call, self.clock.sleep(Duration::from_secs(8))).await {
+            Either::Left((Ok(version), _)) => {
+                self.accepted.borrow_mut().push((version, self.clock.elapsed()));
+                true
+            }
+            Either::Left((Err(error), _)) => is_final(&error),
+            Either::Right(_) => false,
+        }
+    }
+}
+
+pub fn node_name(number: u32) -> NodeId {
+    NodeId::from(format!("node-{number}"))
+}
+
+/// Sets how many groups the service should have.
+pub fn declared_groups(groups: u32) -> ConfigChange {
+    ConfigChange::PutService(ServiceIntent {
+        name: SERVICE.into(),
+        backend: ServiceBackend::Model(ModelBackend {
+            model: "drafts".into(),
+            version: "v1".into(),
+            adapters: Vec::new(),
+            groups,
+            rank: 0,
+        }),
+    })
+}
+
+/// A change that touches no group.
+pub fn customer_change(requests_per_second: u32) -> ConfigChange {
+    ConfigChange::PutCustomer(CustomerIntent {
+        name: "installers".into(),
+        key: "secret".to_owned(),
+        weight: 1,
+        requests_per_second,
+        tokens_per_second: 1,
+        services: Vec::new(),
+        deadline: Duration::from_secs(60),
+    })
+}
+
+fn is_final(error: &ApplyError) -> bool {
+    matches!(error, ApplyError::Conflict { .. } | ApplyError::Invalid { .. })
+}
+
+fn roster_member(node: &NodeId, incarnation: Incarnation) -> RosterMember {
+    let number: u16 = node.as_str()[5..].parse().expect("names end in a number");
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port + number));
+    RosterMember {
+        node: node.clone(),
+        incarnation,
+        vm: VmId::from(format!("entry-{number}")),
+        failure_domain: FailureDomain::from(format!("domain-{}", number % 3)),
+        peer_address: address(7000),
+        caller_address: address(8000),
+        operator_address: address(9000),
+    }
+}
+
+fn entry_record(number: u32) -> VmRecord {
+    let node = roster_member(&node_name(number), Incarnation(0));
+    VmRecord {
+        vm: node.vm,
+        role: VmRole::Entry,
+        address: node.peer_address,
+        failure_domain: node.failure_domain,
+        fabric_domain: "none".into(),
+        leaving: false,
+    }
+}
+
+fn engine_record(index: u32) -> VmRecord {
+    let domain = index / ENGINES_PER_DOMAIN;
+    VmRecord {
+        vm: VmId::from(format!("vm-{domain}-{}", index % ENGINES_PER_DOMAIN)),
+        role: VmRole::Engine { accelerators: 8 },
+        address: SocketAddr::from(([127, 0, 0, 1], 1000 + u16::try_from(index).unwrap())),
+        failure_domain: FailureDomain::from(format!("domain-{domain}")),
+        fabric_domain: FabricDomain::from(format!("fabric-{domain}")),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/control/tests/support/fault_case.rs
@@ -0,0 +1,124 @@
+//! One case of the fault matrix.
+
+use std::time::Duration;
+
+use comfreyturn_ports::{Protocol, Step};
+use comfreyturn_standin::fakes::{Fault, FaultRule, FaultSettings, FiredFault};
+use comfreyturn_types::{NodeId, VmId};
+
+use super::{ControlCell, NODES, SERVICE, customer_change, declared_groups, node_name};
+
+/// How long after healing a change that was accepted may be unknown to a node.
+const HEALED_LIMIT: Duration = Duration::from_secs(7);
+
+/// What came of a case.
+pub struct CaseReport {
+    pub fired: Vec<FiredFault>,
+    pub violations: Vec<String>,
+    pub accepted: usize,
+}
+
+/// Whether a step belongs to the protocols that are tested here.
+pub fn is_control(step: Step) -> bool {
+    matches!(
+        step.protocol(),
+        Protocol::Config | Protocol::Roster | Protocol::Lease | Protocol::Group | Protocol::Watch
+    )
+}
+
+/// Lets faults happen while everything that a cell does is done, then heals the cell and checks
+/// that it recovers.
+pub fn run_case(rules: Vec<FaultRule>) -> CaseReport {
+    let settings = FaultSettings {
+        freeze: Duration::from_secs(20),
+        lease_lapse: Duration::from_secs(30),
+        clock_stands_still: rules.iter().all(|rule| rule.fault != Fault::LeaseLapse),
+        ..FaultSettings::default()
+    };
+    let mut cell = ControlCell::started(settings);
+    let desk = cell.desk.clone();
+    cell.plan.on_race(move || desk.apply(vec![customer_change(77), declared_groups(3)]));
+    rules.into_iter().for_each(|rule| cell.plan.inject(rule));
+    exercise(&mut cell);
+    recover(&mut cell);
+    let accepted = cell.accepted.borrow().len();
+    let violations = cell.check.violations.iter().cloned().collect();
+    CaseReport { fired: cell.plan.fired(), violations, accepted }
+}
+
+/// Does everything that a cell does.
+fn exercise(cell: &mut ControlCell) {
+    cell.submit(vec![customer_change(1)]);
+    cell.submit(vec![customer_change(2)]);
+    cell.run(Duration::from_secs(3));
+    cell.submit(vec![declared_groups(3)]);
+    cell.run(Duration::from_secs(12));
+    lose_and_revive_member(cell);
+    restart_node(cell, &node_name(2));
+    cell.submit(vec![customer_change(3)]);
+    cell.run(Duration::from_secs(2));
+    hand_over_lease(cell);
+    cell.submit(vec![declared_groups(2)]);
+    cell.run(Duration::from_secs(12));
+    if let Some(vm) = some_member(cell) {
+        cell.engines.set_leaving(&vm);
+    }
+    cell.run(Duration::from_secs(3));
+    if let Some(planner) = cell.planner() {
+        cell.plan.kill(&planner);
+    }
+    cell.run(Duration::from_secs(20));
+}
+
+/// Ends all faults and checks that the cell recovers.
+fn recover(cell: &mut ControlCell) {
+    cell.run(Duration::from_secs(30));
+    cell.plan.heal();
+    cell.restart_dead();
+    cell.run(HEALED_LIMIT);
+    let newest = cell.accepted.borrow().iter().map(|(version, _)| *version).max();
+    for (node, control) in cell.nodes.borrow().iter() {
+        let version = control.config().version;
+        if Some(version) < newest {
+            let violation = format!("{node} knows {version}, healed long ago");
+            cell.check.violations.insert(violation);
+        }
+    }
+    cell.await_operators();
+    cell.apply(vec![declared_groups(4)]);
+    cell.await_groups(4);
+}
+
+fn lose_and_revive_member(cell: &mut ControlCell) {
+    let Some(vm) = some_member(cell) else { return };
+    cell.engines.set_alive(&vm, false);
+    cell.run(Duration::from_secs(12));
+    cell.engines.set_alive(&vm, true);
+    cell.run(Duration::from_secs(8));
+}
+
+fn restart_node(cell: &mut ControlCell, node: &NodeId) {
+    cell.plan.kill(node);
+    cell.run(Duration::from_secs(1));
+    cell.start_node(node);
+    cell.run(Duration::from_secs(3));
+}
+
+/// Shuts the planner's node down gracefully.
+fn hand_over_lease(cell: &mut ControlCell) {
+    let Some(planner) = cell.planner().filter(|node| cell.plan.is_alive(node)) else { return };
+    let control = cell.nodes.borrow()[&planner].clone();
+    let task = Box::pin(async move { drop(control.give_back().await) });
+    cell.plan.spawner(&planner).spawn(task);
+    cell.run(Duration::from_secs(5));
+    restart_node(cell, &planner);
+}
+
+/// A VM that takes the requests of some whole group.
+fn some_member(cell: &ControlCell) -> Option<VmId> {
+    (1..=NODES).map(node_name).filter(|node| cell.plan.is_alive(node)).find_map(|node| {
+        let control = cell.nodes.borrow()[&node].clone();
+        let groups = control.whole_groups(cell.node_now(&node), &SERVICE.into());
+        groups.first().map(|group| group.entry.vm.clone())
+    })
+}
