--- a/crates/ctl/tests/golden.rs
+++ b/crates/ctl/tests/golden.rs
@@ -16,7 +16,8 @@
 };
 
 /// Headers that a session shows.
-const SHOWN_HEADERS: [&str; 5] = ["allow", "content-type", "retry-after", "x-outcome", "connection"];
+const SHOWN_HEADERS: [&str; 5] =
+    ["allow", "content-type", "retry-after", "x-outcome", "connection"];
 
 /// The lab that a session talks to.
 struct SessionLab {
@@ -51,7 +52,11 @@
         let body = body.strip_prefix("repeat:").map_or(body.clone(), repeated);
         let mut raw = format!("{}\r\nhost: test\r\nconnection: close\r\n", head[0]);
         for line in &head[1..] {
-            let _ = write!(raw, "{}\r\n", line.strip_prefix("repeat:").map_or((*line).into(), repeated));
+            let _ = write!(
+                raw,
+                "{}\r\n",
+                line.strip_prefix("repeat:").map_or((*line).into(), repeated)
+            );
         }
         if !head.iter().any(|line| line.starts_with("content-length")) && !body.is_empty() {
             let _ = write!(raw, "content-length: {}\r\n", body.len());
@@ -97,7 +102,8 @@
     let mut output = String::new();
     let mut rest = text;
     while let Some(letter) = rest.chars().next() {
-        let word: &str = &rest[..rest.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(rest.len())];
+        let word: &str =
+            &rest[..rest.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(rest.len())];
         if word.len() == 16 && word.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             output.push_str("<id>");
             rest = &rest[16..];
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod http;
 pub mod process;
+pub mod site;
--- /dev/null
+++ b/crates/ctl/tests/support/site.rs
@@ -0,0 +1,232 @@
+//! A whole site of separate processes: platform, engines, a plain service and nodes.
+
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use serde_json::Value;
+
+use super::{
+    http::{self, HttpAnswer},
+    process::{
+        OwnProcess, ctl_binary, free_address, node_binary, run_ctl, scratch_directory, wait_for,
+    },
+};
+
+/// Generous to a busy machine; no promise is measured by it.
+pub const START_LIMIT: Duration = Duration::from_secs(90);
+
+/// The customer that [`Site::declare`] creates.
+pub const CUSTOMER_KEY: &str = "key-of-norte";
+
+/// A node with its addresses.
+pub struct SiteNode {
+    pub process: OwnProcess,
+    pub settings: PathBuf,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+/// A stand-in with its address.
+pub struct SiteServer {
+    pub process: OwnProcess,
+    pub address: SocketAddr,
+    pub name: String,
+}
+
+/// A site of separate processes.
+pub struct Site {
+    pub platform: SiteServer,
+    pub engines: Vec<SiteServer>,
+    pub plain: SiteServer,
+    pub nodes: Vec<SiteNode>,
+}
+
+/// How a site is laid out.
+pub struct SiteLayout {
+    pub name: &'static str,
+    pub nodes: usize,
+    pub engines: usize,
+    pub engine_flags: &'static [&'static str],
+    pub address_validity_ms: u64,
+}
+
+impl Default for SiteLayout {
+    fn default() -> Self {
+        Self { name: "site", nodes: 3, engines: 2, engine_flags: &[], address_validity_ms: 1000 }
+    }
+}
+
+impl Site {
+    /// Starts all processes. Engines share one fabric domain.
+    pub fn start(layout: &SiteLayout) -> Self {
+        let platform = start_server("platform", &["platform", "--listen", "127.0.0.1:0"]);
+        let address = platform.address.to_string();
+        let engines = (1..=layout.engines)
+            .map(|number| {
+                let name = format!("vm-{number}");
+                let mut flags = vec!["engine", "--listen", "127.0.0.1:0", "--platform", &address];
+                flags.extend(["--vm", &name, "--fabric", "fabric-1"]);
+                flags.extend(["--failure-domain", "fd-1"]);
+                flags.extend(layout.engine_flags);
+                start_server(&name, &flags)
+            })
+            .collect();
+        let mut flags = vec!["plain", "--listen", "127.0.0.1:0", "--platform", &address];
+        flags.extend(["--vm", "vm-plain", "--service", "certificates"]);
+        let plain = start_server("vm-plain", &flags);
+        let directory = scratch_directory(layout.name);
+        let nodes = (1..=layout.nodes)
+            .map(|number| {
+                let path = directory.join(format!("node-{number}.yaml"));
+                start_node(number, path, platform.address, layout.address_validity_ms)
+            })
+            .collect();
+        Self { platform, engines, plain, nodes }
+    }
+
+    /// Runs the operators' command line against the first node.
+    pub fn ctl(&self, arguments: &[&str]) -> std::process::Output {
+        let address = self.nodes[0].operators.to_string();
+        let mut all = vec!["--to", &address];
+        all.extend(arguments);
+        run_ctl(&all)
+    }
+
+    /// Runs a command that must succeed, again while nodes are still joining.
+    pub fn ctl_ok(&self, arguments: &[&str]) -> String {
+        wait_for(&arguments.join(" "), START_LIMIT, || {
+            let output = self.ctl(arguments);
+            let shown = String::from_utf8_lossy(&output.stderr).into_owned();
+            if !output.status.success() {
+                eprintln!("{}: {shown}", arguments.join(" "));
+                return None;
+            }
+            Some(String::from_utf8_lossy(&output.stdout).into_owned())
+        })
+    }
+
+    /// Waits until every node is on the roster and hears the others.
+    pub fn wait_for_roster(&self) {
+        wait_for("whole roster", START_LIMIT, || {
+            let status = self.status()?;
+            let nodes = status["nodes"].as_array()?;
+            let reachable = nodes.iter().filter(|node| node["reachable"] == true).count();
+            (reachable == self.nodes.len()).then_some(())
+        });
+    }
+
+    /// What the first node says of nodes, groups and VMs.
+    pub fn status(&self) -> Option<Value> {
+        let output = self.ctl(&["status", "--json"]);
+        serde_json::from_slice(&output.stdout).ok()
+    }
+
+    /// Declares a model service of groups of two VMs, a plain service and a customer.
+    pub fn declare(&self, groups: usize) {
+        let groups = groups.to_string();
+        self.ctl_ok(&[
+            "create",
+            "model-version",
+            "large",
+            "1",
+            "--vms-per-group",
+            "2",
+            "--weight-bytes",
+            "1000000",
+        ]);
+        self.ctl_ok(&[
+            "create",
+            "service",
+            "assistant",
+            "--model",
+            "large",
+            "--model-version",
+            "1",
+            "--groups",
+            &groups,
+        ]);
+        self.ctl_ok(&["create", "service", "certificates", "--plain"]);
+        self.ctl_ok(&[
+            "create",
+            "customer",
+            "norte",
+            "--key",
+            CUSTOMER_KEY,
+            "--requests-per-second",
+            "10000",
+            "--tokens-per-second",
+            "10000000",
+        ]);
+    }
+
+    /// Waits until every node knows that many whole groups.
+    pub fn wait_for_groups(&self, groups: usize) {
+        wait_for("whole groups", START_LIMIT, || {
+            let whole = self.nodes.iter().filter(|node| {
+                let address = node.operators.to_string();
+                let output = run_ctl(&["--to", &address, "status", "--json"]);
+                let status: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+                let serving = status["groups"].as_array().into_iter().flatten();
+                serving.filter(|group| group["serving"] == true).count() == groups
+            });
+            (whole.count() == self.nodes.len()).then_some(())
+        });
+    }
+}
+
+/// Asks a node which addresses to use.
+pub fn ask_addresses(node: SocketAddr) -> Vec<SocketAddr> {
+    let path = "/v1/addresses?service=assistant&customer=norte";
+    let answer = http::send(node, "GET", path, &[], "").expect("an answer");
+    let addresses = answer.json()["addresses"].as_array().expect("addresses").clone();
+    addresses.iter().map(|address| address.as_str().unwrap().parse().unwrap()).collect()
+}
+
+/// Sends a completion request and reads its streamed answer.
+pub fn complete(
+    node: SocketAddr,
+    prompt: &str,
+    max_tokens: u32,
+    headers: &[(&str, &str)],
+) -> Option<HttpAnswer> {
+    let bearer = format!("Bearer {CUSTOMER_KEY}");
+    let mut all = vec![("authorization", bearer.as_str())];
+    all.extend(headers);
+    let body = serde_json::json!({
+        "model": "assistant", "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+    });
+    http::send(node, "POST", "/v1/completions", &all, &body.to_string())
+}
+
+/// Starts a stand-in and reads where it listens.
+fn start_server(name: &str, flags: &[&str]) -> SiteServer {
+    let mut arguments = vec!["standin"];
+    arguments.extend(flags);
+    let mut process = OwnProcess::start(&ctl_binary(), &arguments);
+    let ready = process.ready_line();
+    let address = ready["address"].as_str().unwrap_or_else(|| panic!("no address: {ready}"));
+    SiteServer { address: address.parse().unwrap(), process, name: name.to_owned() }
+}
+
+/// Writes a node's settings and starts it.
+fn start_node(
+    number: usize,
+    path: PathBuf,
+    platform: SocketAddr,
+    address_validity_ms: u64,
+) -> SiteNode {
+    let (callers, operators, peers) = (free_address(), free_address(), free_address());
+    let text = format!(
+        "cell: test\nnode: node-{number}\nvm: vm-node-{number}\nfailure_domain: fd-{number}\n\
+         caller_address: {callers}\noperator_address: {operators}\npeer_address: {peers}\n\
+         platform_address: {platform}\ncallers:\n  address_validity_ms: {address_validity_ms}\n"
+    );
+    fs::write(&path, text).unwrap();
+    let process = run_node(&path);
+    SiteNode { process, settings: path, callers, operators, peers }
+}
+
+/// Starts a node with a settings file that is there.
+pub fn run_node(settings: &std::path::Path) -> OwnProcess {
+    OwnProcess::start(&node_binary(), &["--settings", settings.to_str().unwrap(), "--log", "warn"])
+}
