Add a TCP relay that holds up and cuts connections

Cause: process tests need partitions between processes, one way or both ways. Change: RelayServer with a control usable from any thread; held-up bytes come late, so that a healed partition looks like one. Ruled out: dropping bytes, which no TCP partition does.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,8 @@
 //! Three kinds of them:
 //!
 //! - Servers over real TCP that speak the protocols of `docs/design/outside-protocols.md`:
-//!   [`PlatformServer`], [`EngineServer`] and [`PlainServer`].
+//!   [`PlatformServer`], [`EngineServer`] and [`PlainServer`]; and [`RelayServer`], which can cut
+//!   and hold up what passes between any two.
 //! - Callers: [`run_load`], whose answers are checked.
 //! - In-memory [`fakes`] of the ports, driven by a manual clock, with a plan of faults.
 //!
@@ -23,6 +24,7 @@
 mod output_text;
 mod plain_server;
 mod platform;
+mod relay_server;
 mod run_journal;
 mod run_records;
 mod server_client;
@@ -36,6 +38,7 @@
 pub use output_text::*;
 pub use plain_server::*;
 pub use platform::*;
+pub use relay_server::*;
 pub use run_journal::*;
 pub use run_records::*;
 pub use server_client::*;
--- a/crates/standin/tests/servers/main.rs
+++ b/crates/standin/tests/servers/main.rs
@@ -4,3 +4,4 @@
 mod engine_server;
 mod plain_server;
 mod platform_server;
+mod relay_server;
