--- a/crates/node/src/caller/caller_edge.rs
+++ b/crates/node/src/caller/caller_edge.rs
@@ -6,7 +6,7 @@
 use comfreyturn_ports::{Clock, PlainResponse};
 use comfreyturn_serving::{CallScope, CompletionCall, PlainCall, RequestService, ServingView as _};
 use comfreyturn_types::{CustomerIntent, CustomerName, RefusalReason, RequestId, ServiceName};
-use http::{HeaderValue, Method, Request, Response, StatusCode, request::Parts};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
@@ -229,7 +229,11 @@
     }
     let message = format!("Only {allowed} is allowed here.");
     let error = ErrorAnswer::not_run(RefusalReason::BadRequest, message);
-    Some(error.into_answer_with(StatusCode::METHOD_NOT_ALLOWED))
+    let mut answer = error.into_answer_with(StatusCode::METHOD_NOT_ALLOWED);
+    if let Ok(value) = HeaderValue::from_str(allowed.as_str()) {
+        answer.headers_mut().insert(header::ALLOW, value);
+    }
+    Some(answer)
 }
 
 /// Takes service and inner path apart, and drops what concerns this connection only.
