Split the model engine stand-in by what it does

Change: orders, streams and place stand in files of their own; incarnations in fakes are counted, so that a test is the same each time; a load without rate or concurrency is an error.

--- /dev/null
+++ b/crates/standin/src/engine/engine_orders.rs
@@ -0,0 +1,107 @@
+//! How a model engine takes orders, loads weights and watches its group.
+
+use std::{rc::Rc, time::Duration};
+
+use comfreyturn_ports::EngineOrder;
+use comfreyturn_types::GroupAssignment;
+use http::StatusCode;
+
+use super::{
+    engine_place::weights_of,
+    engine_service::{EngineService, call_until_done},
+};
+use crate::{
+    PlaceRecord,
+    http_server::{HttpAnswer, empty_answer, json_answer, json_body, malformed_answer},
+    run_records::run_time_ms,
+};
+
+/// Parts in which weights are loaded, so that engines share the weight store evenly.
+const WEIGHT_PARTS: u64 = 20;
+
+impl EngineService {
+    pub(super) fn order(self: &Rc<Self>, body: &[u8]) -> HttpAnswer {
+        let Some(order) = json_body::<EngineOrder>(body) else {
+            return malformed_answer();
+        };
+        let seen = self.place.borrow().fencing;
+        if self.settings.checks_fencing && order.fencing < seen {
+            self.journal.write(|records| records.fenced_orders += 1);
+            let refusal = serde_json::json!({ "error": "fenced", "seen": seen });
+            return json_answer(StatusCode::CONFLICT, &refusal);
+        }
+        self.place.borrow_mut().fencing = order.fencing;
+        if self.place.borrow().assignment != order.assignment {
+            self.take_place(order);
+        }
+        empty_answer(StatusCode::NO_CONTENT)
+    }
+
+    fn take_place(self: &Rc<Self>, order: EngineOrder) {
+        drop(self.place_tasks.take());
+        self.break_streams();
+        let record = PlaceRecord {
+            vm: self.settings.vm.clone(),
+            at_ms: run_time_ms(),
+            fencing: order.fencing,
+            assignment: order.assignment.clone(),
+        };
+        self.journal.write(|records| records.places.push(record));
+        self.set_assignment(order.assignment.clone());
+        let Some(assignment) = order.assignment else {
+            return;
+        };
+        let engine = self.clone();
+        self.place_tasks.borrow_mut().spawn(async move { engine.hold_place(assignment).await });
+    }
+
+    fn set_assignment(&self, assignment: Option<GroupAssignment>) {
+        let mut place = self.place.borrow_mut();
+        place.is_whole = false;
+        place.assignment = assignment;
+    }
+
+    async fn hold_place(&self, assignment: GroupAssignment) {
+        let weights = weights_of(&assignment);
+        if self.place.borrow().loaded.as_ref() != Some(&weights) {
+            self.place.borrow_mut().loaded = None;
+            self.load_weights().await;
+            self.place.borrow_mut().loaded = Some(weights);
+        }
+        if assignment.members.first() != Some(&self.settings.vm) {
+            return;
+        }
+        loop {
+            self.check_members(&assignment).await;
+            compio::time::sleep(self.settings.member_period).await;
+        }
+    }
+
+    pub(super) async fn check_members(&self, assignment: &GroupAssignment) -> bool {
+        let is_whole = self.members.is_whole(&self.settings, assignment).await;
+        let was_whole = std::mem::replace(&mut self.place.borrow_mut().is_whole, is_whole);
+        if was_whole && !is_whole {
+            log::info!("engine: {} lost a member of {}.", self.settings.vm, assignment.group);
+            self.break_streams();
+        }
+        is_whole
+    }
+
+    async fn load_weights(&self) {
+        let Some(platform) = self.settings.platform else {
+            return self.load_alone().await;
+        };
+        let part = serde_json::json!({ "bytes": self.settings.weight_bytes / WEIGHT_PARTS });
+        for _ in 0..WEIGHT_PARTS {
+            call_until_done(platform, "/weights", &part).await;
+        }
+    }
+
+    async fn load_alone(&self) {
+        let rate = self.settings.weight_bytes_per_second;
+        if rate > 0 {
+            let duration = Duration::from_secs_f64(self.settings.weight_bytes as f64 / rate as f64);
+            compio::time::sleep(duration).await;
+        }
+    }
+}
--- a/crates/standin/src/engine/engine_settings.rs
+++ b/crates/standin/src/engine/engine_settings.rs
@@ -28,7 +28,7 @@
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
 
-    /// Output rate of each stream.
+    /// Output rate of each stream. Invariant: above zero.
     pub tokens_per_second: f64,
 
     /// Time from a place in the batch to the first token.
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,9 +1,12 @@
 //! The model engine: streams, batches, its place in a group, and reports.
 
 mod batch_queue;
+mod engine_orders;
+mod engine_place;
 mod engine_server;
 mod engine_service;
 mod engine_settings;
+mod engine_streams;
 mod member_watch;
 mod stream_log;
 
--- a/crates/standin/src/fakes/fault_plan.rs
+++ b/crates/standin/src/fakes/fault_plan.rs
@@ -9,7 +9,7 @@
 };
 
 use comfreyturn_ports::{Clock, Spawner, Step};
-use comfreyturn_types::{NodeId, VmId};
+use comfreyturn_types::{Incarnation, NodeId, VmId};
 use futures_executor::LocalPool;
 use futures_util::future::LocalBoxFuture;
 
@@ -99,6 +99,7 @@
     table_down_until: Cell<Duration>,
     table_slow_until: Cell<Duration>,
     race: RefCell<Option<RaceHook>>,
+    incarnations: Cell<u64>,
 }
 
 impl FaultPlan {
@@ -116,6 +117,7 @@
             table_down_until: Cell::default(),
             table_slow_until: Cell::default(),
             race: RefCell::default(),
+            incarnations: Cell::default(),
         };
         Self { state: Rc::new(state) }
     }
@@ -297,6 +299,13 @@
         self.state.spawner.spawn(Box::pin(gate));
     }
 
+    /// A new incarnation, the same in each run of a test.
+    pub(crate) fn next_incarnation(&self) -> Incarnation {
+        let number = self.state.incarnations.get() + 1;
+        self.state.incarnations.set(number);
+        Incarnation(number)
+    }
+
     pub(crate) fn manual_clock(&self) -> &ManualClock {
         &self.state.clock
     }
--- a/crates/standin/src/fakes/memory_backends.rs
+++ b/crates/standin/src/fakes/memory_backends.rs
@@ -184,7 +184,7 @@
         self.kill(address);
         let backend = MemoryBackend {
             settings,
-            incarnation: Incarnation::random(),
+            incarnation: self.plan.next_incarnation(),
             is_alive: true,
             leaving: false,
             rejects_with: None,
--- a/crates/standin/src/fakes/memory_engines.rs
+++ b/crates/standin/src/fakes/memory_engines.rs
@@ -85,7 +85,7 @@
     pub fn start(&self, vm: &VmId, settings: MemoryEngineSettings) {
         let engine = MemoryEngine {
             settings,
-            incarnation: Incarnation::random(),
+            incarnation: self.plan.next_incarnation(),
             is_alive: true,
             leaving: false,
             fencing: FencingNumber::default(),
--- a/crates/standin/src/load/load_run.rs
+++ b/crates/standin/src/load/load_run.rs
@@ -10,13 +10,23 @@
     load_report::LoadTally,
 };
 
-/// The key cannot be sent in a header.
+/// Why a load cannot be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("the key cannot be sent in a header")]
-pub struct LoadKeyError;
+pub enum LoadError {
+    /// The key cannot be sent in a header.
+    #[display("the key cannot be sent in a header")]
+    BadKey,
+
+    /// No request would ever be sent.
+    #[display("rate and concurrency must be above zero")]
+    NoRate,
+}
 
 /// Runs a load to its end. Callers come when they come, however slow answers are.
-pub async fn run_load(settings: LoadSettings) -> Result<LoadReport, LoadKeyError> {
+pub async fn run_load(settings: LoadSettings) -> Result<LoadReport, LoadError> {
+    if settings.requests_per_second <= 0.0 || settings.concurrency == 0 {
+        return Err(LoadError::NoRate);
+    }
     let headers = caller_headers(&settings)?;
     let arrivals = settings.arrivals();
     let callers = Rc::new(LoadCallers {
@@ -47,7 +57,7 @@
     Ok(callers.tally.borrow().report())
 }
 
-fn caller_headers(settings: &LoadSettings) -> Result<Vec<(HeaderName, HeaderValue)>, LoadKeyError> {
+fn caller_headers(settings: &LoadSettings) -> Result<Vec<(HeaderName, HeaderValue)>, LoadError> {
     let bearer = HeaderValue::from_str(&format!("Bearer {}", settings.key));
-    Ok(vec![(header::AUTHORIZATION, bearer.map_err(|_| LoadKeyError)?)])
+    Ok(vec![(header::AUTHORIZATION, bearer.map_err(|_| LoadError::BadKey)?)])
 }
--- a/crates/standin/src/load/load_settings.rs
+++ b/crates/standin/src/load/load_settings.rs
@@ -49,9 +49,10 @@
     pub requests: u32,
 
     /// Requests that are open at once at most. Callers beyond that wait, and their wait counts.
+    /// Invariant: above zero.
     pub concurrency: u32,
 
-    /// Requests a second, over the whole of a steady load.
+    /// Requests a second, over the whole of a steady load. Invariant: above zero.
     pub requests_per_second: f64,
 
     /// Words of a prompt.
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use comfreyturn_standin::{LoadReport, LoadSettings, LoadShape, output_text, run_load};
+use comfreyturn_standin::{LoadError, LoadReport, LoadSettings, LoadShape, output_text, run_load};
 use serde_json::{Value, json};
 
 /// Starts a node that answers each request by script, from the number at the prompt's end.
@@ -132,6 +132,8 @@
 #[compio::test]
 async fn no_node_means_not_run() {
     let settings = LoadSettings { requests: 3, ..settings("127.0.0.1:1".parse().unwrap()) };
+    let stopped = LoadSettings { concurrency: 0, ..settings.clone() };
+    assert_eq!(run_load(stopped).await, Err(LoadError::NoRate));
     assert_eq!(run_load(settings).await.unwrap().not_run, 3);
 }
 
