Add the fault matrix of requests, and mend what it found

Failed first, then mended: - A cut between node and engine counted as a second death and condemned an innocent request (suspect-retry x cut-one-way). A second death is now doubted for 3 s; a first one is taken back if the engine is heard of. - A crashing request killed more than two groups when its node was cut off from one peer (suspect-notify x cut). Notices are passed on once. - Passing on Suspect and SuspectCleared chased each other for ever: the run took 173 s. Ruled out: suspects waiting for the table during an outage, which stops every request that an ordinary VM death interrupted. Left: three deaths if the node that saw the first one dies or freezes before it told anybody; the cells say so.

--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -19,7 +19,8 @@
     CompletionCall, Refusal, StoredAnswer,
     admission_desk::AdmissionPermit,
     answer_stream::AnswerSink,
-    run_scope::{KnownVm, RunResult, RunScope, RunStop, Wait},
+    death_doubt::KnownVm,
+    run_scope::{RunResult, RunScope, RunStop, Wait},
     suspect_slots::SlotHold,
 };
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,8 @@
 mod claim_record;
 mod completion_join;
 mod completion_run;
+mod death_doubt;
+mod death_memory;
 mod in_flight;
 mod plain_load;
 mod plain_run;
--- a/crates/serving/src/plain_run.rs
+++ b/crates/serving/src/plain_run.rs
@@ -9,7 +9,8 @@
     PlainCall, Refusal, Result, StoredAnswer,
     claim_book::ClaimJoin,
     completion_run::CLAIM_ROUNDS,
-    run_scope::{KnownVm, RunResult, RunScope, RunStop, Wait},
+    death_doubt::KnownVm,
+    run_scope::{RunResult, RunScope, RunStop, Wait},
     suspect_slots::SlotHold,
 };
 
--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use comfreyturn_policy::AdmissionQuery;
+use comfreyturn_policy::{AdmissionQuery, SuspectStatus};
 use comfreyturn_ports::{PeerIdentity, PeerNotice, PlainResponse, Step};
 use comfreyturn_types::{CustomerIntent, RefusalReason, ServiceBackend, StreamId};
 
@@ -16,6 +16,7 @@
     answer_stream::CallerPresence,
     claim_book::ClaimBook,
     completion_run::CompletionRun,
+    death_memory::DeathMemory,
     in_flight::{InFlightCount, InFlightGuard},
     plain_load::PlainLoad,
     plain_run::PlainRun,
@@ -43,6 +44,7 @@
     pub(crate) claims: Rc<ClaimBook>,
     pub(crate) slots: Rc<SuspectSlots>,
     pub(crate) plain_load: PlainLoad,
+    deaths: RefCell<DeathMemory>,
     in_flight: InFlightCount,
     refusing: Cell<bool>,
     next_stream: Cell<u64>,
@@ -63,6 +65,7 @@
             claims: ClaimBook::new(identity.clone(), ports.clone(), view.clone(), settings.clone()),
             slots: SuspectSlots::new(identity.clone(), ports.clone(), view.clone()),
             plain_load: PlainLoad::default(),
+            deaths: RefCell::default(),
             in_flight: InFlightCount::default(),
             refusing: Cell::new(false),
             next_stream: Cell::new(0),
@@ -128,19 +131,51 @@
         self.in_flight.count()
     }
 
-    /// Takes in what a peer says of suspect requests; other notices are not for this part.
+    /// Takes in what a peer says of suspect requests, and passes it on if it was news: the sender
+    /// may be cut off from some peers. Other notices are not for this part.
     pub fn take_notice(&self, notice: &PeerNotice) {
+        let is_news = match *notice {
+            PeerNotice::Suspect { fingerprint, death } => self.note_death(fingerprint, death),
+            PeerNotice::SuspectCleared { fingerprint } => self.note_cleared(fingerprint),
+            _ => false,
+        };
+        if is_news {
+            self.pass_on(notice.clone());
+        }
+    }
+
+    /// Holds a death against a request; `false` if that was known.
+    pub(crate) fn note_death(&self, fingerprint: u64, death: u64) -> bool {
+        if !self.deaths.borrow_mut().note(fingerprint, death) {
+            return false;
+        }
+        let now = self.ports.now();
+        self.policies.borrow_mut().suspects.record_death(now, fingerprint, death);
+        true
+    }
+
+    /// Clears a request; `false` if nothing was held against it.
+    pub(crate) fn note_cleared(&self, fingerprint: u64) -> bool {
         let now = self.ports.now();
         let mut policies = self.policies.borrow_mut();
-        match *notice {
-            PeerNotice::Suspect { fingerprint, death } => {
-                policies.suspects.record_death(now, fingerprint, death);
-            }
-            PeerNotice::SuspectCleared { fingerprint } => {
-                policies.suspects.clear(now, fingerprint);
-            }
-            _ => {}
+        let was_held = policies.suspects.status(now, fingerprint) != SuspectStatus::Clear;
+        policies.suspects.clear(now, fingerprint);
+        if was_held {
+            self.deaths.borrow_mut().note_cleared(fingerprint);
         }
+        was_held
+    }
+
+    /// The number of a death that this node sees now.
+    pub(crate) fn number_death(&self, fingerprint: u64, death: u64) -> u64 {
+        self.deaths.borrow().number(fingerprint, death)
+    }
+
+    fn pass_on(&self, notice: PeerNotice) {
+        let view = self.view.clone();
+        self.ports.spawner.spawn(Box::pin(async move {
+            view.notify(Step::SuspectNotify, notice).await;
+        }));
     }
 
     // ------------------------------------------------------------------------------------------
@@ -183,11 +218,10 @@
         Ok(())
     }
 
-    /// How many requests of a service may run at once from this node. While nothing serves it,
-    /// one may: it is refused for want of capacity.
+    /// How many requests of a service may run at once from this node.
     fn capacity(&self, scope: &CallScope, kind: BackendKind) -> u32 {
         let now = self.ports.now();
-        let capacity = match kind {
+        match kind {
             BackendKind::Model => {
                 let groups = self.view.whole_groups(now, &scope.service);
                 groups.iter().map(|group| self.group_capacity(group.load.capacity)).sum()
@@ -197,8 +231,7 @@
                 let backends = u32::try_from(backends).unwrap_or(u32::MAX);
                 backends.saturating_mul(self.settings.plain_capacity)
             }
-        };
-        capacity.max(1)
+        }
     }
 
     fn group_capacity(&self, reported: u32) -> u32 {
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -14,11 +14,12 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    CallScope, ClaimPhase, ClaimRecord, Refusal, RequestService, StoredAnswer, VmRun,
+    CallScope, ClaimPhase, ClaimRecord, Refusal, RequestService, StoredAnswer,
     admission_desk::AdmissionPermit,
     answer_stream::CallerPresence,
     claim_book::{ClaimInsert, ClaimJoin},
     claim_hold::ClaimHold,
+    death_doubt::{DeathDoubt, KnownVm, is_death},
     in_flight::InFlightGuard,
     serving_metrics::ServingMetrics,
 };
@@ -45,13 +46,6 @@
 /// Result of a part of a run.
 pub(crate) type RunResult<T> = std::result::Result<T, RunStop>;
 
-/// A backend server that an attempt relies on, with the run of it known at dispatch.
-#[derive(Clone, Debug)]
-pub(crate) struct KnownVm {
-    pub(crate) vm: VmId,
-    pub(crate) run: Option<VmRun>,
-}
-
 /// What the runs of completions and plain calls share.
 pub(crate) struct RunScope {
     pub(crate) service: Rc<RequestService>,
@@ -115,6 +109,8 @@
 
     /// Awaits that the request may run.
     pub(crate) async fn admit(&self, tokens: u32) -> RunResult<AdmissionPermit> {
+        let now = self.service.ports.now();
+        self.service.view.record_demand(now, &self.scope.customer, tokens);
         let query = self.service.admission_query(&self.scope, tokens);
         let desk = self.service.desk.clone();
         let reply = self.within_deadline(desk.admit(&query)).await?;
@@ -301,11 +297,10 @@
 
     /// The request ran to its end; peers are told if it was suspect.
     pub(crate) fn clear_suspicion(&self) {
-        if !self.is_suspect() {
+        let (service, fingerprint) = (self.service.clone(), self.fingerprint);
+        if !service.note_cleared(fingerprint) {
             return;
         }
-        let (service, fingerprint) = (self.service.clone(), self.fingerprint);
-        service.policies.borrow_mut().suspects.clear(self.now(), fingerprint);
         let guard = self.in_flight.clone();
         self.service.ports.spawner.spawn(Box::pin(async move {
             let notice = PeerNotice::SuspectCleared { fingerprint };
@@ -321,17 +316,32 @@
 
     /// Looks for a death behind a lost attempt. If there is one, the request becomes suspect, and
     /// all peers know it before this returns.
+    ///
+    /// A first death is believed at once, so that the request can go on, and taken back if the
+    /// backend server turns out to be alive. A second one, which condemns, is doubted first.
     async fn examine_loss(&self, place: &str, known: &[KnownVm]) {
-        let mut dead = false;
+        let since = self.now();
+        let mut missing = Vec::new();
         for member in known {
             let run = self.service.view.probe(&member.vm).await;
             if run.is_none() {
                 self.service.view.report_lost(self.now(), &member.vm);
             }
-            dead |= is_death(member.run, run);
+            if is_death(member.run, run) {
+                missing.push(member.clone());
+            }
         }
-        if dead {
-            self.record_death(death_number(place, known)).await;
+        if missing.is_empty() {
+            return;
+        }
+        let doubt = DeathDoubt { service: self.service.clone(), missing, since };
+        if self.is_suspect() && !doubt.is_confirmed().await {
+            return;
+        }
+        let is_first = !self.is_suspect();
+        self.record_death(death_number(place, known)).await;
+        if is_first {
+            doubt.follow(self.fingerprint);
         }
     }
 
@@ -359,26 +369,15 @@
 
     async fn record_death(&self, death: u64) {
         let fingerprint = self.fingerprint;
+        let death = self.service.number_death(fingerprint, death);
         log::warn!("suspects: request {} lost its backend server.", self.scope.request_id);
         self.metrics.died();
-        let now = self.now();
-        self.service.policies.borrow_mut().suspects.record_death(now, fingerprint, death);
+        self.service.note_death(fingerprint, death);
         let notice = PeerNotice::Suspect { fingerprint, death };
         self.service.view.notify(Step::SuspectNotify, notice).await;
     }
 }
 
-/// Whether a backend server died between two looks at it. One that was leaving did not die of a
-/// request.
-fn is_death(before: Option<VmRun>, after: Option<VmRun>) -> bool {
-    match (before, after) {
-        (Some(before), _) if before.leaving => false,
-        (Some(before), Some(after)) => before.incarnation != after.incarnation,
-        (Some(_), None) => true,
-        (None, _) => false,
-    }
-}
-
 /// Names a death: the same at all nodes for one loss of a place, another one after any of its
 /// backend servers started again.
 fn death_number(place: &str, known: &[KnownVm]) -> u64 {
--- a/crates/serving/src/serving_settings.rs
+++ b/crates/serving/src/serving_settings.rs
@@ -60,6 +60,10 @@
     /// How long a settled claim is kept.
     pub claim_retention: Duration,
 
+    /// How long a death is doubted: a backend server that is heard of again within it was only
+    /// out of reach.
+    pub death_doubt: Duration,
+
     /// How long callers may use an address that they were told.
     pub address_validity: Duration,
 
@@ -88,6 +92,7 @@
             outcome_patience: Duration::from_secs(120),
             stored_answer_bytes: 64 * 1024,
             claim_retention: Duration::from_secs(24 * 3600),
+            death_doubt: Duration::from_secs(3),
             address_validity: Duration::from_secs(10),
             retry_after: Duration::from_secs(1),
         }
--- a/crates/serving/src/serving_view.rs
+++ b/crates/serving/src/serving_view.rs
@@ -36,6 +36,10 @@
     /// The share of a customer's limits that this node holds.
     fn customer_share(&self, now: Instant, customer: &CustomerIntent) -> CustomerShare;
 
+    /// A request of a customer came that would cost this many tokens, whether it is admitted or
+    /// not.
+    fn record_demand(&self, _now: Instant, _customer: &CustomerName, _tokens: u32) {}
+
     /// The groups that may serve.
     fn whole_groups(&self, now: Instant, service: &ServiceName) -> Vec<WholeGroup>;
 
@@ -52,6 +56,10 @@
     /// Polls a backend server at once, and takes the report in as evidence. `None` if it gave none.
     async fn probe(&self, vm: &VmId) -> Option<VmRun>;
 
+    /// The run of a backend server by evidence, own or relayed, of a poll that was sent after
+    /// `since`. `None` if there is none.
+    fn heard_since(&self, vm: &VmId, since: Instant) -> Option<VmRun>;
+
     /// A request found a backend server dead.
     fn report_lost(&self, now: Instant, vm: &VmId);
 
--- a/crates/serving/src/suspect_slots.rs
+++ b/crates/serving/src/suspect_slots.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyturn_policy::rendezvous_order;
 use comfreyturn_ports::{
     CommitOutcome, PeerIdentity, RowCheck, RowKey, RowWrite, Step, TableError, TableResult,
     TableTransaction,
@@ -44,8 +45,8 @@
 /// The right to run a suspect request at a place (a group or a plain backend server).
 ///
 /// It is a row of the table, so that of two suspects at different nodes only one runs at a place:
-/// if the place dies again, it is that one which counts as guilty. While the table is down the
-/// right is kept among the requests of this node only.
+/// if the place dies again, it is that one which counts as guilty. While the table is down, only
+/// the node that comes first in the place's rendezvous order over the roster runs suspects there.
 pub(crate) struct SuspectSlots {
     identity: PeerIdentity,
     ports: ServingPorts,
@@ -85,9 +86,11 @@
         let hold = self.new_hold(place);
         match self.take_row(place, hold.serial).await {
             SlotTake::Taken => {}
-            SlotTake::TableLost => log::warn!("suspects: table down, {place} held locally."),
-            SlotTake::Busy => {
-                hold.has_row.set(false);
+            SlotTake::TableLost if self.is_home(place) => {
+                log::warn!("suspects: table down, {place} held without a row.");
+            }
+            take => {
+                hold.has_row.set(matches!(take, SlotTake::TableLost));
                 let until = self.ports.now() + SLOT_RETRY;
                 self.busy.borrow_mut().insert(place.to_owned(), until);
                 return None;
@@ -122,6 +125,13 @@
         }
     }
 
+    /// Whether this node is the first one for a place.
+    fn is_home(&self, place: &str) -> bool {
+        let config = self.view.config();
+        let nodes = config.roster.current.members.keys();
+        rendezvous_order(place, nodes).first() == Some(&&self.identity.node)
+    }
+
     async fn read_back(&self, key: &RowKey, record: &SlotRecord) -> SlotTake {
         match self.read(key).await {
             Ok(Some((_, found))) if found == *record => SlotTake::Taken,
