--- a/crates/standin/src/fakes/fault_plan.rs
+++ b/crates/standin/src/fakes/fault_plan.rs
@@ -3,72 +3,22 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use comfreyturn_ports::{Clock, Spawner, Step};
-use comfreyturn_types::{Incarnation, NodeId, VmId};
+use comfreyturn_types::{Incarnation, NodeId};
 use futures_executor::LocalPool;
 use futures_util::future::LocalBoxFuture;
 
 use super::{
-    Fault, FaultRule, FaultSettings, FiredFault, LocalSpawner, ManualClock,
+    Fault, FaultEndpoint, FaultRule, FaultSettings, FiredFault, LocalSpawner, ManualClock,
+    call_fate::{CallFate, LinkCut, RequestFate},
     manual_clock::TimerRank,
     node_gate::{NodeClock, NodeGate, NodePermit, NodeSpawner},
 };
 
-/// One end of a call.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum FaultEndpoint {
-    /// The table service.
-    Table,
-    /// The list of VMs.
-    Directory,
-    /// A node.
-    Node(NodeId),
-    /// A backend server, by its VM.
-    Vm(VmId),
-    /// A backend server, by its address.
-    Address(SocketAddr),
-}
-
-/// What becomes of a call's request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RequestFate {
-    /// It arrives.
-    Arrives,
-    /// The caller knows that it was not sent.
-    NotSent,
-    /// The caller cannot know whether it arrived. It did not.
-    Vanishes,
-}
-
-/// What becomes of a call.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CallFate {
-    pub(crate) request: RequestFate,
-    pub(crate) loses_answer: bool,
-    pub(crate) is_duplicate: bool,
-}
-
-/// Nothing goes from one end to the other.
-struct LinkCut {
-    from: FaultEndpoint,
-    to: FaultEndpoint,
-    both_ways: bool,
-    until: Duration,
-}
-
-impl LinkCut {
-    fn stops(&self, now: Duration, from: &FaultEndpoint, to: &FaultEndpoint) -> bool {
-        let forth = self.from == *from && self.to == *to;
-        let back = self.both_ways && self.from == *to && self.to == *from;
-        now < self.until && (forth || back)
-    }
-}
-
 /// The state of a node.
 #[derive(Default)]
 struct NodeState {
--- a/crates/standin/src/fakes/memory_directory.rs
+++ b/crates/standin/src/fakes/memory_directory.rs
@@ -6,7 +6,7 @@
 use comfreyturn_ports::{DirectoryError, DirectoryResult, Step, VmDirectory};
 use comfreyturn_types::{NodeId, VmId, VmRecord};
 
-use super::{FaultEndpoint, FaultPlan, fault_plan::RequestFate};
+use super::{FaultEndpoint, FaultPlan, call_fate::RequestFate};
 
 /// The platform's list of VMs in memory. It lags only as far as the test makes it. Clones share
 /// the list.
--- a/crates/standin/src/fakes/memory_engines.rs
+++ b/crates/standin/src/fakes/memory_engines.rs
@@ -8,7 +8,7 @@
     FencingNumber, GroupAssignment, Incarnation, NodeId, VmId, VmLoad, VmPhase, VmRecord, VmReport,
 };
 
-use super::{FaultEndpoint, FaultPlan, fault_plan::RequestFate};
+use super::{FaultEndpoint, FaultPlan, call_fate::RequestFate};
 use crate::PlaceRecord;
 
 /// How a backend server in memory behaves.
--- a/crates/standin/src/fakes/memory_peers.rs
+++ b/crates/standin/src/fakes/memory_peers.rs
@@ -17,7 +17,7 @@
 
 use super::{
     FaultEndpoint, FaultPlan,
-    fault_plan::{CallFate, RequestFate},
+    call_fate::{CallFate, RequestFate},
 };
 
 /// The way between nodes in memory. Clones share the nodes.
--- a/crates/standin/src/fakes/memory_table.rs
+++ b/crates/standin/src/fakes/memory_table.rs
@@ -8,7 +8,7 @@
 };
 use comfreyturn_types::NodeId;
 
-use super::{FaultEndpoint, FaultPlan, fault_plan::RequestFate};
+use super::{FaultEndpoint, FaultPlan, call_fate::RequestFate};
 use crate::TableRows;
 
 /// The table service in memory. Clones share the rows.
--- a/crates/standin/src/fakes/mod.rs
+++ b/crates/standin/src/fakes/mod.rs
@@ -5,23 +5,28 @@
 //! moves only while nothing can run ([`run_until`]), so that a test gives the same result each
 //! time.
 
+mod call_fate;
 mod fault_plan;
 mod fault_rule;
 mod local_spawner;
 mod manual_clock;
+mod memory_backend;
 mod memory_backends;
 mod memory_directory;
 mod memory_engines;
 mod memory_peers;
 mod memory_runs;
 mod memory_table;
+mod node_backends;
 mod node_gate;
 
+pub use call_fate::FaultEndpoint;
 pub use fault_plan::*;
 pub use fault_rule::*;
 pub use futures_executor::LocalPool;
 pub use local_spawner::*;
 pub use manual_clock::*;
+pub use memory_backend::MemoryBackendSettings;
 pub use memory_backends::*;
 pub use memory_directory::*;
 pub use memory_engines::*;
