Split customers' limits between nodes in the running system

Cause: the node gave each customer its whole limit divided by the roster's size, with no hand-over and no loans. Change: peers ask each other for loans (a question and its answer in the peer protocol, step limit-loan); the control state tells of each version in turn; callers are sent to the customer's homes first. An append of entries with a gap now keeps what came before the gap. Ruled out: skipping the wait of 9 s on every restart; another node may still hold a fraction by an older roster for that long.

--- a/crates/adapters/src/peer_envelope.rs
+++ b/crates/adapters/src/peer_envelope.rs
@@ -74,6 +74,13 @@
         PeerQuestion::ConfigFetch { after } => {
             Body::ConfigFetch(peer::ConfigFetch { after: after.0 })
         }
+        PeerQuestion::ShareLoan { customer, number, wanted } => {
+            Body::ShareQuestion(peer::ShareQuestion {
+                customer: customer.as_str().to_owned(),
+                number: *number,
+                wanted: *wanted,
+            })
+        }
     })
 }
 
@@ -89,6 +96,11 @@
         PeerAnswer::ConfigEntries { entries } => {
             Body::ConfigEntries(peer::ConfigEntries { entries_json: write_entries(entries)? })
         }
+        PeerAnswer::ShareLoan { customer, number, lent } => Body::ShareAnswer(peer::ShareAnswer {
+            customer: customer.as_str().to_owned(),
+            number: *number,
+            lent: *lent,
+        }),
     })
 }
 
@@ -124,6 +136,11 @@
         Body::ConfigFetch(fetch) => {
             PeerMessage::Question(PeerQuestion::ConfigFetch { after: ConfigVersion(fetch.after) })
         }
+        Body::ShareQuestion(question) => PeerMessage::Question(PeerQuestion::ShareLoan {
+            customer: question.customer.into(),
+            number: question.number,
+            wanted: question.wanted,
+        }),
         Body::VmLeaving(leaving) => PeerMessage::Notice(PeerNotice::VmLeaving {
             vm: leaving.vm.into(),
             incarnation: Incarnation(leaving.incarnation),
@@ -137,7 +154,10 @@
         Body::SuspectCleared(cleared) => {
             PeerMessage::Notice(PeerNotice::SuspectCleared { fingerprint: cleared.fingerprint })
         }
-        Body::HeartbeatAnswer(_) | Body::ConfigKnown(_) | Body::ConfigEntries(_) => {
+        Body::HeartbeatAnswer(_)
+        | Body::ConfigKnown(_)
+        | Body::ConfigEntries(_)
+        | Body::ShareAnswer(_) => {
             return Err(EnvelopeError::UnexpectedKind);
         }
     })
@@ -158,6 +178,13 @@
         (PeerQuestion::ConfigFetch { .. }, Some(Body::ConfigEntries(answer))) => {
             Ok(PeerAnswer::ConfigEntries { entries: read_entries(&answer.entries_json)? })
         }
+        (PeerQuestion::ShareLoan { .. }, Some(Body::ShareAnswer(answer))) => {
+            Ok(PeerAnswer::ShareLoan {
+                customer: answer.customer.into(),
+                number: answer.number,
+                lent: answer.lent,
+            })
+        }
         _ => Err(EnvelopeError::UnexpectedKind),
     }
 }
--- a/crates/control/src/config_log.rs
+++ b/crates/control/src/config_log.rs
@@ -9,8 +9,10 @@
 use comfreyturn_policy::{ConfigGap, ConfigState};
 use comfreyturn_types::{ConfigEntry, ConfigVersion};
 
+use crate::ConfigHook;
+
 /// The newest known configuration, and the entries that led to it.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct ConfigLog {
     /// Invariant: its version never falls.
     state: RefCell<Rc<ConfigState>>,
@@ -22,6 +24,8 @@
     confirmed: Cell<ConfigVersion>,
 
     kept_entries: u64,
+
+    hook: RefCell<Option<ConfigHook>>,
 }
 
 impl ConfigLog {
@@ -45,21 +49,35 @@
             return;
         }
         self.entries.borrow_mut().clear();
-        *self.state.borrow_mut() = Rc::new(state);
+        self.set_state(state);
+    }
+
+    /// Sets what is called with each version, in order.
+    pub(crate) fn set_hook(&self, hook: ConfigHook) {
+        *self.hook.borrow_mut() = Some(hook);
     }
 
-    /// Applies entries in order. Older ones are ignored.
+    /// Applies entries in order, up to the first gap. Older ones are ignored.
     pub(crate) fn append(&self, entries: &[ConfigEntry]) -> Result<(), ConfigGap> {
-        let mut state = ConfigState::clone(&self.state());
         for entry in entries {
+            let mut state = ConfigState::clone(&self.state());
             if state.apply(entry)? {
                 self.keep(entry.clone());
+                self.set_state(state);
             }
         }
-        *self.state.borrow_mut() = Rc::new(state);
         Ok(())
     }
 
+    fn set_state(&self, state: ConfigState) {
+        let state = Rc::new(state);
+        *self.state.borrow_mut() = Rc::clone(&state);
+        let hook = self.hook.borrow().clone();
+        if let Some(hook) = hook {
+            hook(&state);
+        }
+    }
+
     /// The entries after `version`; empty if they are not all remembered.
     pub(crate) fn entries_after(&self, version: ConfigVersion) -> Vec<ConfigEntry> {
         let entries = self.entries.borrow();
--- a/crates/control/src/node_control.rs
+++ b/crates/control/src/node_control.rs
@@ -28,6 +28,9 @@
 /// What is called with notices about suspect requests.
 pub type NoticeHook = Rc<dyn Fn(&PeerIdentity, &PeerNotice)>;
 
+/// What is called with each version of the configuration.
+pub type ConfigHook = Rc<dyn Fn(&ConfigState)>;
+
 /// One node's part in all protocols that keep shared state.
 pub struct NodeControl {
     pub(crate) this: Weak<Self>,
@@ -175,6 +178,11 @@
         *self.notice_hook.borrow_mut() = Some(hook);
     }
 
+    /// Sets what is called with each version of the configuration, in order.
+    pub fn on_config(&self, hook: ConfigHook) {
+        self.log.set_hook(hook);
+    }
+
     /// Tells all peers, in the background.
     pub fn notify_peers(&self, step: Step, notice: PeerNotice) {
         let Some(control) = self.this.upgrade() else { return };
@@ -256,6 +264,10 @@
             PeerQuestion::ConfigFetch { after } => {
                 PeerAnswer::ConfigEntries { entries: self.log.entries_after(after) }
             }
+            // Limits are not for this part; who keeps them answers in its place.
+            PeerQuestion::ShareLoan { customer, number, .. } => {
+                PeerAnswer::ShareLoan { customer, number, lent: 0.0 }
+            }
         }
     }
 
--- a/crates/node/src/limit_desk.rs
+++ b/crates/node/src/limit_desk.rs
@@ -1,35 +1,126 @@
-//! The share of each customer's limits that this node holds.
+//! The share of each customer's limits that this node holds, and loans between nodes.
 
-use std::time::Instant;
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use comfreyturn_policy::{ConfigState, CustomerShare};
-use comfreyturn_types::{CustomerIntent, NodeId};
+use async_trait::async_trait;
+use comfreyturn_control::NodeControl;
+use comfreyturn_policy::{
+    ConfigState, CustomerShare, LimitShare, LimitShareSettings, ShareAnswer, ShareQuestion,
+};
+use comfreyturn_ports::{
+    Clock, PeerAnswer, PeerHandler, PeerIdentity, PeerLink, PeerNotice, PeerQuestion, Step,
+};
+use comfreyturn_types::{CustomerIntent, CustomerName, NodeId};
 
-/// Splits customers' limits over the nodes of the roster.
+use crate::node_view::HOME_NODES;
+
+/// Time between two looks at whether a loan is wanted.
+const LOAN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Keeps the shares of this node, and lends and borrows parts of them.
 pub struct LimitDesk {
-    node: NodeId,
+    control: Rc<NodeControl>,
+    peers: Rc<dyn PeerLink>,
+    clock: Rc<dyn Clock>,
+    shares: RefCell<LimitShare>,
 }
 
 impl LimitDesk {
-    /// A desk of this node.
-    pub fn new(node: NodeId) -> Self {
-        Self { node }
-    }
-
-    /// The share of a customer.
-    pub fn share(
-        &mut self,
-        _now: Instant,
-        config: &ConfigState,
-        customer: &CustomerIntent,
-    ) -> CustomerShare {
-        let members = &config.roster.current.members;
-        let holds = members.contains_key(&self.node);
-        let parts = f64::from(u32::try_from(members.len().max(1)).unwrap_or(u32::MAX));
-        let part = |limit: u32| if holds { f64::from(limit) / parts } else { 0.0 };
-        CustomerShare {
-            requests_per_second: part(customer.requests_per_second),
-            tokens_per_second: part(customer.tokens_per_second),
+    /// A desk of this node, which follows the configuration.
+    pub fn new(
+        control: Rc<NodeControl>,
+        peers: Rc<dyn PeerLink>,
+        clock: Rc<dyn Clock>,
+    ) -> Rc<Self> {
+        let node = control.member().node.clone();
+        let settings = LimitShareSettings { home_nodes: HOME_NODES, ..Default::default() };
+        let shares = RefCell::new(LimitShare::new(settings, node));
+        let desk = Rc::new(Self { control, peers, clock, shares });
+        let weak = Rc::downgrade(&desk);
+        desk.control.on_config(Rc::new(move |config| {
+            if let Some(desk) = weak.upgrade() {
+                desk.apply_config(config);
+            }
+        }));
+        desk
+    }
+
+    /// What this node may let through of a customer's requests now.
+    pub fn share(&self, now: Instant, customer: &CustomerName) -> CustomerShare {
+        self.shares.borrow_mut().share(now, customer)
+    }
+
+    /// A request came, whether it is admitted or not.
+    pub fn record_demand(&self, now: Instant, customer: &CustomerName, tokens: u32) {
+        self.shares.borrow_mut().record_demand(now, customer, tokens);
+    }
+
+    /// Borrows for ever where demand exceeds the share.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.clock.sleep(LOAN_PERIOD).await;
+            let questions = self.shares.borrow_mut().questions(self.clock.now());
+            for (lender, question) in questions {
+                compio::runtime::spawn(self.clone().borrow_share(lender, question)).detach();
+            }
         }
     }
+
+    fn apply_config(&self, config: &ConfigState) {
+        let nodes: Vec<NodeId> = config.roster.current.members.keys().cloned().collect();
+        let limits: Vec<_> = config.customers.values().map(whole_limit).collect();
+        let now = self.clock.now();
+        self.shares.borrow_mut().apply_config(now, config.version, &nodes, &limits);
+    }
+
+    async fn borrow_share(self: Rc<Self>, lender: NodeId, question: ShareQuestion) {
+        let config = self.control.config();
+        let Some(member) = config.roster.current.members.get(&lender) else { return };
+        let ShareQuestion { customer, number, wanted } = question;
+        let question = PeerQuestion::ShareLoan { customer, number, wanted };
+        let Ok(reply) = self.peers.ask(Step::LimitLoan, member, question).await else { return };
+        if let PeerAnswer::ShareLoan { customer, number, lent } = reply.answer {
+            let answer = ShareAnswer { customer, number, lent };
+            self.shares.borrow_mut().accept(&lender, &answer);
+        }
+    }
+
+    fn lend(&self, borrower: &NodeId, question: &ShareQuestion) -> ShareAnswer {
+        let now = self.clock.now();
+        let fresh = self.control.is_fresh(now);
+        self.shares.borrow_mut().lend(now, fresh, borrower, question)
+    }
+}
+
+/// Answers peers' questions about limits here, and leaves all else to the control state.
+#[async_trait(?Send)]
+impl PeerHandler for LimitDesk {
+    async fn answer(&self, from: &PeerIdentity, question: PeerQuestion) -> PeerAnswer {
+        let PeerQuestion::ShareLoan { customer, number, wanted } = question else {
+            return self.control.answer(from, question).await;
+        };
+        let question = ShareQuestion { customer, number, wanted };
+        let answer = self.lend(&from.node, &question);
+        PeerAnswer::ShareLoan {
+            customer: answer.customer,
+            number: answer.number,
+            lent: answer.lent,
+        }
+    }
+
+    fn notice(&self, from: &PeerIdentity, notice: PeerNotice) {
+        self.control.notice(from, notice);
+    }
+}
+
+fn whole_limit(customer: &CustomerIntent) -> (CustomerName, CustomerShare) {
+    let limit = CustomerShare {
+        requests_per_second: f64::from(customer.requests_per_second),
+        tokens_per_second: f64::from(customer.tokens_per_second),
+    };
+    (customer.name.clone(), limit)
 }
--- a/crates/node/src/node_view.rs
+++ b/crates/node/src/node_view.rs
@@ -1,10 +1,10 @@
 //! The node's control state, as requests see it.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use async_trait::async_trait;
 use comfreyturn_control::NodeControl;
-use comfreyturn_policy::{ConfigState, CustomerShare, WholeGroup, address_key, rendezvous_order};
+use comfreyturn_policy::{ConfigState, CustomerShare, WholeGroup, address_order};
 use comfreyturn_ports::{PeerLink, PeerNotice, Step};
 use comfreyturn_serving::{ServingView, VmRun};
 use comfreyturn_types::{
@@ -15,6 +15,9 @@
 
 use crate::limit_desk::LimitDesk;
 
+/// Nodes that a customer's limit is split over, and that its callers try first.
+pub const HOME_NODES: usize = 3;
+
 /// Joins `comfreyturn_control` to `comfreyturn_serving`.
 pub struct NodeView {
     /// The node's control state.
@@ -24,7 +27,7 @@
     pub peers: Rc<dyn PeerLink>,
 
     /// The customers' shares at this node.
-    pub limits: RefCell<LimitDesk>,
+    pub limits: Rc<LimitDesk>,
 
     /// This node.
     pub node: NodeId,
@@ -40,9 +43,9 @@
     ) -> Vec<SocketAddr> {
         let config = self.control.config();
         let members = &config.roster.current.members;
-        let staying = members.keys().filter(|node| !self.is_node_leaving(&config, node));
-        rendezvous_order(&address_key(service, customer), staying)
+        address_order(service, customer, members.keys(), HOME_NODES)
             .into_iter()
+            .filter(|node| !self.is_node_leaving(&config, node))
             .filter_map(|node| members.get(node))
             .map(|member| member.caller_address)
             .collect()
@@ -78,8 +81,11 @@
     }
 
     fn customer_share(&self, now: Instant, customer: &CustomerIntent) -> CustomerShare {
-        let config = self.control.config();
-        self.limits.borrow_mut().share(now, &config, customer)
+        self.limits.share(now, &customer.name)
+    }
+
+    fn record_demand(&self, now: Instant, customer: &CustomerName, tokens: u32) {
+        self.limits.record_demand(now, customer, tokens);
     }
 
     fn whole_groups(&self, now: Instant, service: &ServiceName) -> Vec<WholeGroup> {
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -1,6 +1,6 @@
 //! Joins the parts of a node, runs it, and shuts it down.
 
-use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use comfreyturn_adapters::{
     BackendClient, BackendSettings, ByteMeter, CompioSpawner, DirectoryClient, EngineClient,
@@ -104,10 +104,11 @@
         };
         let control =
             NodeControl::new(settings.cell.clone(), member, ports, ControlSettings::default());
+        let limits = LimitDesk::new(control.clone(), peers.clone(), clock.clone());
         let view = Rc::new(NodeView {
             control: control.clone(),
             peers,
-            limits: RefCell::new(LimitDesk::new(settings.node.clone())),
+            limits,
             node: settings.node.clone(),
         });
         let data_pool = HttpPool::new(HttpSettings::default(), ByteMeter::default());
@@ -149,8 +150,9 @@
             self.clock.now(),
             PeerSettings::default(),
             self.meter.clone(),
-            self.control.clone(),
+            self.view.limits.clone(),
         );
+        self.spawner.spawn(Box::pin(self.view.limits.clone().run()));
         self.spawner.spawn(Box::pin(peers.serve(listeners.peers)));
         let edge = CallerEdge {
             service: self.service.clone(),
--- a/crates/policy/src/limit_share.rs
+++ b/crates/policy/src/limit_share.rs
@@ -69,6 +69,9 @@
     }
 }
 
+/// The first version of a cell's configuration.
+const FIRST_VERSION: ConfigVersion = ConfigVersion(1);
+
 /// One customer's limit at this node.
 #[derive(Debug)]
 struct LimitEntry {
@@ -116,6 +119,10 @@
     /// Since when versions have followed each other without a gap.
     seen_since: Option<Instant>,
 
+    /// Whether they have done so since the first version of the cell. Nobody can then know of a
+    /// customer that this node never saw.
+    sees_all: bool,
+
     /// When customers were deleted, for as long as other nodes may still serve them.
     deleted: BTreeMap<CustomerName, Instant>,
 
@@ -131,6 +138,7 @@
             version: None,
             entries: BTreeMap::new(),
             seen_since: None,
+            sees_all: false,
             deleted: BTreeMap::new(),
             last_number: 0,
         }
@@ -147,7 +155,11 @@
         roster: &[NodeId],
         limits: &[(CustomerName, CustomerShare)],
     ) {
-        let follows = self.version.is_some_and(|known| known == version || known.next() == version);
+        let follows = match self.version {
+            Some(known) => known == version || known.next() == version,
+            None => version == FIRST_VERSION,
+        };
+        self.sees_all = follows && (self.sees_all || self.version.is_none());
         self.version = Some(version);
         if !follows {
             self.seen_since = Some(now);
@@ -180,7 +192,8 @@
     /// know, is in nobody's hands yet.
     fn growth_wait(&self, now: Instant, customer: &CustomerName) -> Duration {
         let wait = self.settings.handover();
-        let sees_all = self.seen_since.is_some_and(|at| now.saturating_duration_since(at) >= wait);
+        let seen_for = self.seen_since.map(|at| now.saturating_duration_since(at));
+        let sees_all = self.sees_all || seen_for.is_some_and(|time| time >= wait);
         let is_new = !self.entries.contains_key(customer) && !self.deleted.contains_key(customer);
         if sees_all && is_new { Duration::ZERO } else { wait }
     }
--- a/crates/ports/src/peer_link.rs
+++ b/crates/ports/src/peer_link.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use comfreyturn_types::{
-    CellName, ConfigEntry, ConfigVersion, Incarnation, NodeId, RosterMember, VmId, VmReport,
+    CellName, ConfigEntry, ConfigVersion, CustomerName, Incarnation, NodeId, RosterMember, VmId, VmReport,
 };
 use serde::{Deserialize, Serialize};
 
@@ -91,6 +91,18 @@
         /// The version that the asker knows.
         after: ConfigVersion,
     },
+
+    /// Will you lend a part of your share of a customer's limit?
+    ShareLoan {
+        /// The customer.
+        customer: CustomerName,
+
+        /// Rises with each such question of the asker.
+        number: u64,
+
+        /// The fraction of the limit that the asker wants to hold from this peer in all.
+        wanted: f64,
+    },
 }
 
 /// An answer to a question.
@@ -123,6 +135,18 @@
         /// Consecutive entries; empty if the peer knows of none or keeps them no longer.
         entries: Vec<ConfigEntry>,
     },
+
+    /// Answers [`PeerQuestion::ShareLoan`].
+    ShareLoan {
+        /// The customer.
+        customer: CustomerName,
+
+        /// The number of the question.
+        number: u64,
+
+        /// The fraction of the limit that is lent, in place of what was lent before.
+        lent: f64,
+    },
 }
 
 /// An answer with who gave it.
--- a/crates/ports/src/step.rs
+++ b/crates/ports/src/step.rs
@@ -31,6 +31,8 @@
     Request,
     /// A request that runs at most once.
     Claim,
+    /// Lending parts of customers' limits.
+    Limit,
     /// Shutting a node down.
     Shutdown,
     /// A request that may crash backend servers.
@@ -112,6 +114,8 @@
     ClaimOutcome,
     /// Reads a claim that another submission holds.
     ClaimJoin,
+    /// Asks a peer for a part of its share of a customer's limit.
+    LimitLoan,
     /// Tells peers that the node is leaving.
     ShutdownAnnounce,
     /// Gives back lease and place on the roster.
@@ -153,6 +157,7 @@
             | Self::ClaimDispatch
             | Self::ClaimOutcome
             | Self::ClaimJoin => Protocol::Claim,
+            Self::LimitLoan => Protocol::Limit,
             Self::ShutdownAnnounce | Self::ShutdownGiveBack => Protocol::Shutdown,
             Self::SuspectNotify | Self::SuspectRetry | Self::SuspectSlot => Protocol::Suspect,
         }
