Delete settled claims, and test single promises of requests

Cause: claims stayed in the table for ever; the matrix checks promises together, not one by one. Change: a settled claim is deleted an hour later by its owner. Tests for spoilt streams, refused groups, claims given back, batches, leaving and slow callers, shutdown, a dark fabric domain and repeated notices. Left: claims of a node that is gone stay in the table.

--- a/crates/serving/src/claim_book.rs
+++ b/crates/serving/src/claim_book.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     ClaimPhase, ClaimRecord, ServingPorts, ServingSettings, ServingView, StoredAnswer,
+    claim_expiry::ClaimExpiry,
     claim_hold::ClaimHold,
     row_batcher::{RowBatcher, RowOutcome},
 };
@@ -65,6 +66,7 @@
     next_serial: Cell<u64>,
     /// Claims of this run that may still be dispatched or settled.
     live: RefCell<BTreeSet<u64>>,
+    expiry: ClaimExpiry,
 }
 
 impl ClaimBook {
@@ -87,6 +89,7 @@
             settings,
             next_serial: Cell::new(0),
             live: RefCell::default(),
+            expiry: ClaimExpiry::default(),
         })
     }
 
@@ -242,10 +245,10 @@
         let mut pause = self.settings.claim_read_pause;
         while self.ports.now() < give_up {
             match self.read(Step::ClaimOutcome, key).await {
-                Ok(Some((_, record))) if record == settled => return,
+                Ok(Some((_, record))) if record == settled => return self.expire_later(key, owned),
                 Ok(Some((version, record))) if is_same(&record, owned) => {
                     if self.replace(key, version, &settled).await == RowOutcome::Written {
-                        return;
+                        return self.expire_later(key, owned);
                     }
                 }
                 Ok(_) => return,
@@ -257,6 +260,27 @@
         log::warn!("claims: outcome of {key} not recorded.");
     }
 
+    /// Deletes a settled claim once its retention time is over.
+    fn expire_later(self: &Rc<Self>, key: &RowKey, owned: &ClaimRecord) {
+        let expires_at = self.ports.now() + self.settings.claim_retention;
+        self.expiry.push(expires_at, key.clone(), owned.clone());
+        if !self.expiry.sweeping.replace(true) {
+            let book = self.clone();
+            self.spawn(async move { book.sweep().await });
+        }
+    }
+
+    async fn sweep(self: &Rc<Self>) {
+        while let Some(expires_at) = self.expiry.next_at() {
+            let left = expires_at.saturating_duration_since(self.ports.now());
+            self.ports.clock.sleep(left).await;
+            if let Some((key, owned)) = self.expiry.pop() {
+                self.delete_claim(&key, &owned).await;
+            }
+        }
+        self.expiry.sweeping.set(false);
+    }
+
     /// Deletes a claim that was never dispatched, so that the request can be sent again.
     pub(crate) async fn abandon(self: &Rc<Self>, key: RowKey, owned: ClaimRecord) {
         self.delete_claim(&key, &owned).await;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer_stream;
 mod caller_request;
 mod claim_book;
+mod claim_expiry;
 mod claim_hold;
 mod claim_record;
 mod completion_join;
--- a/crates/serving/src/serving_settings.rs
+++ b/crates/serving/src/serving_settings.rs
@@ -57,7 +57,7 @@
     /// Larger answers are not stored beside their claim, in bytes.
     pub stored_answer_bytes: usize,
 
-    /// How long a settled claim is kept.
+    /// How long a settled claim is kept. A request that is sent again later runs again.
     pub claim_retention: Duration,
 
     /// How long a death is doubted: a backend server that is heard of again within it was only
@@ -91,7 +91,7 @@
             claim_read_ceiling: Duration::from_secs(1),
             outcome_patience: Duration::from_secs(120),
             stored_answer_bytes: 64 * 1024,
-            claim_retention: Duration::from_secs(24 * 3600),
+            claim_retention: Duration::from_secs(3600),
             death_doubt: Duration::from_secs(3),
             address_validity: Duration::from_secs(10),
             retry_after: Duration::from_secs(1),
--- a/crates/serving/tests/fault_matrix.rs
+++ b/crates/serving/tests/fault_matrix.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 use serde::Deserialize;
 use strum::IntoEnumIterator;
-use support::{CaseCounts, CasePlan, CaseReport, FaultTotals, is_served, line, run_case};
+use support::matrix::{CaseCounts, CasePlan, CaseReport, FaultTotals, is_served, line, run_case};
 
 type TestResult = datatest_stable::Result<()>;
 
--- /dev/null
+++ b/crates/serving/tests/requests.rs
@@ -0,0 +1,262 @@
+//! Single promises of requests, each under the failure that would break it.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use comfreyturn_ports::{PeerNotice, Step};
+use comfreyturn_serving::{ServingSettings, request_fingerprint};
+use comfreyturn_standin::{
+    ExecutionEnd, content_hash,
+    fakes::{FaultSettings, LocalPool},
+};
+use comfreyturn_types::{GroupGeneration, OutcomeWord, RefusalReason};
+use futures_util::{StreamExt, future::join_all};
+use support::mangled_backends::{Mangle, MangledBackends};
+use support::{
+    CUSTOMER, SubmissionEnd, TestJob, World, address_of, completion_call, drive, identity,
+    start_world, submit,
+};
+
+const WARM_UP: Duration = Duration::from_secs(1);
+
+fn warm_world() -> (Rc<World>, LocalPool) {
+    let (world, mut pool) = start_world(FaultSettings::default());
+    world.run(&mut pool, world.sleep(WARM_UP));
+    (world, pool)
+}
+
+/// Groups at another generation than the nodes know start nothing.
+fn refuse_all(world: &World) {
+    for (number, group) in [1, 3, 5].into_iter().zip(world.groups.borrow().iter()) {
+        let place = Some((group.group.clone(), GroupGeneration(99)));
+        world.backends.set_place(address_of(number), place);
+    }
+}
+
+fn accept_all(world: &World) {
+    for (number, group) in [1, 3, 5].into_iter().zip(world.groups.borrow().iter()) {
+        let place = Some((group.group.clone(), group.generation));
+        world.backends.set_place(address_of(number), place);
+    }
+}
+
+#[test]
+fn spoilt_streams_become_whole_answers() {
+    let mangles = [Mangle::Repeat, Mangle::LeaveOut(3), Mangle::EndEarly(7), Mangle::Stall(5)];
+    for mangle in mangles {
+        let (world, mut pool) = start_world(FaultSettings::default());
+        let inner = world.backends.for_node(&identity(9).node);
+        let backends = MangledBackends { inner, mangle: Cell::new(Some(mangle)) };
+        world.start_node_with(9, Rc::new(backends));
+        world.run(&mut pool, world.sleep(WARM_UP));
+        let end = world.run(&mut pool, submit(&world, &TestJob::completion("spoilt"), 3));
+        assert_eq!(end, SubmissionEnd::Whole, "{mangle:?}");
+        assert_eq!(world.backends.executions().len(), 1, "{mangle:?} is resumed, not run again");
+    }
+}
+
+#[test]
+fn a_group_that_starts_nothing_is_passed_over() {
+    let (world, mut pool) = warm_world();
+    refuse_all(&world);
+    world.backends.set_place(address_of(5), None);
+    for number in 0..8 {
+        let job = TestJob::completion(&format!("passed on {number}")).once();
+        assert_eq!(world.run(&mut pool, submit(&world, &job, 0)), SubmissionEnd::Whole);
+    }
+}
+
+#[test]
+fn an_undispatched_claim_is_given_back() {
+    let (world, mut pool) = warm_world();
+    refuse_all(&world);
+    let job = TestJob::completion("no room").keyed();
+    let end = world.run(&mut pool, submit(&world, &job, 0));
+    assert_eq!(end.outcome(), Some(OutcomeWord::NotRun));
+    assert!(end.refusal().is_some_and(|refusal| refusal.retry_after.is_some()));
+    assert!(world.backends.executions().is_empty());
+    accept_all(&world);
+    world.run(&mut pool, world.sleep(WARM_UP));
+    assert!(world.table.rows("cell/claim/").is_empty());
+    assert_eq!(world.run(&mut pool, submit(&world, &job, 1)), SubmissionEnd::Whole);
+}
+
+#[test]
+fn a_key_runs_once_whoever_asks() {
+    let (world, mut pool) = warm_world();
+    let job = TestJob::completion("warranty").keyed();
+    let plain = TestJob::plain("certificate").keyed();
+    let jobs = [(&job, 0), (&job, 0), (&job, 1), (&plain, 1), (&plain, 1), (&plain, 2)];
+    let ends = jobs.map(|(job, node)| submit(&world, job, node));
+    let ends = world.run(&mut pool, join_all(ends));
+    assert!(ends.iter().all(|end| *end == SubmissionEnd::Whole), "{ends:?}");
+    world.run(&mut pool, world.sleep(WARM_UP));
+    assert_eq!(world.run(&mut pool, submit(&world, &job, 2)), SubmissionEnd::Whole);
+    assert_eq!(world.backends.executions().len(), 1);
+    assert_eq!(world.backends.plain_executions().len(), 1);
+}
+
+#[test]
+fn a_settled_claim_is_deleted_after_its_retention() {
+    let (world, mut pool) = warm_world();
+    let job = TestJob::completion("kept").keyed();
+    assert_eq!(world.run(&mut pool, submit(&world, &job, 0)), SubmissionEnd::Whole);
+    let retention = ServingSettings::default().claim_retention;
+    world.run(&mut pool, world.sleep(retention - WARM_UP));
+    assert_eq!(world.table.rows("cell/claim/").len(), 1);
+    world.run(&mut pool, world.sleep(2 * WARM_UP));
+    assert!(world.table.rows("cell/claim/").is_empty());
+}
+
+#[test]
+fn a_key_with_another_body_is_refused() {
+    let (world, mut pool) = warm_world();
+    let job = TestJob::completion("first body").keyed();
+    assert_eq!(world.run(&mut pool, submit(&world, &job, 0)), SubmissionEnd::Whole);
+    let other = TestJob { body: "second body".to_owned(), ..job };
+    let end = world.run(&mut pool, submit(&world, &other, 1));
+    assert_eq!(end.reason(), Some(RefusalReason::DuplicateKey));
+    assert_eq!(end.outcome(), Some(OutcomeWord::Failed));
+    assert_eq!(world.backends.executions().len(), 1);
+}
+
+#[test]
+fn a_conflict_fails_alone_in_its_batch() {
+    let (world, mut pool) = warm_world();
+    let taken = TestJob::completion("taken").keyed();
+    let jobs: Vec<_> =
+        (0..20).map(|n| TestJob::completion(&format!("claim {n}")).keyed()).collect();
+    let all = jobs.iter().chain([&taken, &taken]).map(|job| submit(&world, job, 0));
+    let ends = world.run(&mut pool, join_all(all));
+    assert!(ends.iter().all(|end| *end == SubmissionEnd::Whole), "{ends:?}");
+    assert_eq!(world.backends.executions().len(), 21);
+    assert!(world.plan.reached(Step::ClaimInsert) <= 3, "claims share transactions");
+}
+
+#[test]
+fn without_the_table_claims_are_refused_at_once() {
+    let (world, mut pool) = warm_world();
+    world.plan.take_table_down(Duration::from_secs(60));
+    let job = TestJob::completion("no table").keyed();
+    let before = world.clock.elapsed();
+    let end = world.run(&mut pool, submit(&world, &job, 0));
+    assert_eq!(end.outcome(), Some(OutcomeWord::NotRun));
+    assert_eq!(end.reason(), Some(RefusalReason::TableUnavailable));
+    assert!(world.clock.elapsed() - before < Duration::from_millis(100));
+    let job = TestJob::completion("needs no table");
+    assert_eq!(world.run(&mut pool, submit(&world, &job, 0)), SubmissionEnd::Whole);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_stream_unless_it_is_claimed() {
+    let (world, mut pool) = warm_world();
+    let leaver = TestJob { leaves_after: Some(3), ..TestJob::completion("leaves") };
+    let claimed = TestJob { leaves_after: Some(3), ..TestJob::completion("claimed").keyed() };
+    world.run(&mut pool, submit(&world, &leaver, 0));
+    world.run(&mut pool, submit(&world, &claimed, 0));
+    world.run(&mut pool, world.sleep(WARM_UP));
+    let ends: Vec<_> = world.backends.executions().iter().map(|run| run.end).collect();
+    assert!(ends.contains(&ExecutionEnd::Cancelled) && ends.contains(&ExecutionEnd::Finished));
+    let again = TestJob { leaves_after: None, ..claimed };
+    assert_eq!(world.run(&mut pool, submit(&world, &again, 1)), SubmissionEnd::Whole);
+    assert_eq!(world.backends.executions().len(), 2);
+}
+
+#[test]
+fn a_caller_that_stops_reading_holds_nothing_beyond_its_deadline() {
+    let (world, mut pool) = warm_world();
+    let node = world.node(0);
+    let mut call = completion_call(&world, &TestJob::completion("slow"), &node.identity.node);
+    call.max_tokens = 1000;
+    let answer = world.run(&mut pool, node.service.complete(call)).expect("it starts");
+    world.run(&mut pool, world.sleep(Duration::from_secs(29)));
+    assert_eq!(node.service.in_flight(), 1);
+    world.run(&mut pool, world.sleep(Duration::from_secs(5)));
+    let (last, parts) = world.run(&mut pool, async {
+        let parts: Vec<_> = answer.collect().await;
+        (parts.last().cloned(), parts.len())
+    });
+    let refusal = last.expect("an end").expect_err("the deadline passed");
+    assert_eq!(refusal.reason, RefusalReason::DeadlineExceeded);
+    assert!(parts < 100, "the buffer is bounded: {parts}");
+    world.run(&mut pool, world.sleep(WARM_UP));
+    assert_eq!(node.service.in_flight(), 0);
+}
+
+#[test]
+fn refusals_say_where_else_to_go() {
+    let (world, mut pool) = warm_world();
+    let job = TestJob::completion("refused");
+    world.node(0).view.fresh.set(false);
+    let end = world.run(&mut pool, submit(&world, &job, 0));
+    let refusal = end.refusal().expect("a refusal");
+    assert_eq!(
+        (refusal.outcome, refusal.reason),
+        (OutcomeWord::NotRun, RefusalReason::StaleConfig)
+    );
+    assert_eq!(refusal.other_addresses.len(), 2);
+    assert!(refusal.retry_after.is_some());
+    assert!(world.backends.executions().is_empty());
+}
+
+#[test]
+fn a_shutdown_waits_for_the_last_request() {
+    let (world, mut pool) = warm_world();
+    let node = world.node(0);
+    let drained_at = Cell::new(Duration::ZERO);
+    let long = TestJob { starts_after: Duration::from_secs(9), ..TestJob::completion("long") };
+    let late = TestJob { starts_after: Duration::from_secs(11), ..TestJob::completion("late") };
+    let ends = world.run(&mut pool, async {
+        let drain = async {
+            node.service.drain().await;
+            drained_at.set(world.clock.elapsed());
+        };
+        let work = join_all([drive(world.clone(), long), drive(world.clone(), late)]);
+        futures_util::join!(drain, work).1
+    });
+    assert_eq!(ends[0].ends, [SubmissionEnd::Whole], "the address was still valid");
+    assert_eq!(ends[1].ends[0].reason(), Some(RefusalReason::NodeLeaving));
+    assert_eq!(ends[1].ends[1], SubmissionEnd::Whole);
+    assert!(drained_at.get() >= Duration::from_secs(11));
+}
+
+#[test]
+fn a_dark_fabric_domain_condemns_nobody() {
+    let (world, mut pool) = warm_world();
+    let jobs = (0..12).map(|n| TestJob::completion(&format!("in the dark {n}")).at(n % 3));
+    let work = join_all(jobs.map(|job| drive(world.clone(), job)));
+    let reports = world.run(&mut pool, async {
+        let dark = async {
+            world.sleep(Duration::from_millis(200)).await;
+            (1..=4).for_each(|number| world.kill_vm(number));
+        };
+        futures_util::join!(work, dark).0
+    });
+    for report in reports {
+        assert_eq!(report.ends, [SubmissionEnd::Whole], "{:?}", report.job.body);
+    }
+}
+
+#[test]
+fn late_and_repeated_notices_raise_no_suspicion() {
+    let (world, mut pool) = warm_world();
+    let body = "once suspect";
+    let fingerprint = request_fingerprint(&CUSTOMER.into(), content_hash(body.as_bytes()));
+    let suspect = PeerNotice::Suspect { fingerprint, death: 7 };
+    let service = world.node(0).service.clone();
+    service.take_notice(&suspect);
+    service.take_notice(&suspect);
+    service.take_notice(&PeerNotice::SuspectCleared { fingerprint });
+    service.take_notice(&suspect);
+    world.run(&mut pool, world.sleep(WARM_UP));
+    let end = world.run(&mut pool, submit(&world, &TestJob::completion(body), 0));
+    assert_eq!(end, SubmissionEnd::Whole);
+    assert_eq!(world.plan.reached(Step::SuspectSlot), 0, "it ran like any other request");
+    let passed_on = 2 * 3 * 2;
+    assert_eq!(
+        world.plan.reached(Step::SuspectNotify),
+        passed_on,
+        "two notices, once by each node"
+    );
+}
--- a/crates/serving/tests/support/caller.rs
+++ b/crates/serving/tests/support/caller.rs
@@ -6,9 +6,7 @@
 use comfreyturn_policy::PriorityClass;
 use comfreyturn_ports::{Clock, CompletionEvent};
 use comfreyturn_serving::{AnswerStream, CallScope, CompletionCall, PlainCall, Refusal};
-use comfreyturn_standin::{
-    PlainEcho, content_hash, fakes::ManualClock, finish_reason, output_length, output_token,
-};
+use comfreyturn_standin::{PlainEcho, content_hash, finish_reason, output_length, output_token};
 use comfreyturn_types::{OutcomeWord, RefusalReason};
 use futures_util::{FutureExt, StreamExt, select_biased};
 
@@ -245,8 +243,3 @@
     let body = Bytes::from(job.body.clone().into_bytes());
     PlainCall { scope: scope(world, job, node), head, body }
 }
-
-/// Lets virtual time pass on the world's clock.
-pub async fn after(clock: &ManualClock, duration: Duration) {
-    clock.sleep(duration).await;
-}
--- a/crates/serving/tests/support/world.rs
+++ b/crates/serving/tests/support/world.rs
@@ -14,7 +14,8 @@
     RetryBudgetSettings, RosterState, ShareRetryBudget,
 };
 use comfreyturn_ports::{
-    Clock, PeerAnswer, PeerHandler, PeerIdentity, PeerNotice, PeerQuestion, Spawner,
+    BackendTransport, Clock, PeerAnswer, PeerHandler, PeerIdentity, PeerNotice, PeerQuestion,
+    Spawner,
 };
 use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
 use comfreyturn_standin::fakes::{
@@ -138,6 +139,12 @@
     }
 
     fn start_node(self: &Rc<Self>, number: u16) {
+        let backends = self.backends.for_node(&identity(number).node);
+        self.start_node_with(number, backends);
+    }
+
+    /// Starts a node that reaches backend servers in its own way.
+    pub fn start_node_with(self: &Rc<Self>, number: u16, backends: Rc<dyn BackendTransport>) {
         let identity = identity(number);
         let node = identity.node.clone();
         self.roster.borrow_mut().insert(node.clone(), member(&identity, number));
@@ -146,7 +153,7 @@
             clock: self.plan.clock(&node),
             spawner: self.plan.spawner(&node),
             table: self.table.for_node(&node),
-            backends: self.backends.for_node(&node),
+            backends,
         };
         let spawner = ports.spawner.clone();
         let settings = ServingSettings::default();
@@ -273,7 +280,7 @@
     }
 }
 
-fn identity(number: u16) -> PeerIdentity {
+pub fn identity(number: u16) -> PeerIdentity {
     PeerIdentity {
         cell: "cell".into(),
         node: NodeId::from(format!("node-{number}")),
