--- a/crates/standin/tests/servers/engine_server.rs
+++ b/crates/standin/tests/servers/engine_server.rs
@@ -213,6 +213,21 @@
     assert_eq!(report.phase, VmPhase::Ready);
 }
 
+#[compio::test]
+async fn reported_load_lags() {
+    let load_lag = Duration::from_millis(300);
+    let settings = EngineSettings { load_lag, batch_capacity: 1, ..EngineSettings::default() };
+    let (engine, _) = start_single(settings).await;
+    let _running = complete(&engine.client, &attempt("s1", "a", 500)).await;
+    let _waiting = complete(&engine.client, &attempt("s2", "b", 500)).await;
+    let load = async || engine.client.get::<VmReport>("/control/report").await.unwrap().load;
+    let before = load().await;
+    assert_eq!((before.running, before.queued, before.capacity), (0, 0, 1));
+    compio::time::sleep(load_lag).await;
+    let after = load().await;
+    assert_eq!((after.running, after.queued, after.age), (1, 1, load_lag));
+}
+
 /// Two engines in one group, the second found by its address in the settings of the first.
 async fn start_pair() -> (RunningServer, RunningServer) {
     let second = EngineSettings { vm: "vm-2".into(), ..EngineSettings::default() };
