Split the slots of groups between nodes at admission

Cause: each node admitted as many requests as all groups hold together. Change: CapacityDesk asks CapacityShare with what runs at this node, and the queue's capacity follows the groups while requests wait. Ruled out: leaving it to the engines' refusals, which costs a try at each group.

--- a/crates/serving/src/admission_desk.rs
+++ b/crates/serving/src/admission_desk.rs
@@ -2,15 +2,15 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use comfreyturn_policy::{AdmissionDecision, AdmissionQuery, AdmissionTicket, CustomerShare};
 use comfreyturn_types::{CustomerName, RefusalReason, ServiceName};
 
-use crate::{Refusal, Result, ServingPolicies, ServingPorts};
+use crate::{Refusal, Result, ServingPolicies, ServingPorts, capacity_desk::CapacityDesk};
 
 type DeskReply = Result<AdmissionPermit>;
 
@@ -19,7 +19,8 @@
     ports: ServingPorts,
     policies: Rc<RefCell<ServingPolicies>>,
     poll_period: Duration,
-    waiters: RefCell<BTreeMap<AdmissionTicket, flume::Sender<DeskReply>>>,
+    capacity: CapacityDesk,
+    waiters: RefCell<BTreeMap<AdmissionTicket, QueueWaiter>>,
     polling: Cell<bool>,
 }
 
@@ -27,11 +28,13 @@
     pub(crate) fn new(
         ports: ServingPorts,
         policies: Rc<RefCell<ServingPolicies>>,
+        capacity: CapacityDesk,
         poll_period: Duration,
     ) -> Rc<Self> {
         Rc::new(Self {
             ports,
             policies,
+            capacity,
             poll_period,
             waiters: RefCell::default(),
             polling: Cell::new(false),
@@ -42,31 +45,35 @@
     pub(crate) fn prepare(
         &self,
         service: &ServiceName,
-        concurrent: u32,
         customer: &CustomerName,
         share: CustomerShare,
     ) {
         let now = self.ports.now();
-        let mut policies = self.policies.borrow_mut();
-        policies.queue.set_capacity(now, service, concurrent);
-        policies.queue.set_share(now, customer, share);
+        self.refresh(now, service);
+        self.policies.borrow_mut().queue.set_share(now, customer, share);
+    }
+
+    fn refresh(&self, now: Instant, service: &ServiceName) {
+        let concurrent = self.capacity.capacity(now, service);
+        self.policies.borrow_mut().queue.set_capacity(now, service, concurrent);
     }
 
     /// Awaits that a request may run.
     pub(crate) async fn admit(self: &Rc<Self>, query: &AdmissionQuery) -> DeskReply {
         let decision = self.policies.borrow_mut().queue.submit(self.ports.now(), query);
         match decision {
-            AdmissionDecision::Run(ticket) => Ok(self.permit(ticket)),
+            AdmissionDecision::Run(ticket) => Ok(self.permit(ticket, &query.service)),
             AdmissionDecision::Refuse { reason, retry_after } => {
                 Err(Refusal::not_run(reason).after(retry_after))
             }
-            AdmissionDecision::Wait(ticket) => self.wait(ticket).await,
+            AdmissionDecision::Wait(ticket) => self.wait(ticket, &query.service).await,
         }
     }
 
-    async fn wait(self: &Rc<Self>, ticket: AdmissionTicket) -> DeskReply {
-        let (sender, receiver) = flume::bounded(1);
-        self.waiters.borrow_mut().insert(ticket, sender);
+    async fn wait(self: &Rc<Self>, ticket: AdmissionTicket, service: &ServiceName) -> DeskReply {
+        let (reply, receiver) = flume::bounded(1);
+        let waiter = QueueWaiter { service: service.clone(), reply };
+        self.waiters.borrow_mut().insert(ticket, waiter);
         let _place = QueuePlace { desk: self.clone(), ticket };
         self.start_polling();
         match receiver.recv_async().await {
@@ -75,8 +82,10 @@
         }
     }
 
-    fn permit(self: &Rc<Self>, ticket: AdmissionTicket) -> AdmissionPermit {
-        AdmissionPermit { desk: self.clone(), ticket, tokens: Cell::new(0) }
+    fn permit(self: &Rc<Self>, ticket: AdmissionTicket, service: &ServiceName) -> AdmissionPermit {
+        self.capacity.enter(service);
+        let (desk, service) = (self.clone(), service.clone());
+        AdmissionPermit { desk, service, ticket, tokens: Cell::new(0) }
     }
 
     fn start_polling(self: &Rc<Self>) {
@@ -96,23 +105,34 @@
     }
 
     fn release(self: &Rc<Self>) {
-        let released = self.policies.borrow_mut().queue.release(self.ports.now());
+        let now = self.ports.now();
+        let waited_for: BTreeSet<_> =
+            self.waiters.borrow().values().map(|waiter| waiter.service.clone()).collect();
+        waited_for.iter().for_each(|service| self.refresh(now, service));
+        let released = self.policies.borrow_mut().queue.release(now);
         for (ticket, decision) in released {
+            let waiter = self.waiters.borrow_mut().remove(&ticket);
+            let Some(waiter) = waiter else {
+                continue;
+            };
             let reply = match decision {
-                AdmissionDecision::Run(ticket) => Ok(self.permit(ticket)),
+                AdmissionDecision::Run(ticket) => Ok(self.permit(ticket, &waiter.service)),
                 AdmissionDecision::Refuse { reason, retry_after } => {
                     Err(Refusal::not_run(reason).after(retry_after))
                 }
                 AdmissionDecision::Wait(_) => continue,
             };
-            let waiter = self.waiters.borrow_mut().remove(&ticket);
-            if let Some(waiter) = waiter {
-                let _ = waiter.send(reply);
-            }
+            let _ = waiter.reply.send(reply);
         }
     }
 }
 
+/// A request that waits for its turn.
+struct QueueWaiter {
+    service: ServiceName,
+    reply: flume::Sender<DeskReply>,
+}
+
 /// A place in the queue; dropped before its turn, it is withdrawn.
 struct QueuePlace {
     desk: Rc<AdmissionDesk>,
@@ -132,6 +152,7 @@
 /// The right to run one request; dropped when that ended.
 pub(crate) struct AdmissionPermit {
     desk: Rc<AdmissionDesk>,
+    service: ServiceName,
     ticket: AdmissionTicket,
     tokens: Cell<u32>,
 }
@@ -146,6 +167,7 @@
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         let now = self.desk.ports.now();
+        self.desk.capacity.leave(&self.service);
         self.desk.policies.borrow_mut().queue.finish(now, self.ticket, self.tokens.get());
         self.desk.release();
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 mod admission_desk;
 mod answer_stream;
 mod caller_request;
+mod capacity_desk;
 mod claim_book;
 mod claim_expiry;
 mod claim_hold;
--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -14,6 +14,7 @@
     ServingPorts, ServingSettings, ServingView,
     admission_desk::AdmissionDesk,
     answer_stream::CallerPresence,
+    capacity_desk::CapacityDesk,
     claim_book::ClaimBook,
     completion_run::CompletionRun,
     death_memory::DeathMemory,
@@ -61,7 +62,12 @@
     ) -> Rc<Self> {
         let policies = Rc::new(RefCell::new(policies));
         Rc::new(Self {
-            desk: AdmissionDesk::new(ports.clone(), policies.clone(), settings.poll_period),
+            desk: AdmissionDesk::new(
+                ports.clone(),
+                policies.clone(),
+                CapacityDesk::new(view.clone(), settings.plain_capacity),
+                settings.poll_period,
+            ),
             claims: ClaimBook::new(identity.clone(), ports.clone(), view.clone(), settings.clone()),
             slots: SuspectSlots::new(identity.clone(), ports.clone(), view.clone()),
             plain_load: PlainLoad::default(),
@@ -214,30 +220,10 @@
             return Err(Refusal::not_run(RefusalReason::BadRequest));
         }
         let share = self.view.customer_share(now, customer);
-        self.desk.prepare(&scope.service, self.capacity(scope, kind), &scope.customer, share);
+        self.desk.prepare(&scope.service, &scope.customer, share);
         Ok(())
     }
 
-    /// How many requests of a service may run at once from this node.
-    fn capacity(&self, scope: &CallScope, kind: BackendKind) -> u32 {
-        let now = self.ports.now();
-        match kind {
-            BackendKind::Model => {
-                let groups = self.view.whole_groups(now, &scope.service);
-                groups.iter().map(|group| self.group_capacity(group.load.capacity)).sum()
-            }
-            BackendKind::Plain => {
-                let backends = self.view.plain_backends(now, &scope.service).len();
-                let backends = u32::try_from(backends).unwrap_or(u32::MAX);
-                backends.saturating_mul(self.settings.plain_capacity)
-            }
-        }
-    }
-
-    fn group_capacity(&self, reported: u32) -> u32 {
-        if reported == 0 { self.settings.group_capacity } else { reported }
-    }
-
     // ------------------------------------------------------------------------------------------
     // For the runs
 
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -314,12 +314,12 @@
         vms.iter().map(|vm| KnownVm { vm: vm.clone(), run: self.service.view.vm_run(vm) }).collect()
     }
 
-    /// Looks for a death behind a lost attempt. If there is one, the request becomes suspect, and
-    /// all peers know it before this returns.
+    /// Looks for a death behind a lost attempt, and says whether there is one. If so, the request
+    /// becomes suspect, and all peers know it before this returns.
     ///
     /// A first death is believed at once, so that the request can go on, and taken back if the
     /// backend server turns out to be alive. A second one, which condemns, is doubted first.
-    async fn examine_loss(&self, place: &str, known: &[KnownVm]) {
+    async fn examine_loss(&self, place: &str, known: &[KnownVm]) -> bool {
         let since = self.now();
         let mut missing = Vec::new();
         for member in known {
@@ -332,35 +332,42 @@
             }
         }
         if missing.is_empty() {
-            return;
+            return false;
         }
         let doubt = DeathDoubt { service: self.service.clone(), missing, since };
         if self.is_suspect() && !doubt.is_confirmed().await {
-            return;
+            return false;
         }
         let is_first = !self.is_suspect();
         self.record_death(death_number(place, known)).await;
         if is_first {
             doubt.follow(self.fingerprint);
         }
+        true
     }
 
     /// An attempt is lost. The request becomes suspect if a backend server died, and may run again
     /// if nothing speaks against it.
+    ///
+    /// The first attempt that a death took costs nothing of the retry budget: all requests of a
+    /// place lose it at the same moment, and the place is out of service by then, so these repeats
+    /// are at most one for each request that ran there and cannot feed on themselves.
     pub(crate) async fn give_up_attempt(
         &mut self,
         place: &str,
         known: &[KnownVm],
     ) -> RunResult<()> {
         self.lost += 1;
-        self.examine_loss(place, known).await;
+        let died = self.examine_loss(place, known).await;
         if self.scope.non_idempotent {
             return Err(self.stop(RefusalReason::BackendLost));
         }
         self.check_condemned()?;
         let now = self.now();
         let spent = self.lost >= self.service.settings.max_attempts;
-        if spent || !self.service.policies.borrow_mut().retries.try_retry(now) {
+        let is_free = died && self.lost == 1;
+        let allowed = is_free || self.service.policies.borrow_mut().retries.try_retry(now);
+        if spent || !allowed {
             return Err(self.stop(RefusalReason::RetriesExhausted));
         }
         self.metrics.retried();
--- a/crates/serving/src/serving_settings.rs
+++ b/crates/serving/src/serving_settings.rs
@@ -29,9 +29,6 @@
     /// Parts of an answer that wait for a slow caller.
     pub answer_buffer: usize,
 
-    /// Requests that a group runs at once if it does not say.
-    pub group_capacity: u32,
-
     /// Requests that a plain backend server runs at once.
     pub plain_capacity: u32,
 
@@ -82,7 +79,6 @@
             group_wait: Duration::from_secs(10),
             poll_period: Duration::from_millis(50),
             answer_buffer: 64,
-            group_capacity: 32,
             plain_capacity: 64,
             claim_batch_delay: Duration::from_millis(3),
             claim_batch_rows: 128,
--- a/crates/serving/tests/support/fake_view.rs
+++ b/crates/serving/tests/support/fake_view.rs
@@ -80,7 +80,12 @@
 
     fn whole_group(&self, now: Instant, assignment: GroupAssignment) -> WholeGroup {
         let entry = record(&assignment.members[0], VmRole::Engine { accelerators: 8 });
-        WholeGroup { assignment, entry, load: VmLoad::default(), load_at: now }
+        WholeGroup {
+            assignment,
+            entry,
+            load: VmLoad { capacity: 64, ..VmLoad::default() },
+            load_at: now,
+        }
     }
 }
 
