End stand-in servers when their stop channel is closed

Cause: flume's receiving future counts as terminated once its channel is closed, so select skipped it, and a server whose stop channel was closed went on; a lab never ended. Ruled out: a lost wake-up across threads; a message from the same thread did stop servers. Change: the receiving futures are fused. A new test closes the channel from another thread.

--- a/crates/standin/src/fakes/memory_peers.rs
+++ b/crates/standin/src/fakes/memory_peers.rs
@@ -146,7 +146,7 @@
         }
         let mut timeout = Box::pin(self.peers.plan.wait_in_vain()).fuse();
         let answered = select_biased! {
-            answered = answered.recv_async() => answered,
+            answered = answered.recv_async().fuse() => answered,
             () = timeout => return Err(PeerError::Unreachable),
         };
         match answered {
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -48,9 +48,10 @@
 ) -> ServerEnd {
     let mut connections = TaskSet::default();
     loop {
+        // Without `fuse`, the macro skips a channel that is closed.
         futures_util::select_biased! {
-            _ = stop.recv_async() => return ServerEnd::Stopped,
-            crashed = crash.recv_async() => {
+            _ = stop.recv_async().fuse() => return ServerEnd::Stopped,
+            crashed = crash.recv_async().fuse() => {
                 if crashed.is_ok() {
                     return ServerEnd::Crashed;
                 }
--- a/crates/standin/src/relay_server.rs
+++ b/crates/standin/src/relay_server.rs
@@ -111,9 +111,10 @@
         let gate = Rc::new(RelayGate::default());
         let mut connections = TaskSet::default();
         loop {
+            // Without `fuse`, the macro skips a channel that is closed.
             futures_util::select_biased! {
-                _ = stop.recv_async() => return ServerEnd::Stopped,
-                command = self.commands.recv_async() => {
+                _ = stop.recv_async().fuse() => return ServerEnd::Stopped,
+                command = self.commands.recv_async().fuse() => {
                     if let Ok(command) = command {
                         gate.set_mode(command.mode);
                         if command.mode == RelayMode::Refuse {
--- a/crates/standin/tests/servers/main.rs
+++ b/crates/standin/tests/servers/main.rs
@@ -5,3 +5,4 @@
 mod plain_server;
 mod platform_server;
 mod relay_server;
+mod stop;
