--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Processes and raw HTTP for tests of the whole path.
 #![allow(dead_code, clippy::allow_attributes, reason = "each test uses a part of it")]
 
+pub mod caller;
 pub mod http;
 pub mod process;
 pub mod site;
--- a/crates/ctl/tests/support/process.rs
+++ b/crates/ctl/tests/support/process.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -90,9 +91,21 @@
     Command::new(ctl_binary()).args(arguments).stdin(Stdio::null()).output().unwrap()
 }
 
-/// An address on loopback that nothing listens on.
+/// An address on loopback that nothing listens on, below the ports that connections take for
+/// themselves.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    const FIRST_PORT: u32 = 10_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(997);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Waits until `check` gives a value. The limit is generous: a busy machine may be slow.
