Reach the fetch step in the fault matrix, and let racing operators finish

Cause: config-fetch was never reached, as pushes and reads of the head came first; the racing operator was dropped with the call that it raced, which counted as an operator without an answer. Change: one node is left a single peer to learn from for a while; the operator runs on its own.

--- a/crates/control/tests/support/fault_case.rs
+++ b/crates/control/tests/support/fault_case.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use comfreyturn_ports::{Protocol, Step};
-use comfreyturn_standin::fakes::{Fault, FaultRule, FaultSettings, FiredFault};
+use comfreyturn_ports::{Clock, Protocol, Spawner, Step};
+use comfreyturn_standin::fakes::{
+    Fault, FaultEndpoint, FaultRule, FaultSettings, FiredFault, LocalSpawner,
+};
 use comfreyturn_types::{NodeId, VmId};
 
 use super::{ControlCell, NODES, SERVICE, customer_change, declared_groups, node_name};
@@ -11,6 +13,9 @@
 /// How long after healing a change that was accepted may be unknown to a node.
 const HEALED_LIMIT: Duration = Duration::from_secs(7);
 
+/// How long a call waits for the operator that races it.
+const RACE_HEAD_START: Duration = Duration::from_millis(100);
+
 /// What came of a case.
 pub struct CaseReport {
     pub fired: Vec<FiredFault>,
@@ -37,7 +42,11 @@
     };
     let mut cell = ControlCell::started(settings);
     let desk = cell.desk.clone();
-    cell.plan.on_race(move || desk.apply(vec![customer_change(77), declared_groups(3)]));
+    let (spawner, clock) = (LocalSpawner::new(&cell.pool), cell.clock.clone());
+    cell.plan.on_race(move || {
+        spawner.spawn(desk.apply(vec![customer_change(77), declared_groups(3)]));
+        clock.sleep(RACE_HEAD_START)
+    });
     rules.into_iter().for_each(|rule| cell.plan.inject(rule));
     exercise(&mut cell);
     recover(&mut cell);
@@ -58,6 +67,7 @@
     cell.submit(vec![customer_change(3)]);
     cell.run(Duration::from_secs(2));
     hand_over_lease(cell);
+    miss_pushes(cell);
     cell.submit(vec![declared_groups(2)]);
     cell.run(Duration::from_secs(12));
     if let Some(vm) = some_member(cell) {
@@ -104,6 +114,20 @@
     cell.run(Duration::from_secs(3));
 }
 
+/// Leaves a node one peer to learn of changes from, while changes are made.
+fn miss_pushes(cell: &mut ControlCell) {
+    let node = FaultEndpoint::Node(node_name(4));
+    let span = Duration::from_secs(4);
+    cell.plan.cut(node.clone(), FaultEndpoint::Table, true, span);
+    for other in 1..=3 {
+        cell.plan.cut(node.clone(), FaultEndpoint::Node(node_name(other)), true, span);
+    }
+    for number in 4..=7 {
+        cell.submit(vec![customer_change(number)]);
+        cell.run(Duration::from_secs(1));
+    }
+}
+
 /// Shuts the planner's node down gracefully.
 fn hand_over_lease(cell: &mut ControlCell) {
     let Some(planner) = cell.planner().filter(|node| cell.plan.is_alive(node)) else { return };
