Add the operators' command line, the lab and the stand-ins as processes

Cause: operators need a command line, and a newcomer one command that runs the main job. Change: verbs for each operators' call with tables or JSON, apply -f with checked YAML, progress while a change rolls out; stand-ins as processes; lab in one process.

--- /dev/null
+++ b/crates/ctl/src/dispatch.rs
@@ -0,0 +1,221 @@
+//! Running one verb.
+
+use std::{fs, net::SocketAddr, process::ExitCode, time::Duration};
+
+use comfreyturn_proto::{ChangeRequest, RequestedChange};
+use comfreyturn_types::ConfigChange;
+use compio::runtime::Runtime;
+use flexi_logger::{Logger, LoggerHandle};
+use serde::Serialize;
+
+use crate::{
+    CtlError, DrainKind, EntityFields, IntentFile, Result, UsageError,
+    command_line::{Apply, Comfreyturnctl, ComfreyturnctlCmd, Create, Drain, Set},
+    create_change, delete_change,
+    lab::run_lab,
+    load_verb::run_load,
+    operator::{
+        AcceptedView, ApplyOrder, DeclaredView, OperatorSession, RolloutView, StatusView,
+        accepted_text, declared_config, follow, rollout_table, submit,
+    },
+    set_change,
+    standin::run_standin,
+};
+
+/// Time that an accepted change is followed until it is in force everywhere.
+const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time that `watch` follows a version.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Runs the command line of this process and gives its exit code.
+pub fn run_command_line() -> ExitCode {
+    let flags = Comfreyturnctl::from_env_or_exit();
+    let _logger = start_log();
+    let result = Runtime::new().map_err(CtlError::from).and_then(|runtime| {
+        let verb = VerbContext { to: flags.to, json: flags.json };
+        runtime.block_on(verb.run(flags.subcommand))
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("comfreyturnctl: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+/// Log lines go to standard error; `RUST_LOG` sets how many.
+fn start_log() -> Option<LoggerHandle> {
+    Logger::try_with_env_or_str("warn").and_then(|logger| logger.log_to_stderr().start()).ok()
+}
+
+/// What all verbs share.
+struct VerbContext {
+    to: Option<SocketAddr>,
+    json: bool,
+}
+
+impl VerbContext {
+    async fn run(&self, verb: ComfreyturnctlCmd) -> Result<()> {
+        match verb {
+            ComfreyturnctlCmd::Apply(apply) => self.apply_file(apply).await,
+            ComfreyturnctlCmd::Create(create) => self.create(create).await,
+            ComfreyturnctlCmd::Set(set) => self.set(set).await,
+            ComfreyturnctlCmd::Delete(delete) => {
+                let change = delete_change(delete.kind, &delete.name, delete.version.as_deref())?;
+                self.submit(ApplyOrder::new(vec![change])).await
+            }
+            ComfreyturnctlCmd::List(list) => self.list(list.kind).await,
+            ComfreyturnctlCmd::Groups(groups) => {
+                let service = groups.service.into();
+                let change = RequestedChange::SetDeclaredGroups { service, groups: groups.count };
+                self.submit_one(change).await
+            }
+            ComfreyturnctlCmd::Status(_) => self.status().await,
+            ComfreyturnctlCmd::Drain(drain) => self.submit_one(drain_change(drain)).await,
+            ComfreyturnctlCmd::Watch(watch) => self.watch(watch.version).await,
+            ComfreyturnctlCmd::ConfirmGone(gone) => {
+                self.submit_one(RequestedChange::ConfirmNodeGone(gone.node.into())).await
+            }
+            ComfreyturnctlCmd::Standin(standin) => run_standin(standin.subcommand).await,
+            ComfreyturnctlCmd::Lab(lab) => run_lab(lab).await,
+            ComfreyturnctlCmd::Load(load) => run_load(self.to()?, self.json, load).await,
+        }
+    }
+
+    fn to(&self) -> Result<SocketAddr> {
+        Ok(self.to.ok_or(UsageError::Missing { flag: "--to" })?)
+    }
+
+    async fn apply_file(&self, apply: Apply) -> Result<()> {
+        let text = fs::read_to_string(&apply.file)
+            .map_err(|source| CtlError::Unreadable { file: apply.file.clone(), source })?;
+        let intent = IntentFile::parse(&apply.file.display().to_string(), &text)?;
+        let mut order = ApplyOrder::new(intent.changes());
+        if let Some(operation_id) = apply.operation_id {
+            order.operation_id = operation_id;
+        }
+        self.submit(order).await
+    }
+
+    async fn create(&self, create: Create) -> Result<()> {
+        let (kind, name) = (create.kind, create.name.clone());
+        let change = create_change(kind, &name, &create.into())?;
+        self.submit(ApplyOrder::new(vec![change])).await
+    }
+
+    /// Reads what is declared and asks for a change that was decided on exactly that.
+    async fn set(&self, set: Set) -> Result<()> {
+        let (kind, name) = (set.kind, set.name.clone());
+        let fields = EntityFields::from(set);
+        fields.check_kind(kind)?;
+        let address = self.to()?;
+        let reply = OperatorSession::connect(address).await?.list().await?;
+        let declared = declared_config(reply).map_err(|error| CtlError::Refused {
+            subject: error.subject,
+            reason: error.fault.to_string(),
+        })?;
+        let Some(change) = set_change(kind, &name, &fields, &declared)? else {
+            return Err(CtlError::NotFound { subject: format!("{kind} {name}") });
+        };
+        let mut order = ApplyOrder::new(vec![change]);
+        order.expected_version = declared.version;
+        self.submit(order).await
+    }
+
+    async fn submit_one(&self, change: RequestedChange) -> Result<()> {
+        self.submit(ApplyOrder::new(vec![ChangeRequest::unconditional(change)])).await
+    }
+
+    /// Asks for changes and shows how they come into force. Accepted changes are in force within
+    /// seconds whether or not somebody looks, so that a rollout that cannot be seen is no failure.
+    async fn submit(&self, order: ApplyOrder) -> Result<()> {
+        let address = self.to()?;
+        let accepted = submit(address, &order).await?;
+        let rollout = follow(address, accepted.version, ROLLOUT_TIMEOUT).await.ok();
+        self.print(&AcceptedView::new(&accepted, rollout.as_ref()), || {
+            accepted_text(&accepted, rollout.as_ref())
+        });
+        Ok(())
+    }
+
+    async fn list(&self, kind: Option<crate::EntityKind>) -> Result<()> {
+        let reply = OperatorSession::connect(self.to()?).await?.list().await?;
+        let view = DeclaredView::new(reply, kind).map_err(|error| CtlError::Refused {
+            subject: error.subject,
+            reason: error.fault.to_string(),
+        })?;
+        self.print(&view, || view.text());
+        Ok(())
+    }
+
+    async fn status(&self) -> Result<()> {
+        let reply = OperatorSession::connect(self.to()?).await?.status().await?;
+        let view = StatusView::from(reply);
+        self.print(&view, || view.text());
+        Ok(())
+    }
+
+    async fn watch(&self, version: u64) -> Result<()> {
+        let rollout = follow(self.to()?, version, WATCH_TIMEOUT).await?;
+        self.print(&RolloutView::from(&rollout), || rollout_table(&rollout).to_string());
+        match rollout.in_force_everywhere {
+            true => Ok(()),
+            false => Err(CtlError::NotInForce { version }),
+        }
+    }
+
+    fn print<T: Serialize>(&self, view: &T, text: impl FnOnce() -> String) {
+        match self.json {
+            true => print_json(view),
+            false => print!("{}", text()),
+        }
+    }
+}
+
+/// Prints a value as one line of JSON.
+pub(crate) fn print_json<T: Serialize>(view: &T) {
+    match serde_json::to_string(view) {
+        Ok(line) => println!("{line}"),
+        Err(error) => log::error!("ctl: an answer cannot be shown as JSON: {error}."),
+    }
+}
+
+fn drain_change(drain: Drain) -> RequestedChange {
+    let drained = !drain.undo;
+    RequestedChange::Config(match drain.kind {
+        DrainKind::Node => ConfigChange::SetNodeDrained { node: drain.name.into(), drained },
+        DrainKind::Vm => ConfigChange::SetVmDrained { vm: drain.name.into(), drained },
+    })
+}
+
+/// The flags that `create` and `set` share.
+macro_rules! entity_fields_from {
+    ($verb:ident) => {
+        impl From<$verb> for EntityFields {
+            fn from(flags: $verb) -> Self {
+                Self {
+                    version: flags.version,
+                    model: flags.model,
+                    model_version: flags.model_version,
+                    adapters: flags.adapter,
+                    groups: flags.groups,
+                    rank: flags.rank,
+                    plain: flags.plain,
+                    vms_per_group: flags.vms_per_group,
+                    weight_bytes: flags.weight_bytes,
+                    key: flags.key,
+                    weight: flags.weight,
+                    requests_per_second: flags.requests_per_second,
+                    tokens_per_second: flags.tokens_per_second,
+                    services: flags.service,
+                    deadline_ms: flags.deadline_ms,
+                }
+            }
+        }
+    };
+}
+
+entity_fields_from!(Create);
+entity_fields_from!(Set);
