Close a peer's connection when its client is dropped

select_biased skips a future that says it is terminated, and flume's receive says so once its channel is closed; the task of a dropped peer channel thus kept its connection until the idle timeout. The receive is fused at each turn now. The test failed before (connection open after 2 s) and passes after; share loans are covered by the round trip too.

--- a/crates/adapters/src/peer_channel.rs
+++ b/crates/adapters/src/peer_channel.rs
@@ -182,7 +182,8 @@
                         return ConnectionEnd::Violation;
                     }
                 }
-                command = self.commands.recv_async() => match command {
+                // Without `fuse`, the macro skips a channel that is closed.
+                command = self.commands.recv_async().fuse() => match command {
                     Err(_) => return ConnectionEnd::ChannelDropped,
                     Ok(PeerCommand::Send { envelope, written }) => {
                         if !self.write(&mut writer, envelope, written).await {
--- a/crates/adapters/tests/peer_frames.rs
+++ b/crates/adapters/tests/peer_frames.rs
@@ -17,8 +17,8 @@
 };
 use comfreyturn_proto::peer::{ConfigKnown, Envelope, HeartbeatAnswer, envelope::Body};
 use comfreyturn_types::{
-    ConfigChange, ConfigEntry, ConfigVersion, FencingNumber, GroupAssignment, GroupGeneration,
-    Incarnation, RosterMember, VmLoad, VmPhase, VmReport,
+    ConfigChange, ConfigEntry, ConfigVersion, CustomerName, FencingNumber, GroupAssignment,
+    GroupGeneration, Incarnation, RosterMember, VmLoad, VmPhase, VmReport,
 };
 use futures_util::future::join;
 use prost::Message;
@@ -82,6 +82,9 @@
                 }
                 PeerAnswer::ConfigEntries { entries: vec![entry(after.0 + 1)] }
             }
+            PeerQuestion::ShareLoan { customer, number, wanted } => {
+                PeerAnswer::ShareLoan { customer: customer.clone(), number: *number, lent: *wanted }
+            }
         };
         self.answering.set(self.answering.get() - 1);
         self.asked.borrow_mut().push(question);
@@ -158,6 +161,11 @@
     let reply = client.ask(Step::ConfigPush, &member(address), push.clone()).await.unwrap();
     assert_eq!(reply.answer, PeerAnswer::ConfigKnown { config: ConfigVersion(6) });
     assert_eq!(handler.asked.borrow()[1], push);
+    let (customer, number) = (CustomerName::from("north"), 3);
+    let loan = PeerQuestion::ShareLoan { customer: customer.clone(), number, wanted: 0.25 };
+    let reply = client.ask(Step::PeerHeartbeat, &member(address), loan.clone()).await.unwrap();
+    assert_eq!(reply.answer, PeerAnswer::ShareLoan { customer, number, lent: 0.25 });
+    assert_eq!(handler.asked.borrow()[2], loan);
 }
 
 #[compio::test]
@@ -345,6 +353,25 @@
     assert!(ask(&client, address).await.is_ok());
 }
 
+#[compio::test]
+async fn dropped_client_closes_its_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed, closing) = flume::bounded(1);
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        while let Some(question) = read_frame(&mut stream) {
+            write_frame(&mut stream, &right_answer(question).encode_to_vec());
+        }
+        closed.send(()).unwrap();
+    });
+    let client = client();
+    ask(&client, address).await.unwrap();
+    drop(client);
+    let closing = compio::time::timeout(Duration::from_secs(2), closing.recv_async()).await;
+    assert!(closing.is_ok(), "the connection is still open");
+}
+
 #[compio::test]
 async fn reconnects_when_a_peer_stays_silent() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
