--- a/crates/ctl/src/command_line.rs
+++ b/crates/ctl/src/command_line.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use crate::{DrainKind, EntityKind, load_verb::LoadShapeArgument};
+use comfreyturn_standin::LoadShape;
+
+use crate::{DrainKind, EntityKind};
 
 xflags::xflags! {
     /// Operates comfreyturn.
@@ -208,15 +210,19 @@
             /// The customer's key.
             required --key key: String
             /// Requests to send.
-            required --requests count: u64
-            /// Requests in progress at once.
+            required --requests count: u32
+            /// Requests in progress at once at most.
             required --concurrency count: u32
             /// Length of the prompts.
             optional --prompt-tokens count: u32
             /// Length of the answers.
             optional --output-tokens count: u32
             /// steady, or doors: everyone at once.
-            optional --shape shape: LoadShapeArgument
+            optional --shape shape: LoadShape
+            /// Requests a second, over the whole of the load.
+            optional --requests-per-second rate: f64
+            /// Draws arrival times and prompts.
+            optional --seed seed: u64
         }
     }
 }
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use comfreyturn_node::NodeError;
-use comfreyturn_standin::StandinError;
+use comfreyturn_standin::{LoadError, StandinError};
 
 use crate::{IntentError, UsageError};
 
@@ -98,6 +98,10 @@
         version: u64,
     },
 
+    /// A load makes no sense.
+    #[display("{_0}")]
+    Load(LoadError),
+
     /// A stand-in could not run.
     #[display("{_0}")]
     Standin(StandinError),
@@ -149,7 +153,9 @@
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Refused { .. } | Self::Conflict { .. } | Self::NotFound { .. } => EXIT_REFUSED,
-            Self::Usage(_) | Self::Intent(_) | Self::Unreadable { .. } => EXIT_USAGE,
+            Self::Usage(_) | Self::Intent(_) | Self::Unreadable { .. } | Self::Load(_) => {
+                EXIT_USAGE
+            }
             Self::Unavailable { .. }
             | Self::Pending { .. }
             | Self::Unreachable { .. }
--- a/crates/ctl/src/dispatch.rs
+++ b/crates/ctl/src/dispatch.rs
@@ -13,7 +13,7 @@
     command_line::{Apply, Comfreyturnctl, ComfreyturnctlCmd, Create, Drain, Set},
     create_change, delete_change,
     lab::run_lab,
-    load_verb::run_load,
+    load_verb::send_load,
     operator::{
         AcceptedView, ApplyOrder, DeclaredView, OperatorSession, RolloutView, StatusView,
         accepted_text, declared_config, follow, rollout_table, submit,
@@ -80,7 +80,7 @@
             }
             ComfreyturnctlCmd::Standin(standin) => run_standin(standin.subcommand).await,
             ComfreyturnctlCmd::Lab(lab) => run_lab(lab).await,
-            ComfreyturnctlCmd::Load(load) => run_load(self.to()?, self.json, load).await,
+            ComfreyturnctlCmd::Load(load) => send_load(self.to()?, self.json, load).await,
         }
     }
 
--- a/crates/ctl/tests/process_faults.rs
+++ b/crates/ctl/tests/process_faults.rs
@@ -5,17 +5,18 @@
 mod support;
 
 use std::{
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
-use comfreyturn_standin::content_hash;
+use comfreyturn_standin::{content_hash, invariants::DeathRecord};
+use comfreyturn_types::NodeId;
 use serde_json::{Value, json};
 use support::{
-    caller::{addresses_from, call_until_whole, start_callers},
+    caller::{CallerStory, addresses_from, call_until_whole, now_ms, start_callers},
     http::{self, HttpAnswer},
     process::wait_for,
-    site::{CUSTOMER_KEY, START_LIMIT, Site, SiteLayout, SiteServer, complete, run_node},
+    site::{CUSTOMER_KEY, START_LIMIT, Site, SiteLayout, SiteNode, SiteServer, complete, run_node},
 };
 
 /// A leaving backend server gets no new work from this time on.
@@ -49,6 +50,14 @@
     }
 }
 
+fn join_all(callers: Vec<JoinHandle<CallerStory>>) -> Vec<CallerStory> {
+    callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+}
+
+fn death_of(node: &SiteNode) -> DeathRecord {
+    DeathRecord { node: NodeId::from(node.callers.to_string()), at_ms: now_ms() }
+}
+
 fn bearer() -> String {
     format!("Bearer {CUSTOMER_KEY}")
 }
@@ -89,8 +98,10 @@
     let callers = start_callers(&addresses, "killed node", 16, 60, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
     site.nodes[0].process.kill();
-    let stories: Vec<_> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+    let death = death_of(&site.nodes[0]);
+    let stories = join_all(callers);
     assert!(stories.iter().any(|story| story.broken > 0), "the kill hit no answer: {stories:?}");
+    site.assert_promises(stories, vec![death]);
 }
 
 #[test]
@@ -106,10 +117,11 @@
     let callers = start_callers(&addresses, "killed engine", 16, 60, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
     site.engines[0].process.kill();
-    for caller in callers {
-        let story = caller.join().unwrap();
+    let stories = join_all(callers);
+    for story in &stories {
         assert_eq!((story.broken, story.failed.len()), (0, 0), "{story:?}");
     }
+    site.assert_promises(stories, Vec::new());
 }
 
 #[test]
@@ -201,14 +213,15 @@
     thread::sleep(Duration::from_millis(500));
     site.nodes[0].process.signal("TERM");
     let late = start_callers(&addresses, "late", 8, 100, CALLER_LIMIT);
-    for caller in early {
-        let story = caller.join().unwrap();
+    let mut stories = join_all(early);
+    for story in &stories {
         assert_eq!((story.broken, story.not_run, story.failed.len()), (0, 0, 0), "{story:?}");
     }
-    for caller in late {
-        let story = caller.join().unwrap();
+    for story in join_all(late) {
         assert_eq!((story.broken, story.failed.len()), (0, 0), "{story:?}");
+        stories.push(story);
     }
+    site.assert_promises(stories, Vec::new());
     assert_eq!(site.nodes[0].process.ended_within(START_LIMIT), Some(true));
     wait_for("roster without the node", START_LIMIT, || {
         let operators = site.nodes[1].operators.to_string();
@@ -265,11 +278,12 @@
     let answer = http::send(busy.address, "POST", "/control/leave", &[], "");
     assert!(answer.is_some_and(|answer| answer.status < 300));
     let start = Instant::now();
-    let mut served = 0;
+    let mut stories = Vec::new();
     while start.elapsed() < Duration::from_secs(8) {
-        call_until_whole(&addresses, &format!("leaving {served}"), 2, CALLER_LIMIT);
-        served += 1;
+        let prompt = format!("leaving {}", stories.len());
+        stories.push(call_until_whole(&addresses, &prompt, 2, CALLER_LIMIT));
     }
+    site.assert_promises(stories, Vec::new());
     let records = records(busy).unwrap();
     let left = records["leaving_ms"].as_u64().expect("it left");
     let late = records["executions"]
@@ -307,10 +321,11 @@
     assert_eq!(last.header("x-outcome"), Some("failed"), "{last:?}");
     assert_eq!(last.json()["error"]["reason"], "crashed-backends", "{last:?}");
     assert!(last.header("retry-after").is_some(), "{last:?}");
-    for caller in innocent {
-        let story = caller.join().unwrap();
+    let stories = join_all(innocent);
+    for story in &stories {
         assert_eq!(story.failed.len(), 0, "an innocent request was condemned: {story:?}");
     }
+    site.assert_promises(stories, Vec::new());
 }
 
 #[test]
--- a/crates/ctl/tests/support/caller.rs
+++ b/crates/ctl/tests/support/caller.rs
@@ -3,10 +3,15 @@
 use std::{
     net::SocketAddr,
     thread::{self, JoinHandle},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use comfreyturn_standin::{output_length, output_token};
+use comfreyturn_standin::{
+    content_hash,
+    invariants::{CallEnd, CallRecord},
+    output_length, output_token,
+};
+use comfreyturn_types::{NodeId, OutcomeWord, RequestId};
 
 use super::{
     http::HttpAnswer,
@@ -27,6 +32,32 @@
 
     /// Attempts that failed in words.
     pub failed: Vec<HttpAnswer>,
+
+    /// Every attempt, for the check of the promises.
+    pub calls: Vec<CallRecord>,
+}
+
+impl CallerStory {
+    fn record(&mut self, address: SocketAddr, prompt: &str, sent_ms: u64, end: CallEnd) {
+        let expected = u64::from(matches!(end, CallEnd::Whole { .. }));
+        self.calls.push(CallRecord {
+            request: RequestId::from(format!("{prompt}, attempt {}", self.calls.len() + 1)),
+            content_hash: content_hash(prompt.as_bytes()),
+            expected_hash: Some(expected),
+            key: None,
+            non_idempotent: false,
+            node: NodeId::from(address.to_string()),
+            sent_ms,
+            ended_ms: now_ms(),
+            end,
+        });
+    }
+}
+
+/// The present time on the clock of the stand-ins' records.
+pub fn now_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(elapsed.as_millis()).unwrap()
 }
 
 /// Sends a request until it has its whole answer, which must be right.
@@ -36,28 +67,41 @@
     tokens: u32,
     limit: Duration,
 ) -> CallerStory {
-    let end = Instant::now() + limit;
+    let give_up_at = Instant::now() + limit;
     let mut story = CallerStory::default();
     for address in addresses.iter().cycle() {
-        match complete(*address, prompt, tokens, &[]) {
-            Some(answer) if answer.status == 200 && answer.events().1 => {
+        let sent_ms = now_ms();
+        let answer = complete(*address, prompt, tokens, &[]);
+        let end = call_end(answer.as_ref());
+        story.record(*address, prompt, sent_ms, end);
+        match (end, answer) {
+            (CallEnd::Whole { .. }, Some(answer)) => {
                 assert_right(prompt, tokens, &answer);
                 return story;
             }
-            Some(answer) if answer.header("x-outcome") == Some("not-run") => story.not_run += 1,
-            Some(answer) if answer.status == 200 => {
+            (CallEnd::Outcome(OutcomeWord::NotRun), _) => story.not_run += 1,
+            (CallEnd::Cut, Some(answer)) => {
                 assert_prefix(prompt, &answer);
                 story.broken += 1;
             }
-            Some(answer) => story.failed.push(answer),
-            None => story.broken += 1,
+            (CallEnd::Outcome(_), Some(answer)) => story.failed.push(answer),
+            _ => story.broken += 1,
         }
-        assert!(Instant::now() < end, "no whole answer within {limit:?}: {story:?}");
+        assert!(Instant::now() < give_up_at, "no whole answer within {limit:?}: {story:?}");
         thread::sleep(COMEBACK_PAUSE);
     }
     unreachable!("addresses never end")
 }
 
+/// How an attempt ended for its caller. Whole answers are compared token by token elsewhere.
+fn call_end(answer: Option<&HttpAnswer>) -> CallEnd {
+    let Some(answer) = answer else { return CallEnd::Missing };
+    if let Some(word) = answer.header("x-outcome") {
+        return CallEnd::Outcome(word.parse().unwrap());
+    }
+    if answer.events().1 { CallEnd::Whole { answer_hash: 1 } } else { CallEnd::Cut }
+}
+
 /// Starts callers, each with a prompt of its own, which begin with the same node.
 pub fn start_callers(
     addresses: &[SocketAddr],
--- a/crates/ctl/tests/support/site.rs
+++ b/crates/ctl/tests/support/site.rs
@@ -2,9 +2,15 @@
 
 use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
 
+use comfreyturn_standin::{
+    EngineRecords, PlainRecords,
+    invariants::{CheckSettings, DeathRecord, RunRecords, check_promises},
+};
+use comfreyturn_types::VmId;
 use serde_json::Value;
 
 use super::{
+    caller::CallerStory,
     http::{self, HttpAnswer},
     process::{
         OwnProcess, ctl_binary, free_address, node_binary, run_ctl, scratch_directory, wait_for,
@@ -115,6 +121,27 @@
         });
     }
 
+    /// Checks the promises by the records of all stand-ins that still run.
+    pub fn assert_promises(&self, stories: Vec<CallerStory>, deaths: Vec<DeathRecord>) {
+        let mut records = RunRecords { deaths, ..RunRecords::default() };
+        records.calls.extend(stories.into_iter().flat_map(|story| story.calls));
+        for engine in &self.engines {
+            let Some(answer) = http::send(engine.address, "GET", "/control/records", &[], "")
+            else {
+                continue;
+            };
+            let engine_records: EngineRecords = serde_json::from_str(&answer.body).unwrap();
+            assert_eq!(engine_records.foreign_output, 0, "{} got foreign output", engine.name);
+            records.add_engine(&VmId::from(engine.name.as_str()), engine_records);
+        }
+        if let Some(answer) = http::send(self.plain.address, "GET", "/control/records", &[], "") {
+            let plain_records: PlainRecords = serde_json::from_str(&answer.body).unwrap();
+            records.add_plain(&VmId::from(self.plain.name.as_str()), plain_records);
+        }
+        let violations = check_promises(&records, &CheckSettings::default());
+        assert!(violations.is_empty(), "promises broken: {violations:#?}");
+    }
+
     /// What the first node says of nodes, groups and VMs.
     pub fn status(&self) -> Option<Value> {
         let output = self.ctl(&["status", "--json"]);
