--- a/crates/ctl/tests/process_faults.rs
+++ b/crates/ctl/tests/process_faults.rs
@@ -54,6 +54,7 @@
     callers.into_iter().map(|caller| caller.join().unwrap()).collect()
 }
 
+/// Noted before the kill, which callers may feel first.
 fn death_of(node: &SiteNode) -> DeathRecord {
     DeathRecord { node: NodeId::from(node.callers.to_string()), at_ms: now_ms() }
 }
@@ -97,8 +98,8 @@
     let addresses = addresses_from(site.nodes[0].callers);
     let callers = start_callers(&addresses, "killed node", 16, 60, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
-    site.nodes[0].process.kill();
     let death = death_of(&site.nodes[0]);
+    site.nodes[0].process.kill();
     let stories = join_all(callers);
     assert!(stories.iter().any(|story| story.broken > 0), "the kill hit no answer: {stories:?}");
     site.assert_promises(stories, vec![death]);
--- a/crates/standin/src/invariants/check_settings.rs
+++ b/crates/standin/src/invariants/check_settings.rs
@@ -15,6 +15,6 @@
 
 impl Default for CheckSettings {
     fn default() -> Self {
-        Self { absence_ms: 1_000, leaving_ms: 5_000, config_ms: 5_000 }
+        Self { absence_ms: 1_000, leaving_ms: 3_000, config_ms: 7_000 }
     }
 }
--- a/crates/standin/tests/invariants.rs
+++ b/crates/standin/tests/invariants.rs
@@ -117,13 +117,13 @@
         ],
         acceptances: vec![ConfigAcceptance { version: ConfigVersion(2), at_ms: 1_000 }],
         configs: vec![
-            config(6_000, 1),
-            config(6_001, 2),
+            config(8_000, 1),
+            config(8_001, 2),
             ConfigReport { admits: false, node: "n2".into(), ..config(9_000, 1) },
         ],
         leavings: vec![LeavingRecord { vm: "a".into(), at_ms: 2_000, until_ms: Some(9_000) }],
         dispatches: vec![
-            DispatchRecord { vm: "a".into(), at_ms: 7_000 },
+            DispatchRecord { vm: "a".into(), at_ms: 5_000 },
             DispatchRecord { vm: "a".into(), at_ms: 9_000 },
             DispatchRecord { vm: "b".into(), at_ms: 8_000 },
         ],
@@ -192,8 +192,8 @@
         run.calls[0].non_idempotent = true;
         run.executions.push(execution("a", "g1", 3_000, 3_100));
     });
-    add(PromiseViolation::WorkAfterLeaving { vm: "a".into(), after_ms: 5_001 }, &|run| {
-        run.dispatches[0].at_ms = 7_001;
+    add(PromiseViolation::WorkAfterLeaving { vm: "a".into(), after_ms: 3_001 }, &|run| {
+        run.dispatches[0].at_ms = 5_001;
     });
     let interrupted = PromiseViolation::InterruptedCall { node: "n1".into(), request: "r2".into() };
     add(interrupted, &|run| run.shutdowns[0].node = "n1".into());
@@ -201,9 +201,9 @@
         node: "n1".into(),
         version: ConfigVersion(1),
         accepted: ConfigVersion(2),
-        at_ms: 6_001,
+        at_ms: 8_001,
     };
-    add(late, &|run| run.configs[0].at_ms = 6_001);
+    add(late, &|run| run.configs[0].at_ms = 8_001);
     let reverted = PromiseViolation::RevertedConfig {
         node: "n1".into(),
         from: ConfigVersion(3),
