Say that the lab is ready once every node admits requests

The lab's line came when groups served, but nodes that had just joined held no share of customers' limits: of 500 requests sent at 100 a second right after the line, 149 were refused, most of them limit-reached. Waiting a fixed time was ruled out; the lab now sends each customer's one-token completion to each node until it is answered.

--- /dev/null
+++ b/crates/ctl/benches/control_cost.rs
@@ -0,0 +1,73 @@
+//! What control costs a node at rest, over the number of nodes and of backend servers.
+//!
+//! `cargo bench -p comfreyturn_ctl --bench control_cost -- 3x60 9x60 9x500`
+//!
+//! Each argument is nodes x backend servers. Nodes are processes of their own; CPU and memory come
+//! from `/proc`, bytes from the nodes' own count. Bytes of TCP and IP heads are not counted.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use comfreyturn_standin::EngineSettings;
+use support::{BenchSite, NodeUsage};
+
+/// Time after the start that is not measured.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Time that is measured.
+const MEASURE_TIME: Duration = Duration::from_secs(15);
+
+/// VMs in each group.
+const VMS_PER_GROUP: usize = 2;
+
+/// Threads that the backend servers share.
+const ENGINE_THREADS: usize = 2;
+
+fn main() {
+    let shapes: Vec<(usize, usize)> = std::env::args().filter_map(|text| shape(&text)).collect();
+    println!(
+        "nodes  servers  cpu % of a core  memory MB  sent B/s  received B/s  table reads/s  \
+         commits/s"
+    );
+    for (nodes, servers) in shapes {
+        measure(nodes, servers);
+    }
+}
+
+fn shape(text: &str) -> Option<(usize, usize)> {
+    let (nodes, servers) = text.split_once('x')?;
+    Some((nodes.parse().ok()?, servers.parse().ok()?))
+}
+
+fn measure(nodes: usize, servers: usize) {
+    let name = format!("control-cost-{nodes}-{servers}");
+    let engine =
+        EngineSettings { member_period: Duration::from_secs(3600), ..EngineSettings::default() };
+    let site = BenchSite::start(&name, nodes, servers, ENGINE_THREADS, &engine);
+    site.wait_for_roster();
+    let groups = servers / VMS_PER_GROUP;
+    site.declare(groups, VMS_PER_GROUP);
+    site.wait_for_groups(groups);
+    thread::sleep(SETTLE_TIME);
+    let before: Vec<NodeUsage> = site.nodes.iter().map(|node| node.usage()).collect();
+    let table_before = site.table_calls();
+    thread::sleep(MEASURE_TIME);
+    let after: Vec<NodeUsage> = site.nodes.iter().map(|node| node.usage()).collect();
+    let table_after = site.table_calls();
+    let seconds = MEASURE_TIME.as_secs_f64();
+    let rate = |used: fn(&NodeUsage) -> f64| {
+        let used_by = before.iter().zip(&after).map(|(before, after)| used(after) - used(before));
+        used_by.sum::<f64>() / seconds / nodes as f64
+    };
+    let memory = after.iter().map(|usage| usage.memory_bytes).sum::<f64>() / nodes as f64;
+    println!(
+        "{nodes:>5}  {servers:>7}  {:>15.2}  {:>9.1}  {:>8.0}  {:>12.0}  {:>13.1}  {:>9.1}",
+        100.0 * rate(|usage| usage.cpu_seconds),
+        memory / 1e6,
+        rate(|usage| usage.sent_bytes),
+        rate(|usage| usage.received_bytes),
+        (table_after.0 - table_before.0) / seconds,
+        (table_after.1 - table_before.1) / seconds,
+    );
+}
--- a/crates/ctl/src/lab/lab_ready.rs
+++ b/crates/ctl/src/lab/lab_ready.rs
@@ -5,8 +5,15 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_types::{ServiceBackend, ServiceIntent};
+use bytes::Bytes;
+use comfreyturn_adapters::{ByteMeter, HttpPool, HttpSettings};
+use comfreyturn_types::{CustomerIntent, ServiceBackend, ServiceIntent};
 use compio::time::sleep;
+use http::{
+    Request, StatusCode,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
+use http_body_util::Full;
 
 use crate::{
     CtlError, IntentFile, Result,
@@ -16,6 +23,9 @@
 /// Time until a lab must serve.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time for one completion.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 
 /// Declares the sample, then waits until every node sees all nodes, groups and plain servers.
@@ -34,6 +44,37 @@
     Ok(())
 }
 
+/// Waits until every node admits requests of every customer: a node that has just joined may hold
+/// no share of their limits yet.
+pub(crate) async fn await_admission(callers: &[SocketAddr], intent: &IntentFile) -> Result<()> {
+    let deadline = Instant::now() + READY_TIMEOUT;
+    let mut services = intent.services.iter().map(|service| &service.value);
+    let model_service = services.find(|service| service.backend != ServiceBackend::Plain);
+    let Some(service) = model_service else { return Ok(()) };
+    for caller in callers {
+        for customer in &intent.customers {
+            while !admits(*caller, &customer.value, service).await {
+                wait(deadline).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Whether a node answers a completion of one token.
+async fn admits(caller: SocketAddr, customer: &CustomerIntent, service: &ServiceIntent) -> bool {
+    let body = serde_json::json!({"model": service.name, "prompt": "ready", "max_tokens": 1});
+    let request = Request::post("/v1/completions")
+        .header(CONTENT_TYPE, "application/json")
+        .header(AUTHORIZATION, format!("Bearer {}", customer.key))
+        .body(Full::new(Bytes::from(body.to_string())));
+    let Ok(request) = request else { return false };
+    let pool = HttpPool::new(HttpSettings::default(), ByteMeter::default());
+    let Ok(answer) = pool.send(caller, request, PROBE_TIMEOUT).await else { return false };
+    let answer = answer.whole(PROBE_TIMEOUT).await;
+    answer.is_ok_and(|answer| answer.head.status == StatusCode::OK)
+}
+
 /// Asks for the sample under one name until a majority of nodes has accepted it.
 async fn declare(operator: SocketAddr, intent: &IntentFile, deadline: Instant) -> Result<()> {
     let order = ApplyOrder::new(intent.changes());
--- a/crates/ctl/src/lab/lab_run.rs
+++ b/crates/ctl/src/lab/lab_run.rs
@@ -16,7 +16,7 @@
         lab_backends::{run_backends, run_platform},
         lab_layout::{LabLayout, SAMPLE_INTENT},
         lab_nodes::{LabNode, join, start_thread},
-        lab_ready::make_ready,
+        lab_ready::{await_admission, make_ready},
     },
     stop_signals::stop_signals,
 };
@@ -90,8 +90,10 @@
         ending: impl Future<Output = ()>,
     ) -> Result<()> {
         let operators: Vec<_> = layout.nodes.iter().map(|node| node.operator_address).collect();
+        let callers: Vec<_> = layout.nodes.iter().map(|node| node.caller_address).collect();
         let life = async {
             make_ready(&operators, intent, layout.plain.len()).await?;
+            await_admission(&callers, intent).await?;
             print_json(&ready_line(layout, intent));
             match seconds {
                 Some(seconds) => sleep(Duration::from_secs(seconds)).await,
