Measure routing, limits and retries on a queueing model

Cause: the routers' and the queue's settings had no measurement behind them. Prefix affinity stops at 75 % of a group's capacity, reports decay within 1 s, four choices in place of two; CapacityShare fills 75 % of slots and gives up 5 % for others.

--- /dev/null
+++ b/crates/policy/benches/model/mod.rs
@@ -0,0 +1,14 @@
+//! A queueing model of groups with continuous batching, prefix caches and late load reports, and of
+//! nodes that route to them independently.
+//!
+//! [`run_model`] drives the real policies through virtual time. The same settings and seed give the
+//! same summary.
+
+pub mod engine_model;
+mod event_queue;
+pub mod model_settings;
+mod model_summary;
+mod node_model;
+mod request_source;
+
+pub use node_model::run_model;
--- a/crates/policy/src/capacity_share.rs
+++ b/crates/policy/src/capacity_share.rs
@@ -16,6 +16,10 @@
     /// Part of an even split that a node may always use, so that a node that was idle can start.
     pub floor: f64,
 
+    /// Part of what it runs that a node gives up for all to share, so that nodes with the same
+    /// demand come to hold the same.
+    pub cede: f64,
+
     /// Requests that a group holds at once if it does not say.
     pub default_capacity: u32,
 
@@ -25,16 +29,22 @@
 
 impl Default for CapacityShareSettings {
     fn default() -> Self {
-        Self { fill: 0.85, floor: 0.25, default_capacity: 16, history: Duration::from_secs(15) }
+        Self {
+            fill: 0.75,
+            floor: 0.25,
+            cede: 0.05,
+            default_capacity: 16,
+            history: Duration::from_secs(15),
+        }
     }
 }
 
 /// Splits the slots of a service's groups over the nodes, by demand and without messages.
 ///
-/// A node may run what it ran when the reported load was measured, and an even part of the slots
-/// that were free then. Since each node takes only its part, the sum stays within the slots however
-/// late reports are; since a node that has less to do leaves slots free for all, they move to where
-/// the demand is.
+/// A node may run most of what it ran when the reported load was measured, and an even part of what
+/// was free then and of what all nodes give up. Since each node takes only its part, the sum stays
+/// within the slots however late reports are; since a node that has less to do leaves slots free for
+/// all, they move to where the demand is.
 #[derive(Debug)]
 pub struct CapacityShare {
     settings: CapacityShareSettings,
@@ -67,8 +77,12 @@
             .sum();
         let even = slots / nodes.max(1) as f64;
         let own = f64::from(self.running_at(reported_at));
-        let free = slots - load;
-        let part = if free >= 0.0 { own + free / nodes.max(1) as f64 } else { own * slots / load };
+        let part = if load > slots {
+            own * slots / load
+        } else {
+            let shared = slots - load + self.settings.cede * load;
+            own * (1.0 - self.settings.cede) + shared / nodes.max(1) as f64
+        };
         ceil(part.max(self.settings.floor * even).min(slots))
     }
 
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -21,13 +21,13 @@
     /// What a customer that was idle may use at once, as time at its share.
     pub burst: Duration,
 
-    /// Longest predicted wait of an interactive request.
+    /// Longest wait of an interactive request, predicted or real.
     pub max_interactive_wait: Duration,
 
-    /// Longest predicted wait of a standard request.
+    /// Longest wait of a standard request, predicted or real.
     pub max_standard_wait: Duration,
 
-    /// Longest predicted wait of a batch request.
+    /// Longest wait of a batch request, predicted or real.
     pub max_batch_wait: Duration,
 
     /// Requests of a service that may wait at once.
@@ -47,9 +47,9 @@
 impl Default for FairQueueSettings {
     fn default() -> Self {
         Self {
-            burst: Duration::from_secs(2),
-            max_interactive_wait: Duration::from_millis(300),
-            max_standard_wait: Duration::from_millis(300),
+            burst: Duration::from_secs(5),
+            max_interactive_wait: Duration::from_millis(250),
+            max_standard_wait: Duration::from_millis(250),
             max_batch_wait: Duration::from_secs(30),
             max_waiting: 10_000,
             initial_tokens_per_second: 50.0,
@@ -69,9 +69,6 @@
     }
 }
 
-/// A request leaves the queue once it waited for this many times its class's longest wait.
-const EXPIRY_RATIO: u32 = 2;
-
 /// Admits requests within their customers' limits, in weighted fair order by customer, and within a
 /// customer by class; refuses at once what would wait for too long.
 ///
@@ -174,9 +171,7 @@
             class: query.class,
             weight: weight_of(query),
             cost: cost_of(query),
-            expires_at: query
-                .deadline
-                .min(now + self.settings.max_wait(query.class) * EXPIRY_RATIO),
+            expires_at: query.deadline.min(now + self.settings.max_wait(query.class)),
             deadline: query.deadline,
         }
     }
--- a/crates/policy/src/load_router.rs
+++ b/crates/policy/src/load_router.rs
@@ -33,6 +33,10 @@
     /// A preferred group is always taken while its load is below this share of its capacity.
     pub affinity_slack: f64,
 
+    /// A preferred group is never taken above this share of its capacity: a request that has to wait
+    /// there loses more time than a cached prefix saves.
+    pub affinity_cap: f64,
+
     /// Requests that a group holds at once if it does not say.
     pub default_capacity: u32,
 
@@ -49,11 +53,12 @@
 impl Default for LoadRouterSettings {
     fn default() -> Self {
         Self {
-            choices: 2,
-            report_decay: Duration::from_secs(4),
-            affinity_groups: 2,
+            choices: 4,
+            report_decay: Duration::from_secs(1),
+            affinity_groups: 3,
             affinity_bound: 1.25,
             affinity_slack: 0.25,
+            affinity_cap: 0.75,
             default_capacity: 16,
             queue_share: 0.25,
             stragglers: StragglerSettings::default(),
@@ -72,13 +77,27 @@
     /// Position among the offered groups.
     index: usize,
 
-    /// Estimated requests at the group, as a share of its capacity.
+    /// See [`LoadEstimate::load`].
     load: f64,
 
+    /// See [`LoadEstimate::crowd`].
+    crowd: f64,
+
     /// Whether the group is aside or on the query's avoid list.
     rank: CandidateRank,
 }
 
+/// Estimated requests at a group, as shares of its capacity.
+#[derive(Clone, Copy, Debug)]
+struct LoadEstimate {
+    /// The estimate to choose by, with late reports discounted.
+    load: f64,
+
+    /// The estimate by which a group is too crowded to be preferred. The nodes prefer the same
+    /// groups for a prefix, so a report of many requests there is not discounted.
+    crowd: f64,
+}
+
 /// Groups of a later rank are used only if none of the ranks before has room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum CandidateRank {
@@ -87,7 +106,7 @@
     Avoided,
 }
 
-/// Routes by prefix affinity with a bound on load, else to the less loaded of two random groups.
+/// Routes by prefix affinity with a bound on load, else to the least loaded of a few random groups.
 ///
 /// The load of a group is the number of own attempts there plus what others had there when its
 /// load was measured. The older a report, the more the mean of all groups takes its place, so that
@@ -148,8 +167,7 @@
         (-age / self.settings.report_decay.as_secs_f64().max(f64::MIN_POSITIVE)).exp()
     }
 
-    /// Estimated load of each group, as a share of its capacity.
-    fn estimate_loads(&mut self, now: Instant, groups: &[WholeGroup]) -> Vec<f64> {
+    fn estimate_loads(&mut self, now: Instant, groups: &[WholeGroup]) -> Vec<LoadEstimate> {
         let others: Vec<f64> = groups
             .iter()
             .map(|group| self.group_load(now, group).others_at_report(group) / self.capacity(group))
@@ -158,7 +176,9 @@
         let estimate = |(group, others): (&WholeGroup, f64)| {
             let weight = self.report_weight(now, group);
             let own = f64::from(self.groups[&group.assignment.group].in_flight);
-            own / self.capacity(group) + weight * others + (1.0 - weight) * mean
+            let own = own / self.capacity(group);
+            let load = own + weight * others + (1.0 - weight) * mean;
+            LoadEstimate { load, crowd: load.max(own + others) }
         };
         groups.iter().zip(others).map(estimate).collect()
     }
@@ -168,16 +188,17 @@
         &self,
         query: &RouteQuery,
         groups: &[WholeGroup],
-        loads: Vec<f64>,
+        loads: Vec<LoadEstimate>,
     ) -> Vec<RouteCandidate> {
         let full = 1.0 + self.settings.queue_share;
         groups
             .iter()
             .zip(loads)
             .enumerate()
-            .map(|(index, (group, load))| RouteCandidate {
+            .map(|(index, (group, LoadEstimate { load, crowd }))| RouteCandidate {
                 index,
                 load,
+                crowd,
                 rank: self.rank(query, &group.assignment.group),
             })
             .filter(|candidate| candidate.load < full)
@@ -216,7 +237,9 @@
     ) -> Option<usize> {
         let mean = candidates.iter().map(|candidate| candidate.load).sum::<f64>()
             / candidates.len().max(1) as f64;
-        let bound = (mean * self.settings.affinity_bound).max(self.settings.affinity_slack);
+        let bound = (mean * self.settings.affinity_bound)
+            .max(self.settings.affinity_slack)
+            .min(self.settings.affinity_cap);
         let mut ranked: Vec<_> = candidates
             .iter()
             .map(|candidate| {
@@ -226,7 +249,7 @@
             .collect();
         ranked.sort_unstable_by_key(|(hash, _)| std::cmp::Reverse(*hash));
         let mut preferred = ranked.iter().take(self.settings.affinity_groups);
-        preferred.find(|(_, candidate)| candidate.load <= bound).map(|(_, found)| found.index)
+        preferred.find(|(_, candidate)| candidate.crowd <= bound).map(|(_, found)| found.index)
     }
 
     /// The least loaded of some groups drawn at random.
--- a/crates/policy/src/share_retry_budget.rs
+++ b/crates/policy/src/share_retry_budget.rs
@@ -26,7 +26,7 @@
 
 impl Default for RetryBudgetSettings {
     fn default() -> Self {
-        Self { share: 0.1, floor: 3, window: Duration::from_secs(10), slots: 10 }
+        Self { share: 0.1, floor: 2, window: Duration::from_secs(10), slots: 10 }
     }
 }
 
