--- a/crates/ctl/benches/node_speed.rs
+++ b/crates/ctl/benches/node_speed.rs
@@ -53,7 +53,7 @@
     let reports: Vec<LoadReport> =
         callers.into_iter().map(|caller| caller.join().expect("callers end")).collect();
     let after = node.usage();
-    let whole: u64 = reports.iter().map(|report| u64::from(report.whole)).sum();
+    let whole: u64 = reports.iter().map(|report| report.whole).sum();
     let cpu = after.cpu_seconds - before.cpu_seconds;
     println!("whole answers        {whole} of {}", rate * seconds);
     println!("node CPU             {cpu:.2} s");
