Test that groups with and without a member never overlap

Change: engines load in 100 ms, nodes are cut off in turn while members and versions change; a member is drained in the matrix too.

--- a/crates/control/tests/outages.rs
+++ b/crates/control/tests/outages.rs
@@ -6,7 +6,10 @@
 
 use comfreyturn_standin::fakes::{FaultEndpoint, FaultSettings};
 use comfreyturn_types::*;
-use support::{ControlCell, SERVICE, customer_change, declared_groups, node_name};
+use support::{
+    ControlCell, SERVICE, customer_change, declared_groups, model_version, node_name,
+    service_of_version,
+};
 
 fn assert_held(cell: &ControlCell) {
     assert!(cell.check.violations.is_empty(), "{:#?}", cell.check.violations);
@@ -17,6 +20,32 @@
     nodes.iter().all(|(node, control)| control.is_fresh(cell.node_now(node)))
 }
 
+/// Lets a node hear neither backend servers nor peers, so that it goes on with what it knows.
+fn cut_off(cell: &ControlCell, node: &NodeId, span: Duration) {
+    let own = FaultEndpoint::Node(node.clone());
+    let vms = (0..10).map(|index| VmId::from(format!("vm-{}-{}", index / 5, index % 5)));
+    let peers = (1..=5).map(node_name).filter(|peer| peer != node);
+    let others = vms.map(FaultEndpoint::Vm).chain(peers.map(FaultEndpoint::Node));
+    for other in others {
+        cell.plan.cut(own.clone(), other, true, span);
+    }
+}
+
+/// Cuts off all nodes but the planner's in turn, so that some always go by what they knew.
+fn run_with_cuts(cell: &mut ControlCell, span: Duration) {
+    let end = cell.clock.elapsed() + span;
+    for number in (1..=5).cycle() {
+        if cell.clock.elapsed() >= end {
+            return;
+        }
+        let node = node_name(number);
+        if cell.planner() != Some(node.clone()) {
+            cut_off(cell, &node, Duration::from_millis(2300));
+        }
+        cell.run(Duration::from_millis(700));
+    }
+}
+
 #[test]
 fn table_outage_stops_nothing() {
     let mut cell = ControlCell::started(FaultSettings::default());
@@ -125,6 +154,37 @@
     assert_held(&cell);
 }
 
+/// Every VM is in use, so that each group of the new version takes VMs of an old one.
+#[test]
+fn version_change_moves_vms_between_groups() {
+    let mut cell = ControlCell::started(FaultSettings::default());
+    cell.apply(vec![declared_groups(4)]);
+    cell.await_groups(4);
+    cell.apply(vec![
+        ConfigChange::PutModelVersion(model_version("v2")),
+        service_of_version("v2", 4),
+    ]);
+    run_with_cuts(&mut cell, Duration::from_secs(120));
+    cell.await_groups(4);
+    let node = node_name(1);
+    let control = cell.nodes.borrow()[&node].clone();
+    let groups = control.whole_groups(cell.node_now(&node), &SERVICE.into());
+    assert!(groups.iter().all(|group| group.assignment.version == "v2".into()));
+    assert_held(&cell);
+}
+
+#[test]
+fn drained_member_is_replaced_without_overlap() {
+    let mut cell = ControlCell::started(FaultSettings::default());
+    for index in [0, 2] {
+        let vm = VmId::from(format!("vm-0-{index}"));
+        cell.apply(vec![ConfigChange::SetVmDrained { vm, drained: true }]);
+        run_with_cuts(&mut cell, Duration::from_secs(20));
+    }
+    cell.await_groups(2);
+    assert_held(&cell);
+}
+
 /// An engine that ignores fencing numbers obeys an order of an earlier holder.
 #[test]
 fn stale_order_costs_downtime_only() {
@@ -136,8 +196,9 @@
     let assignment = stale.assignment.as_mut().unwrap();
     assignment.group = "g-earlier".into();
     cell.engines.order(&vm, &stale).unwrap();
-    cell.run(Duration::from_secs(3));
-    assert!((1..=5).all(|number| cell.whole_at(&node_name(number)) < 2));
+    for number in 1..=5 {
+        cell.run_until(3, "the mismatch shows", |cell| cell.whole_at(&node_name(number)) < 2);
+    }
     cell.await_groups(2);
     assert_held(&cell);
 }
--- a/crates/control/tests/support/control_cell.rs
+++ b/crates/control/tests/support/control_cell.rs
@@ -62,7 +62,7 @@
         for index in 0..2 * ENGINES_PER_DOMAIN {
             let record = engine_record(index);
             let checks_fencing = index % 2 == 0;
-            let loading = Duration::from_secs(3);
+            let loading = Duration::from_millis(100);
             engines.start(&record.vm, MemoryEngineSettings { checks_fencing, loading });
             records.push(record);
         }
@@ -103,15 +103,7 @@
             let nodes = cell.nodes.borrow();
             nodes.values().all(|n| n.config().roster.current.members.len() == NODES as usize)
         });
-        cell.apply(vec![
-            ConfigChange::PutModelVersion(ModelVersion {
-                model: "drafts".into(),
-                version: "v1".into(),
-                vms_per_group: GROUP_SIZE,
-                weight_bytes: 1,
-            }),
-            declared_groups(2),
-        ]);
+        cell.apply(vec![ConfigChange::PutModelVersion(model_version("v1")), declared_groups(2)]);
         cell.await_groups(2);
         cell
     }
@@ -270,13 +262,28 @@
     NodeId::from(format!("node-{number}"))
 }
 
+/// A version of the service's model.
+pub fn model_version(version: &str) -> ModelVersion {
+    ModelVersion {
+        model: "drafts".into(),
+        version: version.into(),
+        vms_per_group: GROUP_SIZE,
+        weight_bytes: 1,
+    }
+}
+
 /// Sets how many groups the service should have.
 pub fn declared_groups(groups: u32) -> ConfigChange {
+    service_of_version("v1", groups)
+}
+
+/// Sets which version the service runs, and how many groups it should have.
+pub fn service_of_version(version: &str, groups: u32) -> ConfigChange {
     ConfigChange::PutService(ServiceIntent {
         name: SERVICE.into(),
         backend: ServiceBackend::Model(ModelBackend {
             model: "drafts".into(),
-            version: "v1".into(),
+            version: version.into(),
             adapters: Vec::new(),
             groups,
             rank: 0,
--- a/crates/control/tests/support/fault_case.rs
+++ b/crates/control/tests/support/fault_case.rs
@@ -6,7 +6,7 @@
 use comfreyturn_standin::fakes::{
     Fault, FaultEndpoint, FaultRule, FaultSettings, FiredFault, LocalSpawner,
 };
-use comfreyturn_types::{NodeId, VmId};
+use comfreyturn_types::{ConfigChange, NodeId, VmId};
 
 use super::{ControlCell, NODES, SERVICE, customer_change, declared_groups, node_name};
 
@@ -63,6 +63,7 @@
     cell.submit(vec![declared_groups(3)]);
     cell.run(Duration::from_secs(12));
     lose_and_revive_member(cell);
+    drain_member(cell);
     restart_node(cell, &node_name(2));
     cell.submit(vec![customer_change(3)]);
     cell.run(Duration::from_secs(2));
@@ -107,6 +108,14 @@
     cell.run(Duration::from_secs(8));
 }
 
+/// Drains a member that still serves, so that its group goes on with another one.
+fn drain_member(cell: &mut ControlCell) {
+    let Some(vm) = some_member(cell) else { return };
+    cell.submit(vec![ConfigChange::SetVmDrained { vm: vm.clone(), drained: true }]);
+    cell.run(Duration::from_secs(8));
+    cell.submit(vec![ConfigChange::SetVmDrained { vm, drained: false }]);
+}
+
 fn restart_node(cell: &mut ControlCell, node: &NodeId) {
     cell.plan.kill(node);
     cell.run(Duration::from_secs(1));
