--- a/crates/control/src/apply_command.rs
+++ b/crates/control/src/apply_command.rs
@@ -56,7 +56,10 @@
 }
 
 /// Why a change has no good result.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
 pub enum ApplyError {
     /// Not applied: the configuration is not what the change was decided on.
     #[display("conflict at version {current}: {subject}")]
--- a/crates/control/src/config_apply.rs
+++ b/crates/control/src/config_apply.rs
@@ -26,6 +26,9 @@
 /// The pause before a member that does not know a version is told again.
 const PUSH_PAUSE: Duration = Duration::from_millis(200);
 
+/// Histogram of how long changes take, by outcome.
+const APPLY_SECONDS: &str = "comfreyturn_config_apply_seconds";
+
 /// What came of one attempt to write a change.
 enum CommitAttempt {
     /// It took effect as this version.
@@ -42,7 +45,19 @@
     /// Applies changes. Returns their version once they are accepted: durable in the table, and
     /// known to a strict majority of the roster.
     pub async fn apply(&self, command: ApplyCommand) -> ApplyResult<ConfigVersion> {
-        let version = self.write_change(&command).await?;
+        let asked_at = self.now();
+        let result = self.write_and_accept(&command).await;
+        let outcome: &'static str = match &result {
+            Ok(_) => "accepted",
+            Err(error) => error.into(),
+        };
+        let elapsed = self.now().saturating_duration_since(asked_at);
+        metrics::histogram!(APPLY_SECONDS, "outcome" => outcome).record(elapsed);
+        result
+    }
+
+    async fn write_and_accept(&self, command: &ApplyCommand) -> ApplyResult<ConfigVersion> {
+        let version = self.write_change(command).await?;
         self.await_accepted(&command.operation, version, &command.gone_nodes).await
     }
 
--- a/crates/control/src/group_loop.rs
+++ b/crates/control/src/group_loop.rs
@@ -27,6 +27,9 @@
 /// New groups that one round may form.
 const MAX_NEW_GROUPS: usize = 64;
 
+/// Counter of what the planner did, by action.
+const PLANNER_ACTIONS: &str = "comfreyturn_planner_actions_total";
+
 /// What the holder of the planner's lease remembers between rounds.
 pub(crate) struct PlannerDesk {
     /// Decides on groups.
@@ -197,13 +200,14 @@
     /// all rows.
     fn settle(
         &self,
-        verb: &str,
+        verb: &'static str,
         subject: &str,
         outcome: TableResult<CommitOutcome>,
     ) -> TableResult<()> {
         match outcome {
             Ok(CommitOutcome::Committed) => {
                 log::info!("planner: {verb} {subject}.");
+                metrics::counter!(PLANNER_ACTIONS, "action" => verb).increment(1);
                 Ok(())
             }
             Ok(CommitOutcome::Conflict(keys)) => {
--- a/crates/control/src/node_control.rs
+++ b/crates/control/src/node_control.rs
@@ -248,8 +248,9 @@
     async fn answer(&self, from: &PeerIdentity, question: PeerQuestion) -> PeerAnswer {
         match question {
             PeerQuestion::Heartbeat { config, cursor } => {
-                let run = (from.node.clone(), from.incarnation);
-                self.record_known(run, config);
+                if from.cell == self.cell {
+                    self.record_known((from.node.clone(), from.incarnation), config);
+                }
                 PeerAnswer::Heartbeat {
                     config: self.log.version(),
                     leaving: self.leaving.get(),
--- a/crates/control/src/peer_loop.rs
+++ b/crates/control/src/peer_loop.rs
@@ -106,7 +106,7 @@
         if let Some(peer) = self.peers.borrow_mut().get_mut(&run) {
             peer.asked_at = Some(asked_at);
             peer.config = config;
-            peer.leaving = leaving;
+            peer.leaving |= leaving;
             peer.in_flight = in_flight;
         }
         let news = relayed.take_in(asked_at, watch);
--- a/crates/control/src/peer_view.rs
+++ b/crates/control/src/peer_view.rs
@@ -17,7 +17,7 @@
     /// The version that it last said to know.
     pub config: ConfigVersion,
 
-    /// Whether it is leaving.
+    /// Whether it is leaving. Invariant: once true, it stays so.
     pub leaving: bool,
 
     /// Requests in progress there.
--- a/crates/control/tests/config_apply.rs
+++ b/crates/control/tests/cell/config_apply.rs
@@ -1,16 +1,14 @@
 //! Answers to operators.
 
-mod support;
-
 use std::collections::BTreeSet;
 
+use crate::support::{ControlCell, customer_change, declared_groups, node_name};
 use comfreyturn_control::{
     ApplyCommand, ApplyError, ApplyObstacle, ApplyResult, ChangePrecondition,
 };
 use comfreyturn_policy::ConfigFault;
 use comfreyturn_standin::fakes::{Fault, FaultRule, FaultSettings, run_until};
 use comfreyturn_types::*;
-use support::{ControlCell, customer_change, declared_groups, node_name};
 
 fn command(operation: &str, change: ConfigChange) -> ApplyCommand {
     ApplyCommand {
--- a/crates/control/tests/outages.rs
+++ b/crates/control/tests/cell/outages.rs
@@ -1,15 +1,13 @@
 //! Outages that are larger than one step.
 
-mod support;
-
 use std::time::Duration;
 
-use comfreyturn_standin::fakes::{FaultEndpoint, FaultSettings};
-use comfreyturn_types::*;
-use support::{
+use crate::support::{
     ControlCell, SERVICE, customer_change, declared_groups, model_version, node_name,
     service_of_version,
 };
+use comfreyturn_standin::fakes::{FaultEndpoint, FaultSettings};
+use comfreyturn_types::*;
 
 fn assert_held(cell: &ControlCell) {
     assert!(cell.check.violations.is_empty(), "{:#?}", cell.check.violations);
--- a/crates/control/tests/steady_cell.rs
+++ b/crates/control/tests/cell/steady_cell.rs
@@ -1,9 +1,7 @@
 //! A cell without faults.
 
-mod support;
-
+use crate::support::{ControlCell, customer_change, declared_groups, node_name};
 use comfreyturn_standin::fakes::FaultSettings;
-use support::{ControlCell, customer_change, declared_groups, node_name};
 
 #[test]
 fn nodes_join_and_groups_form() {
--- a/crates/control/tests/fault_matrix.rs
+++ b/crates/control/tests/fault_matrix.rs
@@ -1,6 +1,8 @@
 //! Every fault at every step of the protocols that keep shared state, and pairs of faults by a
 //! seed.
 
+#[path = "support/fault_case.rs"]
+mod fault_case;
 mod support;
 
 use std::{
@@ -12,16 +14,19 @@
 
 use comfreyturn_ports::Step;
 use comfreyturn_standin::fakes::{Fault, FaultRule};
+use fault_case::{is_control, run_case};
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 use serde::Deserialize;
 use strum::IntoEnumIterator;
-use support::{is_control, run_case};
 
 type TestResult = datatest_stable::Result<()>;
 
 /// Cases that ran, that failed, and that do not apply, by fault.
 static TOTALS: Mutex<BTreeMap<Fault, (u32, u32, u32)>> = Mutex::new(BTreeMap::new());
 
+/// Changes that operators make in every case.
+const LEAST_ACCEPTED: usize = 10;
+
 /// The cases of one step.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -100,6 +105,9 @@
     if !report.fired.iter().any(|fired| fired.step == step && fired.fault == fault) {
         violations.push("the fault did not happen".to_owned());
     }
+    if report.accepted < LEAST_ACCEPTED {
+        violations.push(format!("only {} changes accepted", report.accepted));
+    }
     let failure = format!("{step} x {fault}: {}", violations.join("\n  "));
     Ok((!violations.is_empty()).then_some(failure))
 }
--- a/crates/control/tests/support/control_cell.rs
+++ b/crates/control/tests/support/control_cell.rs
@@ -194,16 +194,6 @@
         let lease: serde_json::Value = serde_json::from_str(&row.value).ok()?;
         lease["holder"][0].as_str().map(NodeId::from)
     }
-
-    /// Starts all dead nodes again.
-    pub fn restart_dead(&self) {
-        for number in 1..=NODES {
-            let node = node_name(number);
-            if !self.plan.is_alive(&node) {
-                self.start_node(&node);
-            }
-        }
-    }
 }
 
 /// Where operators work. Clones share the count of their operations.
--- a/crates/control/tests/support/fault_case.rs
+++ b/crates/control/tests/support/fault_case.rs
@@ -8,7 +8,7 @@
 };
 use comfreyturn_types::{ConfigChange, NodeId, VmId};
 
-use super::{ControlCell, NODES, SERVICE, customer_change, declared_groups, node_name};
+use crate::support::{ControlCell, NODES, SERVICE, customer_change, declared_groups, node_name};
 
 /// How long after healing a change that was accepted may be unknown to a node.
 const HEALED_LIMIT: Duration = Duration::from_secs(7);
@@ -85,7 +85,11 @@
 fn recover(cell: &mut ControlCell) {
     cell.run(Duration::from_secs(30));
     cell.plan.heal();
-    cell.restart_dead();
+    for node in (1..=NODES).map(node_name) {
+        if !cell.plan.is_alive(&node) {
+            cell.start_node(&node);
+        }
+    }
     cell.run(HEALED_LIMIT);
     let newest = cell.accepted.borrow().iter().map(|(version, _)| *version).max();
     for (node, control) in cell.nodes.borrow().iter() {
