Test that trimmed log entries are caught up from the whole configuration

Change: a cell that keeps 4 entries; a node that stood still and a restarted one both catch up; is_superseded for the composition.

--- a/crates/control/src/node_control.rs
+++ b/crates/control/src/node_control.rs
@@ -168,6 +168,11 @@
         self.leaving.get()
     }
 
+    /// Whether the roster names a later run of this node, so that this one should end.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.get()
+    }
+
     /// Sets how many requests are in progress, which heartbeats tell.
     pub fn set_in_flight(&self, requests: u32) {
         self.in_flight.set(requests);
--- a/crates/control/tests/cell/config_apply.rs
+++ b/crates/control/tests/cell/config_apply.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{ControlCell, customer_change, declared_groups, node_name};
 use comfreyturn_control::{
-    ApplyCommand, ApplyError, ApplyObstacle, ApplyResult, ChangePrecondition,
+    ApplyCommand, ApplyError, ApplyObstacle, ApplyResult, ChangePrecondition, ControlSettings,
 };
 use comfreyturn_policy::ConfigFault;
 use comfreyturn_standin::fakes::{Fault, FaultRule, FaultSettings, run_until};
@@ -37,6 +37,29 @@
     assert_eq!(state.customers[&"installers".into()].requests_per_second, 2);
 }
 
+#[test]
+fn old_entries_are_trimmed_and_still_caught_up() {
+    let kept = ControlSettings { kept_entries: 4, ..ControlSettings::default() };
+    let mut cell = ControlCell::started_with(FaultSettings::default(), kept);
+    let behind = node_name(5);
+    cell.plan.freeze(&behind, std::time::Duration::from_secs(30));
+    for number in 1..=8 {
+        let name = format!("change-{number}");
+        apply(&mut cell, 1, command(&name, customer_change(number))).unwrap();
+    }
+    assert_eq!(cell.table.rows("cell-1/config/0").len(), 4);
+    assert_eq!(cell.table.rows("cell-1/operation/").len(), 4);
+    cell.run(std::time::Duration::from_secs(40));
+    let (first, last) =
+        (cell.nodes.borrow()[&node_name(1)].config(), cell.nodes.borrow()[&behind].config());
+    assert_eq!(first, last);
+    cell.start_node(&behind);
+    cell.run(std::time::Duration::from_secs(5));
+    let state = cell.nodes.borrow()[&behind].config();
+    assert_eq!(state.customers, first.customers);
+    assert_eq!(state.services, first.services);
+}
+
 #[test]
 fn lost_answer_is_read_back() {
     let mut cell = ControlCell::started(FaultSettings::default());
--- a/crates/control/tests/support/control_cell.rs
+++ b/crates/control/tests/support/control_cell.rs
@@ -53,7 +53,7 @@
 
 impl ControlCell {
     /// A cell of nodes that have just started.
-    pub fn start(settings: FaultSettings) -> Self {
+    fn start_with(settings: FaultSettings, control_settings: ControlSettings) -> Self {
         let clock = ManualClock::new();
         let pool = LocalPool::new();
         let plan = FaultPlan::new(&clock, &pool, settings);
@@ -88,7 +88,7 @@
             accepted,
             desk,
             check: PromiseCheck::default(),
-            settings: ControlSettings::default(),
+            settings: control_settings,
         };
         for number in 1..=NODES {
             cell.start_node(&node_name(number));
@@ -98,7 +98,12 @@
 
     /// A cell that has served two whole groups for a while.
     pub fn started(settings: FaultSettings) -> Self {
-        let mut cell = Self::start(settings);
+        Self::started_with(settings, ControlSettings::default())
+    }
+
+    /// The same with other settings.
+    pub fn started_with(settings: FaultSettings, control_settings: ControlSettings) -> Self {
+        let mut cell = Self::start_with(settings, control_settings);
         cell.run_until(60, "the roster is complete", |cell| {
             let nodes = cell.nodes.borrow();
             nodes.values().all(|n| n.config().roster.current.members.len() == NODES as usize)
