Name all requests of a dead place at once, and bound the last part

Change: the first request that finds a death names all of this node that ran there. A caller that stays but never reads holds up a shutdown for 10 s beyond its deadline at most. A run whose group is lost right before its dispatch pauses before it looks again. The shutdown's test now has a request that outlasts the address's validity: without the wait it passed before.

--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -12,11 +12,11 @@
     CompletionToken, Step,
 };
 use comfreyturn_types::{GroupId, RefusalReason, StreamId};
-use futures_util::StreamExt;
+use futures_util::{StreamExt, future::select};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    CompletionCall, Refusal, StoredAnswer,
+    CompletionCall, Refusal, Result, StoredAnswer,
     admission_desk::AdmissionPermit,
     answer_stream::AnswerSink,
     death_doubt::KnownVm,
@@ -33,6 +33,9 @@
 /// Rounds of a submission that finds its key taken, and then free again.
 pub(crate) const CLAIM_ROUNDS: u32 = 3;
 
+/// How long beyond its deadline a caller may take to read the last part of its answer.
+const LAST_PART_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Tries to cancel a stream that nobody awaits.
 const CANCEL_TRIES: u32 = 3;
 
@@ -135,6 +138,7 @@
             self.run.hold_claim(address, Some(stream)).await?;
             self.run.check_dispatch().await?;
             if !self.may_go(&placement) {
+                self.run.pause(self.run.service.settings.poll_period).await?;
                 continue;
             }
             match self.attempt(&placement).await? {
@@ -303,7 +307,8 @@
     /// Sends the attempt, and follows its stream over broken connections.
     async fn dispatch(&mut self, placement: &Placement) -> RunResult<AttemptEnd> {
         let sent_before = self.run.sent;
-        self.run.dispatched();
+        let place = placement.group.assignment.group.as_str();
+        self.run.dispatched(place, &placement.known);
         let dispatched_at = self.run.now();
         let mut opened = match self.open(placement).await? {
             Err(BackendError::NotSent) => {
@@ -518,14 +523,23 @@
         self.run.settle(StoredAnswer::from_completion(&self.delivered, &reason, limit));
         let elapsed = self.run.now().saturating_duration_since(self.started_at);
         self.run.metrics.whole_answer(elapsed);
-        self.sink.send(Ok(CompletionEvent::Finished { reason })).await;
+        self.send_last(Ok(CompletionEvent::Finished { reason })).await;
+    }
+
+    /// Hands on the last part. A caller that stays but does not read holds up a shutdown no longer
+    /// than a while beyond its deadline.
+    async fn send_last(&self, part: Result<CompletionEvent>) {
+        let left = self.run.scope.deadline.saturating_duration_since(self.run.now());
+        let timeout = self.run.service.ports.clock.sleep(left + LAST_PART_TIMEOUT);
+        let send = std::pin::pin!(self.sink.send(part));
+        select(send, timeout).await;
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
         self.run.settle_refused(&refusal);
         let refusal = self.run.service.complete_refusal(&self.run.scope, refusal);
         self.run.metrics.refused(&refusal);
-        self.sink.send(Err(refusal)).await;
+        self.send_last(Err(refusal)).await;
     }
 }
 
--- a/crates/serving/src/death_doubt.rs
+++ b/crates/serving/src/death_doubt.rs
@@ -33,6 +33,7 @@
 }
 
 /// A death that may be no more than a broken network.
+#[derive(Clone)]
 pub(crate) struct DeathDoubt {
     pub(crate) service: Rc<RequestService>,
     /// Those that did not answer, or that started again.
@@ -72,11 +73,11 @@
     }
 
     /// Takes a first death back if it was none.
-    pub(crate) fn follow(self, fingerprint: u64) {
-        let service = self.service.clone();
-        service.ports.spawner.clone().spawn(Box::pin(async move {
-            if !self.is_confirmed().await {
-                self.take_back(fingerprint).await;
+    pub(crate) fn follow(&self, fingerprint: u64) {
+        let doubt = self.clone();
+        self.service.ports.spawner.spawn(Box::pin(async move {
+            if !doubt.is_confirmed().await {
+                doubt.take_back(fingerprint).await;
             }
         }));
     }
--- a/crates/serving/src/death_memory.rs
+++ b/crates/serving/src/death_memory.rs
@@ -36,6 +36,11 @@
         true
     }
 
+    /// Whether a death is held against a request.
+    pub(crate) fn knows(&self, fingerprint: u64, death: u64) -> bool {
+        self.marks.contains(&(fingerprint, death))
+    }
+
     /// The request was cleared.
     pub(crate) fn note_cleared(&mut self, fingerprint: u64) {
         *self.clearings.entry(fingerprint).or_default() += 1;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 mod death_doubt;
 mod death_memory;
 mod in_flight;
+mod place_runs;
 mod plain_load;
 mod plain_run;
 mod refusal;
--- a/crates/serving/src/plain_run.rs
+++ b/crates/serving/src/plain_run.rs
@@ -88,10 +88,12 @@
             self.run.hold_claim(placement.backend.address, None).await?;
             self.run.check_dispatch().await?;
             if !self.may_go(&placement) {
+                self.run.pause(self.run.service.settings.poll_period).await?;
                 continue;
             }
             let sent_before = self.run.sent;
-            self.run.dispatched();
+            let place = placement.backend.vm.as_str();
+            self.run.dispatched(place, &placement.known);
             match self.call(&placement).await? {
                 Ok(response) => return Ok(response),
                 Err(BackendError::NotSent) => {
--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -19,6 +19,7 @@
     completion_run::CompletionRun,
     death_memory::DeathMemory,
     in_flight::{InFlightCount, InFlightGuard},
+    place_runs::PlaceRuns,
     plain_load::PlainLoad,
     plain_run::PlainRun,
     request_fingerprint,
@@ -45,6 +46,7 @@
     pub(crate) claims: Rc<ClaimBook>,
     pub(crate) slots: Rc<SuspectSlots>,
     pub(crate) plain_load: PlainLoad,
+    pub(crate) place_runs: Rc<PlaceRuns>,
     deaths: RefCell<DeathMemory>,
     in_flight: InFlightCount,
     refusing: Cell<bool>,
@@ -71,6 +73,7 @@
             claims: ClaimBook::new(identity.clone(), ports.clone(), view.clone(), settings.clone()),
             slots: SuspectSlots::new(identity.clone(), ports.clone(), view.clone()),
             plain_load: PlainLoad::default(),
+            place_runs: Rc::default(),
             deaths: RefCell::default(),
             in_flight: InFlightCount::default(),
             refusing: Cell::new(false),
@@ -172,6 +175,18 @@
         was_held
     }
 
+    /// Whether nothing is held against a request.
+    pub(crate) fn is_clear(&self, fingerprint: u64) -> bool {
+        let now = self.ports.now();
+        self.policies.borrow().suspects.status(now, fingerprint) == SuspectStatus::Clear
+    }
+
+    /// Whether a death that this node sees now is held against a request already.
+    pub(crate) fn knows_death(&self, fingerprint: u64, death: u64) -> bool {
+        let memory = self.deaths.borrow();
+        memory.knows(fingerprint, memory.number(fingerprint, death))
+    }
+
     /// The number of a death that this node sees now.
     pub(crate) fn number_death(&self, fingerprint: u64, death: u64) -> u64 {
         self.deaths.borrow().number(fingerprint, death)
@@ -245,6 +260,7 @@
             sent: false,
             lost: 0,
             claim: None,
+            place_mark: None,
             in_flight,
         }
     }
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -10,7 +10,11 @@
 use comfreyturn_policy::SuspectStatus;
 use comfreyturn_ports::{PeerNotice, RowKey, Step};
 use comfreyturn_types::{OutcomeWord, RefusalReason, StreamId, VmId};
-use futures_util::{FutureExt, future::pending, select_biased};
+use futures_util::{
+    FutureExt,
+    future::{join_all, pending},
+    select_biased,
+};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -21,6 +25,7 @@
     claim_hold::ClaimHold,
     death_doubt::{DeathDoubt, KnownVm, is_death},
     in_flight::InFlightGuard,
+    place_runs::PlaceMark,
     serving_metrics::ServingMetrics,
 };
 
@@ -61,6 +66,8 @@
     pub(crate) lost: u32,
     /// The claim, once the request holds one.
     pub(crate) claim: Option<ClaimHold>,
+    /// Where the last attempt runs, or ran until it was lost.
+    pub(crate) place_mark: Option<PlaceMark>,
     pub(crate) in_flight: InFlightGuard,
 }
 
@@ -254,8 +261,10 @@
         Ok(())
     }
 
-    /// Bytes are about to be written to a backend server.
-    pub(crate) fn dispatched(&mut self) {
+    /// Bytes are about to be written to a backend server of a place.
+    pub(crate) fn dispatched(&mut self, place: &str, known: &[KnownVm]) {
+        let death = death_number(place, known);
+        self.place_mark = Some(self.service.place_runs.enter(death, self.fingerprint));
         self.sent = true;
         if let Some(claim) = &mut self.claim {
             claim.dispatched();
@@ -265,6 +274,7 @@
     /// The attempt that was dispatched last never started. `sent_before` is what held before it.
     pub(crate) fn not_started(&mut self, sent_before: bool) {
         self.sent = sent_before;
+        self.place_mark = None;
         if sent_before {
             return;
         }
@@ -334,15 +344,16 @@
         if missing.is_empty() {
             return false;
         }
+        let death = death_number(place, known);
+        if self.service.knows_death(self.fingerprint, death) {
+            self.tell_death(self.fingerprint, death).await;
+            return true;
+        }
         let doubt = DeathDoubt { service: self.service.clone(), missing, since };
         if self.is_suspect() && !doubt.is_confirmed().await {
             return false;
         }
-        let is_first = !self.is_suspect();
-        self.record_death(death_number(place, known)).await;
-        if is_first {
-            doubt.follow(self.fingerprint);
-        }
+        self.record_death(death, &doubt).await;
         true
     }
 
@@ -374,12 +385,25 @@
         Ok(())
     }
 
-    async fn record_death(&self, death: u64) {
-        let fingerprint = self.fingerprint;
-        let death = self.service.number_death(fingerprint, death);
+    /// Holds a death against this request, and against all others that ran at the place. They
+    /// would find it themselves, but this node may be gone by then.
+    async fn record_death(&self, death: u64, doubt: &DeathDoubt) {
         log::warn!("suspects: request {} lost its backend server.", self.scope.request_id);
         self.metrics.died();
-        self.service.note_death(fingerprint, death);
+        let mut held = self.service.place_runs.at(death);
+        held.retain(|fingerprint| self.service.is_clear(*fingerprint));
+        let first_deaths = held.clone();
+        held.insert(self.fingerprint);
+        for fingerprint in &held {
+            let number = self.service.number_death(*fingerprint, death);
+            self.service.note_death(*fingerprint, number);
+        }
+        join_all(held.into_iter().map(|fingerprint| self.tell_death(fingerprint, death))).await;
+        first_deaths.into_iter().for_each(|fingerprint| doubt.follow(fingerprint));
+    }
+
+    async fn tell_death(&self, fingerprint: u64, death: u64) {
+        let death = self.service.number_death(fingerprint, death);
         let notice = PeerNotice::Suspect { fingerprint, death };
         self.service.view.notify(Step::SuspectNotify, notice).await;
     }
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -184,6 +184,19 @@
     assert_eq!(node.service.in_flight(), 0);
 }
 
+#[test]
+fn a_caller_that_never_reads_holds_up_no_shutdown() {
+    let (world, mut pool) = warm_world();
+    let node = world.node(0);
+    let mut call = completion_call(&world, &TestJob::completion("stuck"), &node.identity.node);
+    call.max_tokens = 1000;
+    let _answer = world.run(&mut pool, node.service.complete(call)).expect("it starts");
+    world.run(&mut pool, node.service.drain());
+    assert!(world.clock.elapsed() < Duration::from_secs(60));
+    let ends: Vec<_> = world.backends.executions().iter().map(|run| run.end).collect();
+    assert_eq!(ends, [ExecutionEnd::Finished], "the engine ended long before");
+}
+
 #[test]
 fn refusals_say_where_else_to_go() {
     let (world, mut pool) = warm_world();
@@ -205,7 +218,8 @@
     let (world, mut pool) = warm_world();
     let node = world.node(0);
     let drained_at = Cell::new(Duration::ZERO);
-    let long = TestJob { starts_after: Duration::from_secs(9), ..TestJob::completion("long") };
+    let starts_after = Duration::from_millis(9_900);
+    let long = TestJob { starts_after, ..TestJob::completion("long") };
     let late = TestJob { starts_after: Duration::from_secs(11), ..TestJob::completion("late") };
     let ends = world.run(&mut pool, async {
         let drain = async {
@@ -218,7 +232,10 @@
     assert_eq!(ends[0].ends, [SubmissionEnd::Whole], "the address was still valid");
     assert_eq!(ends[1].ends[0].reason(), Some(RefusalReason::NodeLeaving));
     assert_eq!(ends[1].ends[1], SubmissionEnd::Whole);
-    assert!(drained_at.get() >= Duration::from_secs(11));
+    let ended = world.backends.executions().iter().filter_map(|run| run.ended_ms).min();
+    let drained_ms = u64::try_from(drained_at.get().as_millis()).expect("a short test");
+    assert!(ended.expect("the long one ran") > 11_000, "it ran beyond the address's validity");
+    assert!(drained_ms >= ended.expect("the long one ran"));
 }
 
 #[test]
