Honour the drain of a plain server, and refuse to confirm an unknown node gone

Cause: draining a plain server's VM had no effect, since only the planner read the drained VMs; a node that is not on the roster was confirmed gone by a version without changes; a first signal to stop at once was taken for a graceful one; the status of a drained node said in use. Ruled out: letting the drain of a node end its process; it can be taken back, an end cannot.

--- a/crates/control/src/node_control.rs
+++ b/crates/control/src/node_control.rs
@@ -148,7 +148,10 @@
 
     /// The plain backend servers of a service that take work.
     pub fn plain_backends(&self, now: Instant, service: &ServiceName) -> Vec<VmRecord> {
-        self.table.borrow().plain_backends(now, service)
+        let state = self.log.state();
+        let mut backends = self.table.borrow().plain_backends(now, service);
+        backends.retain(|record| !state.drained_vms.contains(&record.vm));
+        backends
     }
 
     /// The line of the platform's list for a VM.
--- a/crates/ctl/tests/golden.rs
+++ b/crates/ctl/tests/golden.rs
@@ -89,8 +89,12 @@
 fn shown_answer(answer: &HttpAnswer) -> String {
     let mut text = format!("{}\n", answer.status);
     for name in SHOWN_HEADERS {
-        if let Some(value) = answer.header(name) {
-            let _ = writeln!(text, "{name}: {value}");
+        match answer.header(name) {
+            Some(_) if name == "retry-after" => text.push_str("retry-after: <s>\n"),
+            Some(value) => {
+                let _ = writeln!(text, "{name}: {value}");
+            }
+            None => {}
         }
     }
     let _ = writeln!(text, "\n{}", answer.body.trim_end());
--- a/crates/node/src/operator/operator_lists.rs
+++ b/crates/node/src/operator/operator_lists.rs
@@ -54,14 +54,15 @@
 }
 
 fn node_statuses(control: &Rc<NodeControl>, now: Instant) -> Vec<NodeStatus> {
+    let config = control.config();
     let status = |status: comfreyturn_control::NodeStatus| NodeStatus {
+        leaving: status.leaving || config.drained_nodes.contains(&status.member.node),
         node: status.member.node.to_string(),
         failure_domain: status.member.failure_domain.to_string(),
         caller_address: status.member.caller_address.to_string(),
         operator_address: status.member.operator_address.to_string(),
         known_version: status.known_version.unwrap_or_default().0,
         reachable: status.reachable,
-        leaving: status.leaving,
     };
     control.node_status(now).into_iter().map(status).collect()
 }
--- a/crates/node/src/operator/operator_service.rs
+++ b/crates/node/src/operator/operator_service.rs
@@ -12,7 +12,9 @@
         apply_reply::Result as ApplyOutcome, operator_server::Operator,
     },
 };
-use comfreyturn_types::{ConfigChange, ConfigVersion, OperationId, ServiceBackend, ServiceName};
+use comfreyturn_types::{
+    ConfigChange, ConfigVersion, NodeId, OperationId, ServiceBackend, ServiceName,
+};
 use futures_util::{Stream, stream};
 use send_wrapper::SendWrapper;
 use tonic::{Request, Response, Status};
@@ -118,7 +120,7 @@
             match change.change {
                 RequestedChange::Config(change) => changes.push((precondition, change)),
                 RequestedChange::ConfirmNodeGone(node) => {
-                    changes.extend(self.leave_roster(&node).map(|change| (precondition, change)));
+                    changes.push((precondition, self.leave_roster(&node)?));
                     gone_nodes.insert(node);
                 }
                 RequestedChange::SetDeclaredGroups { service, groups } => {
@@ -131,11 +133,14 @@
         Ok(ApplyCommand { operation, expected, changes, gone_nodes })
     }
 
-    fn leave_roster(&self, node: &comfreyturn_types::NodeId) -> Option<ConfigChange> {
+    fn leave_roster(&self, node: &NodeId) -> Result<ConfigChange, Invalid> {
         let config = self.control.config();
-        let member = config.roster.current.members.get(node)?;
+        let member = config.roster.current.members.get(node).ok_or_else(|| Invalid {
+            subject: format!("node {node}"),
+            reason: "is not on the roster".to_owned(),
+        })?;
         let incarnation = member.incarnation;
-        Some(ConfigChange::LeaveRoster { node: node.clone(), incarnation })
+        Ok(ConfigChange::LeaveRoster { node: node.clone(), incarnation })
     }
 
     fn declared_groups(&self, name: &ServiceName, groups: u32) -> Result<ConfigChange, Invalid> {
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -40,8 +40,9 @@
     log::info!("node: {} runs as {}.", settings.node, parts.control.member().incarnation);
     let (drain_end, draining) = flume::bounded::<Infallible>(0);
     parts.start(&settings, listeners, draining, recorder.handle());
-    let _ = stop.recv_async().await;
-    parts.shut_down(&settings, drain_end, &stop).await;
+    if stop.recv_async().await != Ok(StopSignal::Now) {
+        parts.shut_down(&settings, drain_end, &stop).await;
+    }
     log::info!("node: {} ended.", settings.node);
     Ok(())
 }
--- a/crates/types/src/config_change.rs
+++ b/crates/types/src/config_change.rs
@@ -44,7 +44,8 @@
         /// Whether it is drained.
         drained: bool,
     },
-    /// Asks a node to shut down gracefully (`true`), or takes that back (`false`).
+    /// Takes a node out of the answers to callers who ask for addresses (`true`), or takes it back
+    /// into them (`false`). It goes on serving those who come.
     SetNodeDrained {
         /// The node.
         node: NodeId,
