Add a planner that weighs downtime against stranded accelerators

The baseline retires a group as soon as no spare is there, knows no cost and loads without regard to the weight store. WeightedPlanner replaces a lost member in its fabric domain, and else completes the group out of another broken one, builds it anew elsewhere, takes from a lower-ranked group, holds or retires it by expected cost. Loads pass a budget; a planner that is cut off waits; a gap in the plans counts for no silence.

--- /dev/null
+++ b/crates/policy/benches/replay/mod.rs
@@ -0,0 +1,13 @@
+//! A replay of losses through a planner alone, in virtual time.
+
+mod fault_plan;
+mod fleet_plan;
+mod replay_flags;
+mod replay_fleet;
+mod replay_plot;
+
+pub use fault_plan::*;
+pub use fleet_plan::*;
+pub use replay_flags::*;
+pub use replay_fleet::*;
+pub use replay_plot::*;
--- /dev/null
+++ b/crates/policy/benches/replay/replay_plot.rs
@@ -0,0 +1,64 @@
+//! Both measures, drawn against each other.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::ReplaySummary;
+
+/// What went wrong in drawing.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("the plot cannot be drawn")]
+pub struct PlotError;
+
+/// Result of drawing.
+pub type PlotResult<T, E = PlotError> = std::result::Result<T, E>;
+
+/// One planner's measures.
+#[derive(Clone, Debug)]
+pub struct PlotPoint {
+    /// Shown beside the point.
+    pub label: String,
+
+    /// The measures.
+    pub summary: ReplaySummary,
+
+    /// Whether it is the baseline.
+    pub baseline: bool,
+}
+
+const SIZE: (u32, u32) = (760, 520);
+const MARGIN: f64 = 1.15;
+
+/// Writes an SVG with missing groups across and stranded accelerators upwards.
+pub fn draw_plot(path: &Path, title: &str, points: &[PlotPoint]) -> PlotResult<()> {
+    let x = |point: &PlotPoint| point.summary.missing_group_hours();
+    let y = |point: &PlotPoint| point.summary.stranded_accelerator_hours();
+    let right = points.iter().map(x).fold(0.0, f64::max) * MARGIN;
+    let top = points.iter().map(y).fold(0.0, f64::max) * MARGIN;
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|_| PlotError)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(16)
+        .x_label_area_size(44)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..right, 0.0..top)
+        .map_err(|_| PlotError)?;
+    chart
+        .configure_mesh()
+        .x_desc("missing groups, group-hours a day")
+        .y_desc("stranded accelerators, accelerator-hours a day")
+        .draw()
+        .map_err(|_| PlotError)?;
+    let line = points.iter().filter(|point| !point.baseline).map(|point| (x(point), y(point)));
+    chart.draw_series(LineSeries::new(line, BLUE)).map_err(|_| PlotError)?;
+    for point in points {
+        let color = if point.baseline { RED } else { BLUE };
+        let mark = Circle::new((x(point), y(point)), 4, color.filled());
+        let label = Text::new(point.label.clone(), (x(point), y(point)), ("sans-serif", 12));
+        chart.draw_series([mark]).map_err(|_| PlotError)?;
+        chart.draw_series([label]).map_err(|_| PlotError)?;
+    }
+    area.present().map_err(|_| PlotError)
+}
--- /dev/null
+++ b/crates/policy/src/planner_costs.rs
@@ -0,0 +1,149 @@
+//! What the outcomes of a planner's choices are expected to cost.
+
+use std::time::Duration;
+
+use comfreyturn_types::{ModelVersion, PlannerWeights};
+
+use crate::WeightedPlannerSettings;
+
+/// A group that does not serve, as its costs depend on it.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenGroup<'a> {
+    /// The version that it runs.
+    pub version: &'a ModelVersion,
+
+    /// Accelerators on its living members.
+    pub held: f64,
+
+    /// Accelerators of the whole group.
+    pub full: f64,
+
+    /// How long the lost member that is longest away has been away.
+    pub away: Duration,
+}
+
+/// Weighs group downtime against stranded accelerators. Costs have the unit of
+/// [`PlannerWeights`] times seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerCosts<'a> {
+    settings: &'a WeightedPlannerSettings,
+    weights: PlannerWeights,
+}
+
+impl<'a> PlannerCosts<'a> {
+    /// Costs under these weights.
+    pub fn new(settings: &'a WeightedPlannerSettings, weights: PlannerWeights) -> Self {
+        Self { settings, weights }
+    }
+
+    /// Seconds in which one VM loads its weights alone.
+    pub fn vm_load_secs(&self, version: &ModelVersion) -> f64 {
+        version.weight_bytes as f64 / self.settings.vm_bytes_per_second.max(1) as f64
+    }
+
+    /// Seconds in which a whole group loads while `loading` other VMs load as well.
+    pub fn group_load_secs(&self, version: &ModelVersion, loading: usize) -> f64 {
+        let bytes =
+            version.weight_bytes as f64 * (f64::from(version.vms_per_group) + loading as f64);
+        let shared = bytes / self.settings.store_bytes_per_second.max(1) as f64;
+        shared.max(self.vm_load_secs(version))
+    }
+
+    /// How long a member may be silent before it counts as lost.
+    ///
+    /// Waiting for a pause to end is renting, loading another VM is buying: nobody waits longer
+    /// than the load takes, nor longer than pauses last.
+    pub fn silence_limit(&self, version: &ModelVersion) -> Duration {
+        let load = secs(self.vm_load_secs(version));
+        load.min(self.settings.expected_pause).max(self.settings.min_silence)
+    }
+
+    /// Seconds until a member that has been away this long is expected back.
+    pub fn return_secs(&self, away: Duration) -> f64 {
+        let restart = self.settings.expected_restart;
+        if away < restart * RESTART_PATIENCE {
+            restart.as_secs_f64()
+        } else {
+            self.settings.expected_repair.as_secs_f64()
+        }
+    }
+
+    /// Cost of holding a group until its lost members are back and loaded.
+    pub fn hold_cost(&self, group: &BrokenGroup<'_>) -> f64 {
+        let wait = self.return_secs(group.away) + self.vm_load_secs(group.version);
+        self.rate(group.held) * wait
+    }
+
+    /// Cost of replacing the lost members by VMs that are available.
+    pub fn replace_cost(&self, group: &BrokenGroup<'_>) -> f64 {
+        self.rate(group.full) * self.vm_load_secs(group.version)
+    }
+
+    /// Cost of building a group anew elsewhere, while `loading` other VMs load.
+    pub fn rebuild_cost(&self, group: &BrokenGroup<'_>, loading: usize) -> f64 {
+        self.rate(group.full) * self.group_load_secs(group.version, loading)
+    }
+
+    /// Cost of dissolving a group now and forming it again when its lost members are back, while
+    /// `loading` other VMs load.
+    pub fn retire_cost(&self, group: &BrokenGroup<'_>, loading: usize) -> f64 {
+        let wait = self.return_secs(group.away) + self.settings.quiet_period.as_secs_f64();
+        self.weights.group_downtime * wait + self.rebuild_cost(group, loading)
+    }
+
+    /// Whether a group that nothing else helps, and that was held for `held_for`, is held on: while
+    /// that is expected to cost less than dissolving it, and has not yet cost as much as loading
+    /// the whole group.
+    pub fn holding_pays(
+        &self,
+        group: &BrokenGroup<'_>,
+        held_for: Duration,
+        loading: usize,
+    ) -> bool {
+        self.hold_cost(group) <= self.retire_cost(group, loading)
+            && held_for < self.hold_limit(group)
+    }
+
+    /// How long a group is held at most: until holding has cost as much as loading the whole group
+    /// again would.
+    pub fn hold_limit(&self, group: &BrokenGroup<'_>) -> Duration {
+        let rate = self.weights.stranded_accelerator * group.held;
+        let limit = self.rebuild_cost(group, 0) / rate.max(f64::MIN_POSITIVE);
+        secs(limit).min(self.settings.max_hold)
+    }
+
+    /// Whether a group of a lower-ranked service should be broken for `group`.
+    ///
+    /// The broken one stays down as long as `group` would have, but its downtime counts less, and
+    /// its accelerators are not held meanwhile.
+    pub fn taking_pays(&self, group: &BrokenGroup<'_>) -> bool {
+        let retire = self.retire_cost(group, 0);
+        let loss = self.settings.rank_factor * retire;
+        let quiet = self.rate(group.held) * self.settings.quiet_period.as_secs_f64();
+        loss + quiet + self.replace_cost(group) < self.hold_cost(group).min(retire)
+    }
+
+    /// Whether the last spare of a fabric domain with `vms` VMs in groups should stay a spare,
+    /// rather than complete a group that ranks below those that the spare protects. `group` is one
+    /// of these with a member lost.
+    pub fn spare_pays(&self, group: &BrokenGroup<'_>, vms: usize) -> bool {
+        let without = self.hold_cost(group).min(self.retire_cost(group, 0));
+        let saved = (without - self.replace_cost(group)).max(0.0);
+        let losses_per_sec = self.settings.losses_per_vm_day * vms as f64 / SECS_PER_DAY;
+        saved * losses_per_sec > self.weights.group_downtime * self.settings.rank_factor
+    }
+
+    /// Cost of one second in which a group does not serve and holds these accelerators.
+    fn rate(&self, accelerators: f64) -> f64 {
+        self.weights.group_downtime + self.weights.stranded_accelerator * accelerators
+    }
+}
+
+/// After this many expected restarts, a VM that is away counts as failed.
+const RESTART_PATIENCE: u32 = 2;
+
+const SECS_PER_DAY: f64 = 86_400.0;
+
+fn secs(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/planner_view.rs
@@ -0,0 +1,390 @@
+//! A planner's input, sorted by what decisions ask for.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{
+    FabricDomain, FailureDomain, GroupId, GroupPhase, GroupRecord, VmId, VmPhase, VmRole,
+};
+
+use crate::{
+    BrokenGroup, PlannerCosts, PlannerInput, PlannerVm, WantedService,
+    planner_memory::PlannerMemory,
+};
+
+/// Where a group stands. The order is the order in which a service keeps its groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum GroupStanding {
+    /// It serves, and nothing speaks against that.
+    Whole,
+    /// It served until members fell silent a moment ago.
+    Pausing,
+    /// All members are there; some are not ready yet.
+    Filling,
+    /// It serves, but a member is drained or leaves.
+    Departing,
+    /// Members are lost.
+    Broken,
+}
+
+/// An active group of a declared service.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupView<'a> {
+    pub(crate) record: &'a GroupRecord,
+    pub(crate) wanted: &'a WantedService,
+    pub(crate) standing: GroupStanding,
+
+    /// Members to be replaced.
+    pub(crate) lost: Vec<&'a VmId>,
+
+    /// Members that load, or are about to.
+    pub(crate) loading: usize,
+
+    /// Accelerators on one member.
+    accelerators: f64,
+
+    /// How long the lost member that is longest away has been away.
+    away: Duration,
+}
+
+impl<'a> GroupView<'a> {
+    pub(crate) fn name(&self) -> &'a GroupId {
+        &self.record.assignment.group
+    }
+
+    /// Members that are not lost.
+    pub(crate) fn living(&self) -> usize {
+        self.record.assignment.members.len() - self.lost.len()
+    }
+
+    pub(crate) fn rank(&self) -> u32 {
+        self.wanted.backend.rank
+    }
+
+    /// Whether the group runs the version that its service declares.
+    pub(crate) fn is_current(&self) -> bool {
+        let assignment = &self.record.assignment;
+        assignment.model == self.wanted.backend.model
+            && assignment.version == self.wanted.backend.version
+            && assignment.members.len() == self.wanted.version.vms_per_group as usize
+    }
+
+    pub(crate) fn has_current_adapters(&self) -> bool {
+        self.record.assignment.adapters == self.wanted.backend.adapters
+    }
+
+    pub(crate) fn serves(&self) -> bool {
+        matches!(self.standing, GroupStanding::Whole | GroupStanding::Departing)
+    }
+
+    pub(crate) fn is_broken(&self) -> bool {
+        self.standing == GroupStanding::Broken
+    }
+
+    /// The group as its costs depend on it, if it lost what it lost now.
+    pub(crate) fn broken(&self) -> BrokenGroup<'a> {
+        self.broken_by(self.lost.len())
+    }
+
+    /// The group as its costs would depend on it with `lost` members lost.
+    pub(crate) fn broken_by(&self, lost: usize) -> BrokenGroup<'a> {
+        let members = self.record.assignment.members.len();
+        BrokenGroup {
+            version: &self.wanted.version,
+            held: self.accelerators * members.saturating_sub(lost) as f64,
+            full: self.accelerators * members as f64,
+            away: self.away,
+        }
+    }
+}
+
+/// The VMs of a fabric domain.
+#[derive(Clone, Debug)]
+pub(crate) struct DomainPool<'a> {
+    pub(crate) name: &'a FabricDomain,
+    pub(crate) failure_domain: &'a FailureDomain,
+
+    /// VMs that may be given to groups, in order.
+    pub(crate) available: Vec<&'a VmId>,
+
+    /// VMs that are about to become available.
+    pub(crate) coming: usize,
+
+    /// VMs in groups.
+    pub(crate) held: usize,
+
+    /// The best-ranked group, as an index of [`PlannerView::groups`].
+    pub(crate) guarded: Option<usize>,
+}
+
+/// Everything that one plan looks at.
+#[derive(Debug)]
+pub(crate) struct PlannerView<'a> {
+    pub(crate) input: &'a PlannerInput,
+
+    /// Active groups of declared services, in order of name.
+    pub(crate) groups: Vec<GroupView<'a>>,
+
+    /// Active groups of services that are not declared.
+    pub(crate) orphans: Vec<&'a GroupId>,
+
+    /// Fabric domains, in order of name.
+    pub(crate) pools: Vec<DomainPool<'a>>,
+
+    /// VMs that are about to become available.
+    pub(crate) coming: Vec<&'a PlannerVm>,
+}
+
+impl<'a> PlannerView<'a> {
+    pub(crate) fn new(
+        input: &'a PlannerInput,
+        costs: &PlannerCosts<'_>,
+        memory: &PlannerMemory,
+    ) -> Self {
+        let mut view = Self {
+            input,
+            groups: Vec::new(),
+            orphans: Vec::new(),
+            pools: Vec::new(),
+            coming: Vec::new(),
+        };
+        let departing = view.add_vms();
+        view.add_groups(&departing, costs, memory);
+        view.add_ranks();
+        view
+    }
+
+    /// The index of a fabric domain's pool, if any of its VMs is listed.
+    pub(crate) fn pool_of(&self, domain: &FabricDomain) -> Option<usize> {
+        self.pools.binary_search_by(|pool| pool.name.cmp(domain)).ok()
+    }
+
+    /// Whether a service has fewer whole groups than declared.
+    pub(crate) fn is_short(&self, wanted: &WantedService) -> bool {
+        self.serving(wanted) < wanted.backend.groups as usize
+    }
+
+    /// Groups of a service that serve, whatever their version.
+    pub(crate) fn serving(&self, wanted: &WantedService) -> usize {
+        let groups = self.groups.iter().filter(|group| std::ptr::eq(group.wanted, wanted));
+        groups.filter(|group| group.serves()).count()
+    }
+
+    /// Counts the VMs that are about to become available, those left out that `is_late` names.
+    pub(crate) fn count_coming(&mut self, is_late: impl Fn(&VmId) -> bool) {
+        for vm in std::mem::take(&mut self.coming) {
+            if is_late(&vm.record.vm) {
+                continue;
+            }
+            if let Some(pool) = self.pool_of(&vm.record.fabric_domain) {
+                self.pools[pool].coming += 1;
+                self.coming.push(vm);
+            }
+        }
+    }
+
+    /// Sorts the VMs into pools. Names the groups whose members are drained or leave.
+    fn add_vms(&mut self) -> HashMap<&'a GroupId, Vec<&'a VmId>> {
+        let holders: HashMap<_, _> = self.input.groups.iter().collect();
+        let mut departing: HashMap<&GroupId, Vec<&VmId>> = HashMap::new();
+        let mut indexes: BTreeMap<&FabricDomain, usize> = BTreeMap::new();
+        let mut index = 0;
+        for (name, vm) in &self.input.vms {
+            let domain = &vm.record.fabric_domain;
+            if self.pools.get(index).is_none_or(|pool| pool.name != domain) {
+                index = *indexes.entry(domain).or_insert_with(|| {
+                    self.pools.push(DomainPool::new(&vm.record));
+                    self.pools.len() - 1
+                });
+            }
+            let pool = &mut self.pools[index];
+            let holder = vm.owner.holder.as_ref();
+            let group = holder.and_then(|(group, generation)| {
+                let record = holders.get(group)?;
+                let placed = record.phase == GroupPhase::Active
+                    && record.assignment.generation == *generation;
+                placed.then_some(group)
+            });
+            let stays = !vm.leaving && !vm.drained;
+            match group {
+                Some(group) if !stays => departing.entry(group).or_default().push(name),
+                Some(_) => {}
+                None if vm.available => pool.available.push(name),
+                None if stays && vm.silent_for < HEARD_LATELY => self.coming.push(vm),
+                None => {}
+            }
+            pool.held += usize::from(group.is_some());
+        }
+        self.pools.sort_unstable_by_key(|pool| pool.name);
+        departing
+    }
+
+    fn add_groups(
+        &mut self,
+        departing: &HashMap<&'a GroupId, Vec<&'a VmId>>,
+        costs: &PlannerCosts<'_>,
+        memory: &PlannerMemory,
+    ) {
+        let input = self.input;
+        let services: HashMap<_, _> =
+            input.services.iter().map(|wanted| (&wanted.service, wanted)).collect();
+        let mut whole = input.whole.iter().peekable();
+        for (name, record) in &input.groups {
+            while whole.next_if(|other| *other < name).is_some() {}
+            if record.phase != GroupPhase::Active {
+                continue;
+            }
+            let Some(wanted) = services.get(&record.assignment.service) else {
+                self.orphans.push(name);
+                continue;
+            };
+            let is_whole = whole.peek().is_some_and(|other| *other == name);
+            let group = if is_whole {
+                let departing = departing.get(name).cloned().unwrap_or_default();
+                serving_group(input, record, wanted, departing)
+            } else {
+                idle_group(input, record, wanted, costs, memory)
+            };
+            self.groups.push(group);
+        }
+    }
+
+    fn add_ranks(&mut self) {
+        for index in 0..self.groups.len() {
+            let group = &self.groups[index];
+            let Some(pool) = self.pool_of(&group.record.fabric_domain) else { continue };
+            let guarded = self.pools[pool].guarded;
+            if guarded.is_none_or(|guarded| group.rank() < self.groups[guarded].rank()) {
+                self.pools[pool].guarded = Some(index);
+            }
+        }
+    }
+}
+
+impl<'a> DomainPool<'a> {
+    fn new(record: &'a comfreyturn_types::VmRecord) -> Self {
+        Self {
+            name: &record.fabric_domain,
+            failure_domain: &record.failure_domain,
+            available: Vec::new(),
+            coming: 0,
+            held: 0,
+            guarded: None,
+        }
+    }
+
+    /// Takes available VMs, all or none.
+    pub(crate) fn take(&mut self, count: usize) -> Option<Vec<VmId>> {
+        if self.available.len() < count {
+            return None;
+        }
+        Some(self.available.drain(..count).cloned().collect())
+    }
+
+    /// Sets VMs aside that wait for others to come.
+    pub(crate) fn reserve(&mut self, count: usize) {
+        let now = count.min(self.available.len());
+        self.available.drain(..now);
+        self.coming = self.coming.saturating_sub(count - now);
+    }
+
+    /// VMs that are available or about to become so.
+    pub(crate) fn expected(&self) -> usize {
+        self.available.len() + self.coming
+    }
+}
+
+/// A VM that is silent for longer is not about to become available.
+const HEARD_LATELY: Duration = Duration::from_secs(4);
+
+fn serving_group<'a>(
+    input: &PlannerInput,
+    record: &'a GroupRecord,
+    wanted: &'a WantedService,
+    departing: Vec<&'a VmId>,
+) -> GroupView<'a> {
+    let whole = departing.is_empty();
+    GroupView {
+        record,
+        wanted,
+        standing: if whole { GroupStanding::Whole } else { GroupStanding::Departing },
+        lost: departing,
+        loading: 0,
+        accelerators: accelerators_of(input, record),
+        away: Duration::ZERO,
+    }
+}
+
+fn idle_group<'a>(
+    input: &'a PlannerInput,
+    record: &'a GroupRecord,
+    wanted: &'a WantedService,
+    costs: &PlannerCosts<'_>,
+    memory: &PlannerMemory,
+) -> GroupView<'a> {
+    let now = input.now;
+    let limit = costs.silence_limit(&wanted.version);
+    let members = record.assignment.members.iter().map(|name| (name, input.vms.get(name)));
+    let members: Vec<_> = members.collect();
+    let is_lost = |vm: &Option<&PlannerVm>| {
+        vm.is_none_or(|vm| vm.leaving || vm.drained || memory.noticed(now, vm.silent_for) > limit)
+    };
+    let lost: Vec<&VmId> =
+        members.iter().filter(|(_, vm)| is_lost(vm)).map(|(name, _)| *name).collect();
+    let living = members.iter().filter(|(_, vm)| !is_lost(vm)).filter_map(|(_, vm)| *vm);
+    let ready = living.clone().filter(|vm| is_ready(vm, record)).count();
+    let loading = living.filter(|vm| is_loading(vm)).count();
+    let standing = match (lost.is_empty(), ready == members.len()) {
+        (false, _) => GroupStanding::Broken,
+        (true, true) => GroupStanding::Pausing,
+        (true, false) => GroupStanding::Filling,
+    };
+    let away = lost.iter().map(|vm| away_for(input, memory, vm, record, now)).max();
+    GroupView {
+        record,
+        wanted,
+        standing,
+        lost,
+        loading,
+        accelerators: accelerators_of(input, record),
+        away: away.unwrap_or_default(),
+    }
+}
+
+/// How long a lost member has been away; a drained one counts as away for good.
+fn away_for(
+    input: &PlannerInput,
+    memory: &PlannerMemory,
+    vm: &VmId,
+    record: &GroupRecord,
+    now: Instant,
+) -> Duration {
+    let broken_for = memory.broken.age(now, &record.assignment.group);
+    match input.vms.get(vm) {
+        Some(vm) if vm.drained => Duration::MAX,
+        Some(vm) => memory.noticed(now, vm.silent_for).max(broken_for),
+        None => broken_for,
+    }
+}
+
+/// Whether the last report of a VM, whatever its age, says that it serves in a group.
+fn is_ready(vm: &PlannerVm, record: &GroupRecord) -> bool {
+    vm.report.as_ref().is_some_and(|report| {
+        report.phase == VmPhase::Ready && report.assignment.as_ref() == Some(&record.assignment)
+    })
+}
+
+/// Whether a member of a group loads, or is about to.
+fn is_loading(vm: &PlannerVm) -> bool {
+    vm.report.as_ref().is_none_or(|report| report.phase != VmPhase::Ready)
+}
+
+fn accelerators_of(input: &PlannerInput, record: &GroupRecord) -> f64 {
+    let known = record.assignment.members.iter().find_map(|vm| input.vms.get(vm));
+    match known.map(|vm| &vm.record.role) {
+        Some(VmRole::Engine { accelerators }) => f64::from(*accelerators),
+        _ => 1.0,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/weighted_draft.rs
@@ -0,0 +1,504 @@
+//! A weighted plan in the making.
+
+use std::collections::BTreeSet;
+
+use comfreyturn_types::{
+    FabricDomain, GroupAssignment, GroupGeneration, GroupId, GroupPhase, ServiceName, VmId,
+};
+
+use crate::{
+    LoadBudget, PlannerAction, PlannerCosts, WantedService, WeightedPlannerSettings,
+    planner_memory::PlannerMemory,
+    planner_view::{DomainPool, GroupStanding, GroupView, PlannerView},
+};
+
+/// Decides step by step; what one step took is not there for the next.
+pub(crate) struct WeightedDraft<'a> {
+    view: PlannerView<'a>,
+    costs: PlannerCosts<'a>,
+    settings: &'a WeightedPlannerSettings,
+    memory: &'a PlannerMemory,
+    budget: LoadBudget,
+    names: std::slice::Iter<'a, GroupId>,
+
+    /// Groups that this plan acts on. Invariant: each has one action.
+    touched: BTreeSet<&'a GroupId>,
+
+    /// Broken groups that wait for VMs that are about to become available.
+    waiting: BTreeSet<&'a GroupId>,
+
+    /// Services of which this plan changes groups.
+    changed: BTreeSet<&'a ServiceName>,
+
+    actions: Vec<PlannerAction>,
+}
+
+impl<'a> WeightedDraft<'a> {
+    pub(crate) fn new(
+        view: PlannerView<'a>,
+        costs: PlannerCosts<'a>,
+        settings: &'a WeightedPlannerSettings,
+        memory: &'a PlannerMemory,
+    ) -> Self {
+        let loading = view.groups.iter().map(|group| group.loading).sum();
+        Self {
+            names: view.input.new_names.iter(),
+            budget: LoadBudget::new(settings.load_slots(), loading),
+            view,
+            costs,
+            settings,
+            memory,
+            touched: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    pub(crate) fn plan(mut self) -> Vec<PlannerAction> {
+        let services: Vec<&WantedService> = self.view.input.services.iter().collect();
+        self.retire_orphans();
+        services.iter().for_each(|wanted| self.retire_surplus(wanted));
+        self.repair_groups();
+        for wanted in &services {
+            self.rebuild_groups(wanted);
+            self.form_groups(wanted);
+        }
+        services.iter().for_each(|wanted| self.settle_broken(wanted));
+        for wanted in &services {
+            self.relieve_members(wanted);
+            self.change_adapters(wanted);
+            self.retire_outdated(wanted);
+        }
+        self.actions
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Too many groups
+
+    /// Retires groups of services that are no longer declared.
+    fn retire_orphans(&mut self) {
+        for group in std::mem::take(&mut self.view.orphans) {
+            self.actions.push(PlannerAction::Retire { group: group.clone() });
+        }
+    }
+
+    /// Retires what a service has beyond its declared groups, the least useful first.
+    fn retire_surplus(&mut self, wanted: &WantedService) {
+        let mut groups = self.current_groups(wanted);
+        groups.sort_by_key(|index| {
+            let group = &self.view.groups[*index];
+            (group.standing, group.lost.len(), group.loading, group.name())
+        });
+        let declared = wanted.backend.groups as usize;
+        let whole = groups.iter().take(declared).filter(|index| self.serves(**index)).count();
+        for index in groups.into_iter().skip(declared) {
+            let departing = self.view.groups[index].standing == GroupStanding::Departing;
+            if !departing || whole == declared {
+                self.retire(index);
+            }
+        }
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Lost members
+
+    /// Completes broken groups out of their fabric domains, in order of downtime saved per byte.
+    fn repair_groups(&mut self) {
+        let mut broken: Vec<usize> = (0..self.view.groups.len())
+            .filter(|index| self.view.groups[*index].is_broken())
+            .filter(|index| self.view.groups[*index].is_current())
+            .collect();
+        broken.sort_by_key(|index| {
+            let group = &self.view.groups[*index];
+            (load_bytes(group), group.rank(), group.name())
+        });
+        for (position, index) in broken.iter().enumerate() {
+            if !self.is_touched(*index) && self.view.groups[*index].living() > 0 {
+                self.repair(*index, &broken[position + 1..]);
+            }
+        }
+    }
+
+    /// Replaces a group's lost members, or sees to it that VMs for that come. `others` are broken
+    /// groups whose completion saves less.
+    fn repair(&mut self, index: usize, others: &[usize]) {
+        let missing = self.view.groups[index].lost.len();
+        let Some(pool) = self.pool_of(index) else { return };
+        let available = self.view.pools[pool].available.len();
+        if available >= missing && self.budget.take(missing) {
+            self.replace(index, pool);
+            return;
+        }
+        if self.view.pools[pool].expected() < missing {
+            self.merge(index, pool, others);
+        }
+        if self.view.pools[pool].expected() >= missing {
+            self.view.pools[pool].reserve(missing);
+            self.waiting.insert(self.view.groups[index].name());
+        }
+    }
+
+    /// Dissolves another broken group of the fabric domain if that completes this one.
+    fn merge(&mut self, index: usize, pool: usize, others: &[usize]) {
+        let shortfall = self.view.groups[index].lost.len() - self.view.pools[pool].expected();
+        let domain = &self.view.groups[index].record.fabric_domain;
+        let donor = others.iter().rev().copied().find(|other| {
+            let group = &self.view.groups[*other];
+            group.record.fabric_domain == *domain
+                && group.living() >= shortfall
+                && !self.is_touched(*other)
+                && !self.waiting.contains(group.name())
+        });
+        if let Some(donor) = donor {
+            self.release(donor, pool);
+        }
+    }
+
+    /// Puts available VMs in the places of lost members.
+    fn replace(&mut self, index: usize, pool: usize) {
+        let lost = self.view.groups[index].lost.clone();
+        let Some(spares) = self.view.pools[pool].take(lost.len()) else { return };
+        let mut spares = spares.into_iter();
+        let members = self.view.groups[index].record.assignment.members.iter();
+        let members = members
+            .map(|vm| if lost.contains(&vm) { spares.next() } else { None }.unwrap_or(vm.clone()))
+            .collect();
+        self.reassign(index, members);
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // New groups
+
+    /// Builds broken groups anew elsewhere, where that costs less than waiting for their members.
+    fn rebuild_groups(&mut self, wanted: &WantedService) {
+        for index in self.current_groups(wanted) {
+            let group = &self.view.groups[index];
+            let idle = group.is_broken() && !self.is_touched(index);
+            if !idle || self.waiting.contains(group.name()) {
+                continue;
+            }
+            let broken = group.broken();
+            let rebuild = self.costs.rebuild_cost(&broken, self.budget.loading());
+            if rebuild < self.costs.hold_cost(&broken) && self.form(wanted) {
+                self.retire(index);
+            }
+        }
+    }
+
+    /// Forms the groups that a service lacks.
+    fn form_groups(&mut self, wanted: &WantedService) {
+        let groups = self.current_groups(wanted);
+        let kept = groups.iter().filter(|index| !self.is_touched(**index) || self.stays(**index));
+        let formed = self.formed(wanted);
+        let lacking = (wanted.backend.groups as usize).saturating_sub(kept.count() + formed);
+        for _ in 0..lacking {
+            if !self.form(wanted) {
+                return;
+            }
+        }
+    }
+
+    /// Forms one group, if some fabric domain has the VMs and the weight store the rate for it.
+    fn form(&mut self, wanted: &WantedService) -> bool {
+        let size = wanted.version.vms_per_group as usize;
+        let Some(pool) = self.choose_pool(wanted) else { return false };
+        let Some(group) = self.names.as_slice().first() else { return false };
+        if !self.budget.take(size) {
+            return false;
+        }
+        let Some(members) = self.view.pools[pool].take(size) else { return false };
+        self.names.next();
+        let assignment = GroupAssignment {
+            group: group.clone(),
+            generation: GroupGeneration(1),
+            service: wanted.service.clone(),
+            model: wanted.backend.model.clone(),
+            version: wanted.backend.version.clone(),
+            adapters: wanted.backend.adapters.clone(),
+            members,
+        };
+        let fabric_domain = self.view.pools[pool].name.clone();
+        self.actions.push(PlannerAction::Form { assignment, fabric_domain });
+        true
+    }
+
+    /// The fabric domain for a new group: one that keeps a spare, in the failure domain and then
+    /// the fabric domain with the fewest groups of the service, with the most VMs left over.
+    fn choose_pool(&self, wanted: &WantedService) -> Option<usize> {
+        let size = wanted.version.vms_per_group as usize;
+        let places = self.places_of(wanted);
+        let fits = (0..self.view.pools.len()).filter(|pool| {
+            let pool = &self.view.pools[*pool];
+            pool.available.len() >= size && !self.guards_spare(pool, wanted)
+        });
+        fits.min_by_key(|index| {
+            let pool = &self.view.pools[*index];
+            let left = pool.available.len() - size;
+            let near =
+                |other: &&usize| self.view.pools[**other].failure_domain == pool.failure_domain;
+            let in_failure_domain = places.iter().filter(near).count();
+            let in_fabric_domain = places.iter().filter(|other| *other == index).count();
+            (left == 0, in_failure_domain, in_fabric_domain, usize::MAX - left)
+        })
+    }
+
+    /// Whether the last spares of a fabric domain are worth more as spares.
+    fn guards_spare(&self, pool: &DomainPool<'_>, wanted: &WantedService) -> bool {
+        let size = wanted.version.vms_per_group as usize;
+        let Some(guarded) = pool.guarded.filter(|_| pool.available.len() == size) else {
+            return false;
+        };
+        let guarded = &self.view.groups[guarded];
+        let protects = guarded.rank() < wanted.backend.rank;
+        protects && self.costs.spare_pays(&guarded.broken_by(1), pool.held)
+    }
+
+    /// The pools in which a service has groups, once for each group.
+    fn places_of(&self, wanted: &WantedService) -> Vec<usize> {
+        let groups = self.current_groups(wanted);
+        let groups = groups.into_iter().filter(|index| !self.is_touched(*index));
+        let standing = groups.filter_map(|index| self.pool_of(index));
+        let formed = self.actions.iter().filter_map(|action| match action {
+            PlannerAction::Form { assignment, fabric_domain }
+                if assignment.service == wanted.service =>
+            {
+                self.view.pool_of(fabric_domain)
+            }
+            _ => None,
+        });
+        standing.chain(formed).collect()
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Broken groups that nothing helps
+
+    /// Completes the broken groups that are left out of lower-ranked ones, or holds them for as
+    /// long as that pays.
+    fn settle_broken(&mut self, wanted: &WantedService) {
+        for index in self.current_groups(wanted) {
+            let group = &self.view.groups[index];
+            let idle = group.is_broken() && !self.is_touched(index);
+            if !idle || self.waiting.contains(group.name()) {
+                continue;
+            }
+            if self.take_lower(index) {
+                continue;
+            }
+            if !self.may_hold(index) {
+                self.retire(index);
+            }
+        }
+    }
+
+    /// Whether a broken group may be held still: some member may come back, and holding pays.
+    fn may_hold(&self, index: usize) -> bool {
+        let group = &self.view.groups[index];
+        let input = self.view.input;
+        let listed = group.record.assignment.members.iter().any(|vm| input.vms.contains_key(vm));
+        let held_for = self.memory.broken.age(input.now, group.name());
+        let loading = self.budget.loading();
+        listed && self.costs.holding_pays(&group.broken(), held_for, loading)
+    }
+
+    /// Dissolves a lower-ranked group of the fabric domain for a broken one, where that pays.
+    fn take_lower(&mut self, index: usize) -> bool {
+        let group = &self.view.groups[index];
+        let Some(pool) = self.pool_of(index).filter(|_| group.living() > 0) else { return false };
+        let Some(shortfall) = group.lost.len().checked_sub(self.view.pools[pool].expected()) else {
+            return false;
+        };
+        let donors = (0..self.view.groups.len()).filter(|other| {
+            let donor = &self.view.groups[*other];
+            donor.record.fabric_domain == group.record.fabric_domain
+                && donor.rank() > group.rank()
+                && donor.living() >= shortfall
+                && !self.is_touched(*other)
+                && !self.waiting.contains(donor.name())
+        });
+        let donor = donors.max_by_key(|other| {
+            let donor = &self.view.groups[*other];
+            (donor.rank(), donor.standing)
+        });
+        let Some(donor) = donor else { return false };
+        if !self.costs.taking_pays(&group.broken()) {
+            return false;
+        }
+        let missing = group.lost.len();
+        self.waiting.insert(group.name());
+        self.release(donor, pool);
+        self.view.pools[pool].reserve(missing);
+        true
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Changes of groups that serve
+
+    /// Replaces drained and leaving members of a group that serves: by a spare, by another group
+    /// formed first, or, where neither is to be had, by retiring the group.
+    fn relieve_members(&mut self, wanted: &WantedService) {
+        for index in self.current_groups(wanted) {
+            let group = &self.view.groups[index];
+            let departing = group.standing == GroupStanding::Departing && !self.is_touched(index);
+            if !departing || self.is_changing(wanted) {
+                continue;
+            }
+            let missing = group.lost.len();
+            let pool = self.pool_of(index);
+            let spare = pool.filter(|pool| self.view.pools[*pool].available.len() >= missing);
+            if let Some(pool) = spare {
+                if self.may_interrupt(wanted) && self.budget.take(missing) {
+                    self.replace(index, pool);
+                }
+            } else if self.form(wanted) {
+                self.changed.insert(self.service_of(index));
+            } else if self.may_interrupt(wanted) && self.choose_pool(wanted).is_none() {
+                self.retire(index);
+            }
+        }
+    }
+
+    /// Gives a service's groups its declared adapters: at once those that do not serve, and the
+    /// others one by one.
+    fn change_adapters(&mut self, wanted: &WantedService) {
+        for index in self.current_groups(wanted) {
+            let group = &self.view.groups[index];
+            if group.has_current_adapters() || self.is_touched(index) || group.is_broken() {
+                continue;
+            }
+            let filling = group.standing == GroupStanding::Filling;
+            if filling || (!self.is_changing(wanted) && self.may_interrupt(wanted)) {
+                let members = group.record.assignment.members.clone();
+                self.reassign(index, members);
+            }
+        }
+    }
+
+    /// Retires groups of another version: at once those that do not serve, the others one by one,
+    /// and all once the declared ones serve.
+    fn retire_outdated(&mut self, wanted: &WantedService) {
+        let current = self.current_groups(wanted);
+        let serving = current.iter().filter(|index| self.serves(**index)).count();
+        let replaced = serving >= wanted.backend.groups as usize;
+        for index in 0..self.view.groups.len() {
+            let group = &self.view.groups[index];
+            if !std::ptr::eq(group.wanted, wanted) || group.is_current() {
+                continue;
+            }
+            let useless = matches!(group.standing, GroupStanding::Filling | GroupStanding::Broken);
+            let turn = group.serves() && !self.is_changing(wanted) && self.may_interrupt(wanted);
+            if replaced || useless || turn {
+                self.retire(index);
+            }
+        }
+    }
+
+    /// Whether a group that serves may be taken out of service: as many serve as are declared, or
+    /// the service has been short for so long that this is all it will get.
+    fn may_interrupt(&self, wanted: &WantedService) -> bool {
+        let short_for = self.memory.short.age(self.view.input.now, &wanted.service);
+        !self.view.is_short(wanted) || short_for >= self.settings.max_shortage
+    }
+
+    /// Whether some group of a service is on its way to serving, or VMs on their way out of one.
+    fn is_changing(&self, wanted: &WantedService) -> bool {
+        let groups = self.view.groups.iter();
+        let mut groups = groups.filter(|group| std::ptr::eq(group.wanted, wanted));
+        let filling = groups.any(|group| group.standing == GroupStanding::Filling);
+        let releasing = self.view.coming.iter().any(|vm| {
+            let holder = vm.owner.holder.as_ref();
+            let record = holder.and_then(|(group, _)| self.view.input.groups.get(group));
+            record.is_some_and(|record| {
+                record.phase == GroupPhase::Retiring && record.assignment.service == wanted.service
+            })
+        });
+        filling || releasing || self.formed(wanted) > 0 || self.changed.contains(&wanted.service)
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Actions
+
+    fn reassign(&mut self, index: usize, members: Vec<VmId>) {
+        let group = &self.view.groups[index];
+        let assignment = GroupAssignment {
+            generation: group.record.assignment.generation.next(),
+            adapters: group.wanted.backend.adapters.clone(),
+            members,
+            ..group.record.assignment.clone()
+        };
+        self.touch(index);
+        self.actions.push(PlannerAction::Reassign { assignment });
+    }
+
+    fn retire(&mut self, index: usize) {
+        if self.is_touched(index) {
+            return;
+        }
+        self.touch(index);
+        let group = self.view.groups[index].name().clone();
+        self.actions.push(PlannerAction::Retire { group });
+    }
+
+    /// Retires a group for the sake of its living members.
+    fn release(&mut self, index: usize, pool: usize) {
+        self.view.pools[pool].coming += self.view.groups[index].living();
+        self.retire(index);
+    }
+
+    fn touch(&mut self, index: usize) {
+        let name = self.view.groups[index].name();
+        let service = self.service_of(index);
+        self.touched.insert(name);
+        self.changed.insert(service);
+    }
+
+    // -----------------------------------------------------------------------------------------
+    // Look-ups
+
+    fn is_touched(&self, index: usize) -> bool {
+        self.touched.contains(self.view.groups[index].name())
+    }
+
+    /// Whether a group that this plan acts on stays, with other members.
+    fn stays(&self, index: usize) -> bool {
+        let name = self.view.groups[index].name();
+        self.actions.iter().any(|action| {
+            matches!(action, PlannerAction::Reassign { assignment } if assignment.group == *name)
+        })
+    }
+
+    fn serves(&self, index: usize) -> bool {
+        self.view.groups[index].serves()
+    }
+
+    fn service_of(&self, index: usize) -> &'a ServiceName {
+        &self.view.groups[index].record.assignment.service
+    }
+
+    fn pool_of(&self, index: usize) -> Option<usize> {
+        let domain: &FabricDomain = &self.view.groups[index].record.fabric_domain;
+        self.view.pool_of(domain)
+    }
+
+    fn current_groups(&self, wanted: &WantedService) -> Vec<usize> {
+        let groups = self.view.groups.iter().enumerate();
+        groups
+            .filter(|(_, group)| std::ptr::eq(group.wanted, wanted) && group.is_current())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Groups of a service that this plan forms.
+    fn formed(&self, wanted: &WantedService) -> usize {
+        let formed = self.actions.iter().filter(|action| {
+            matches!(action, PlannerAction::Form { assignment, .. }
+                if assignment.service == wanted.service)
+        });
+        formed.count()
+    }
+}
+
+/// Bytes to load to complete a group.
+fn load_bytes(group: &GroupView<'_>) -> u64 {
+    group.wanted.version.weight_bytes.saturating_mul(group.lost.len() as u64)
+}
