Give each customer its own times to come back from overload

Cause: the times to come back of a service were one queue for all customers, so one that came back too often moved the others' times out to 15 s and more. Change: times by customer, at its weight's share of the rate of service. A test failed first (17 s for the first refusal of another customer), and passes.

--- a/crates/policy/src/comeback_schedule.rs
+++ b/crates/policy/src/comeback_schedule.rs
@@ -12,6 +12,12 @@
 }
 
 impl ComebackSchedule {
+    /// Whether times are handed out that are still to come.
+    #[inline]
+    pub(crate) fn is_pending(&self, now: Instant) -> bool {
+        self.next_at.is_some_and(|at| now < at)
+    }
+
     /// The next free time that is not before `earliest` from now.
     ///
     /// Times follow each other by `interval`, with jitter of one interval. Once the schedule reaches
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -158,10 +158,9 @@
             return None;
         }
         let excess = Duration::try_from_secs_f64(wait - allowed).unwrap_or_default();
-        let interval =
-            Duration::try_from_secs_f64(lane.meter.end_interval(lane.capacity)).unwrap_or_default();
         let latest = self.settings.max_retry_after;
-        let retry_after = lane.comeback.reserve(now, excess, interval, latest, &mut self.rng);
+        let weight = weight_of(query);
+        let retry_after = lane.reserve_comeback(now, query, weight, excess, latest, &mut self.rng);
         Some(AdmissionDecision::Refuse { reason: RefusalReason::Overloaded, retry_after })
     }
 
--- a/crates/policy/src/service_lane.rs
+++ b/crates/policy/src/service_lane.rs
@@ -2,10 +2,11 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use comfreyturn_types::CustomerName;
+use rand::RngExt;
 
 use crate::{
     AdmissionQuery, AdmissionTicket, PriorityClass, comeback_schedule::ComebackSchedule,
@@ -96,8 +97,9 @@
 
     pub meter: ServiceMeter,
 
-    /// When refused requests should come back.
-    pub comeback: ComebackSchedule,
+    /// When refused requests of each customer should come back, and the customer's weight. Only
+    /// customers that have times to come.
+    comebacks: BTreeMap<CustomerName, (f64, ComebackSchedule)>,
 
     running: HashMap<AdmissionTicket, (LaneRequest, Instant)>,
     waiting: HashMap<AdmissionTicket, LaneRequest>,
@@ -116,7 +118,7 @@
         Self {
             capacity: 0,
             meter: ServiceMeter::new(tokens_per_second),
-            comeback: ComebackSchedule::default(),
+            comebacks: BTreeMap::new(),
             running: HashMap::new(),
             waiting: HashMap::new(),
             queues: BTreeMap::new(),
@@ -161,6 +163,27 @@
         drain_time + self.meter.end_interval(self.capacity)
     }
 
+    /// A time to come back for a refused request, not before `earliest` from now. Customers get
+    /// times of their own, at their share of the rate of service.
+    pub(crate) fn reserve_comeback(
+        &mut self,
+        now: Instant,
+        query: &AdmissionQuery,
+        weight: f64,
+        earliest: Duration,
+        latest: Duration,
+        rng: &mut impl RngExt,
+    ) -> Duration {
+        self.comebacks.retain(|_, (_, schedule)| schedule.is_pending(now));
+        let others = self.comebacks.iter().filter(|(customer, _)| **customer != query.customer);
+        let total = weight + others.map(|(_, (weight, _))| *weight).sum::<f64>();
+        let interval = self.meter.end_interval(self.capacity) * total / weight;
+        let interval = Duration::try_from_secs_f64(interval).unwrap_or(latest);
+        let entry = self.comebacks.entry(query.customer.clone()).or_default();
+        entry.0 = weight;
+        entry.1.reserve(now, earliest, interval, latest, rng)
+    }
+
     /// Runs a request that need not wait.
     pub(crate) fn run(&mut self, now: Instant, ticket: AdmissionTicket, request: LaneRequest) {
         self.schedule.serve(&request.customer, request.weight, request.cost);
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -288,6 +288,26 @@
     assert_eq!(slots[12..].iter().sum::<u32>(), 0, "{slots:?}");
 }
 
+#[test]
+fn a_customer_that_comes_too_often_moves_only_its_own_time_to_come_back() {
+    let now = Instant::now();
+    let mut queue = queue(now, 100, &[("acme", WIDE), ("busy", WIDE)]);
+    for _ in 0..100 {
+        running(queue.submit(now, &admission("busy", now + 60 * SECOND)));
+    }
+    let refused_after = |queue: &mut FairQueue, customer: &str| loop {
+        let decision = queue.submit(now, &admission(customer, now + 60 * SECOND));
+        if let AdmissionDecision::Refuse { reason, retry_after } = decision {
+            assert_eq!(reason, RefusalReason::Overloaded);
+            return retry_after;
+        }
+    };
+    let busy = (0..1_000).map(|_| refused_after(&mut queue, "busy")).max().expect("some");
+    assert!(busy > 15 * SECOND, "{busy:?}");
+    let other = refused_after(&mut queue, "acme");
+    assert!(other < 2 * SECOND, "{other:?}");
+}
+
 #[test]
 fn retries_stay_within_a_share_of_requests_and_a_floor() {
     let start = Instant::now();
