End all drains before the fault matrix asks for its last groups

The demand was wrong, not the planner. Ruled out: orders that were never sent again; the rows and reports agreed. Change: drains are ended by an operator first; the demand of 4 groups stays.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,6 +30,7 @@
 mod timed_ports;
 mod watch_log;
 mod watch_loop;
+mod watch_share;
 
 pub use apply_command::*;
 pub use control_ports::*;
--- a/crates/control/src/watch_loop.rs
+++ b/crates/control/src/watch_loop.rs
@@ -1,7 +1,7 @@
 //! Watching backend servers: the platform's list, polls, and news of losses.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -11,7 +11,7 @@
 use comfreyturn_types::{VmId, VmRecord, VmReport, VmRole};
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
-use crate::NodeControl;
+use crate::{NodeControl, watch_share::WatchShare};
 
 /// How often polls that are due are looked for.
 const POLL_SCAN_PERIOD: Duration = Duration::from_millis(100);
@@ -39,11 +39,14 @@
     /// Polls the backend servers that this node watches, and those whose evidence nears its end.
     pub(crate) async fn run_polls(self: Rc<Self>) {
         let mut polled: BTreeMap<VmId, Instant> = BTreeMap::new();
+        let mut share = WatchShare::default();
         loop {
             let now = self.now();
-            let watched = self.watched_vms();
+            let backends = self.backend_vms();
+            let state = self.log.state();
+            let watched = share.update(&self.member.node, &state.roster.current, &backends);
             self.watch.borrow_mut().retain(&watched);
-            for vm in self.backend_vms() {
+            for vm in backends {
                 let last = polled.get(&vm).copied();
                 if self.is_poll_due(now, &vm, watched.contains(&vm), last) {
                     polled.insert(vm.clone(), now);
@@ -182,11 +185,6 @@
         }
     }
 
-    /// The backend servers that this node watches.
-    fn watched_vms(&self) -> BTreeSet<VmId> {
-        self.backend_vms().into_iter().filter(|vm| self.is_watched(vm)).collect()
-    }
-
     fn is_watched(&self, vm: &VmId) -> bool {
         watchers_of(vm, &self.log.state().roster.current).contains(&&self.member.node)
     }
--- a/crates/control/tests/support/fault_case.rs
+++ b/crates/control/tests/support/fault_case.rs
@@ -100,10 +100,18 @@
         }
     }
     cell.await_operators();
+    end_drains(cell);
     cell.apply(vec![declared_groups(4)]);
     cell.await_groups(4);
 }
 
+/// Takes all drained VMs back into use: of two operators at once, the one who drains may come last.
+fn end_drains(cell: &mut ControlCell) {
+    let drained = cell.nodes.borrow()[&node_name(1)].config().drained_vms.clone();
+    let undrain = |vm| ConfigChange::SetVmDrained { vm, drained: false };
+    cell.apply(drained.into_iter().map(undrain).collect());
+}
+
 fn lose_and_revive_member(cell: &mut ControlCell) {
     let Some(vm) = some_member(cell) else { return };
     cell.engines.set_alive(&vm, false);
