Check in tests that every write of groups is fenced

Cause: nothing watched that a control write checks the lease's row at a version of its own run. Change: a table that checks each transaction, under all cells of the tests.

--- a/crates/control/tests/support/control_cell.rs
+++ b/crates/control/tests/support/control_cell.rs
@@ -19,7 +19,7 @@
 use comfreyturn_types::*;
 use futures_util::future::{Either, LocalBoxFuture, select};
 
-use super::PromiseCheck;
+use super::{FencedTable, LEASE_KEY, PromiseCheck};
 
 pub const NODES: u32 = 5;
 pub const SERVICE: &str = "assistant";
@@ -47,6 +47,7 @@
     pub nodes: CellNodes,
     pub accepted: AcceptedChanges,
     pub check: PromiseCheck,
+    unfenced: Rc<RefCell<Vec<String>>>,
     pub settings: ControlSettings,
     pub desk: OperatorDesk,
 }
@@ -88,6 +89,7 @@
             accepted,
             desk,
             check: PromiseCheck::default(),
+            unfenced: Rc::default(),
             settings: control_settings,
         };
         for number in 1..=NODES {
@@ -122,7 +124,12 @@
         let ports = ControlPorts {
             clock: self.plan.clock(node),
             spawner: self.plan.spawner(node),
-            table: self.table.for_node(node),
+            table: Rc::new(FencedTable {
+                inner: self.table.for_node(node),
+                rows: self.table.clone(),
+                run: (node.clone(), incarnation),
+                violations: self.unfenced.clone(),
+            }),
             directory: self.directory.for_node(node),
             engines: self.engines.for_node(node),
             peers: self.peers.link(&identity),
@@ -140,6 +147,7 @@
         while self.clock.elapsed() < end {
             run_for(&self.clock, &mut self.pool, CHECK_PERIOD);
             let now = self.clock.elapsed();
+            self.check.violations.extend(self.unfenced.borrow_mut().drain(..));
             self.check.sample(now, &self.plan, &self.nodes.borrow(), &self.accepted.borrow());
         }
     }
@@ -195,7 +203,7 @@
 
     /// The node that holds the planner's lease, as most see it.
     pub fn planner(&self) -> Option<NodeId> {
-        let row = self.table.row("cell-1/lease/planner")?;
+        let row = self.table.row(LEASE_KEY)?;
         let lease: serde_json::Value = serde_json::from_str(&row.value).ok()?;
         lease["holder"][0].as_str().map(NodeId::from)
     }
