--- a/crates/policy/benches/model/mod.rs
+++ b/crates/policy/benches/model/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod engine_model;
 mod event_queue;
+mod group_view;
 pub mod model_settings;
 mod model_summary;
 mod node_model;
--- a/crates/policy/benches/model/node_model.rs
+++ b/crates/policy/benches/model/node_model.rs
@@ -9,15 +9,13 @@
     AdmissionDecision, AdmissionQuery, AdmissionQueue, AdmissionTicket, CapacityShare,
     CustomerShare, GroupRouter, RetryBudget, RouteEnd, RouteQuery, WholeGroup, customer_homes,
 };
-use comfreyturn_types::{
-    CustomerName, FabricDomain, FailureDomain, GroupAssignment, GroupGeneration, GroupId,
-    ModelName, ModelVersionName, NodeId, ServiceName, VmId, VmLoad, VmRecord, VmRole,
-};
+use comfreyturn_types::{CustomerName, GroupId, NodeId, VmLoad};
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 
 use super::{
     engine_model::{EngineModel, EngineWork, StartedWork},
     event_queue::{EventQueue, ModelEvent},
+    group_view::{group_id, group_index, new_group, service},
     model_settings::{ModelCustomer, ModelSettings},
     model_summary::{CustomerSummary, ModelSummary},
     request_source::draw_requests,
@@ -534,40 +532,6 @@
     (0..settings.nodes).filter(|node| homes.contains(&&ids[*node])).collect()
 }
 
-fn new_group(group: usize, settings: &ModelSettings, load_at: Instant) -> WholeGroup {
-    let entry = VmRecord {
-        vm: VmId::from(format!("vm-{group}")),
-        role: VmRole::Engine { accelerators: 4 },
-        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: FailureDomain::from("fd-1"),
-        fabric_domain: FabricDomain::from("fabric-1"),
-        leaving: false,
-    };
-    let assignment = GroupAssignment {
-        group: group_id(group),
-        generation: GroupGeneration(1),
-        service: service(),
-        model: ModelName::from("m"),
-        version: ModelVersionName::from("1"),
-        adapters: Vec::new(),
-        members: vec![entry.vm.clone()],
-    };
-    let load = VmLoad { capacity: settings.engine.slots, ..Default::default() };
-    WholeGroup { assignment, entry, load, load_at }
-}
-
-fn service() -> ServiceName {
-    ServiceName::from("assistant")
-}
-
-fn group_id(group: usize) -> GroupId {
-    GroupId::from(format!("g{group}"))
-}
-
-fn group_index(id: &GroupId) -> usize {
-    id.as_str().trim_start_matches('g').parse().expect("made by group_id")
-}
-
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a few thousand")]
 fn tokens_of(work: &EngineWork) -> u32 {
     (work.prefix_tokens + work.own_tokens + work.output_tokens) as u32
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -185,10 +185,10 @@
 fn served_by(
     queue: &mut FairQueue,
     now: Instant,
-    owners: &HashMap<AdmissionTicket, u32>,
+    owners: &HashMap<AdmissionTicket, usize>,
     first: AdmissionTicket,
     count: usize,
-) -> HashMap<u32, u32> {
+) -> HashMap<usize, u32> {
     let mut counts = HashMap::new();
     let mut current = first;
     for _ in 0..count {
@@ -205,9 +205,9 @@
     queue: &mut FairQueue,
     now: Instant,
     query: &AdmissionQuery,
-    owner: u32,
+    owner: usize,
     count: usize,
-    owners: &mut HashMap<AdmissionTicket, u32>,
+    owners: &mut HashMap<AdmissionTicket, usize>,
 ) {
     for _ in 0..count {
         let AdmissionDecision::Wait(ticket) = queue.submit(now, query) else { panic!() };
@@ -253,6 +253,25 @@
     assert!((8..=12).contains(&counts[&2]), "{counts:?}");
 }
 
+#[test]
+fn a_customer_that_understates_its_tokens_gains_nothing() {
+    let now = Instant::now();
+    let far = now + 100_000 * SECOND;
+    let mut queue = queue_with(patient(), now, 1, &[("acme", WIDE), ("beta", WIDE)]);
+    let mut current = running(queue.submit(now, &admission("acme", far)));
+    let mut owners = HashMap::from([(current, 0)]);
+    enqueue(&mut queue, now, &admission("acme", far), 0, 400, &mut owners);
+    enqueue(&mut queue, now, &admission("beta", far), 1, 400, &mut owners);
+    let mut counts = [0; 2];
+    for _ in 0..400 {
+        let tokens = if owners[&current] == 0 { 300 } else { 100 };
+        queue.finish(now, current, tokens);
+        current = running(queue.release(now)[0].1);
+        counts[owners[&current]] += 1;
+    }
+    assert!((98..=102).contains(&counts[0]), "{counts:?}");
+}
+
 #[test]
 fn an_idle_customer_saves_up_nothing() {
     let now = Instant::now();
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -70,13 +70,13 @@
     let now = Instant::now();
     let mut router = router();
     let offered = groups(3, now);
-    let mut query = route(5);
-    query.avoid = vec!["g0".into(), "g1".into()];
-    for _ in 0..10 {
+    for prefix in 0..20 {
+        let mut query = route(prefix);
+        query.avoid = vec!["g0".into(), "g1".into()];
         assert_eq!(router.choose(now, &query, &offered), Some("g2".into()));
+        query.avoid.push("g2".into());
+        assert!(router.choose(now, &query, &offered).is_some());
     }
-    query.avoid.push("g2".into());
-    assert!(router.choose(now, &query, &offered).is_some());
 }
 
 #[test]
