--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -221,6 +221,23 @@
     assert!(!router.is_aside(&"g0".into()));
 }
 
+#[test]
+fn failures_of_earlier_members_do_not_count() {
+    let now = Instant::now();
+    let mut router = router();
+    let mut offered = groups(2, now);
+    let fail = |router: &mut LoadRouter, offered: &[WholeGroup]| {
+        router.choose(now, &route(1), offered);
+        router.started(now, &"g0".into(), &route(1));
+        router.ended(now, &"g0".into(), RouteEnd::Failed);
+    };
+    fail(&mut router, &offered);
+    fail(&mut router, &offered);
+    offered[0].assignment.generation = GroupGeneration(2);
+    fail(&mut router, &offered);
+    assert!(!router.is_aside(&"g0".into()));
+}
+
 /// Requests that the most loaded group gets while one report says that a group is empty.
 fn worst_share(routers: &mut [Box<dyn GroupRouter>]) -> usize {
     let now = Instant::now();
