Count a claim's age from when its insertion was sent

Ruled out: the freeze between the look and the write itself, which nothing can close; nobody else runs the request then. Change: the age counts from the question. A first death that is taken back has a test too, since leaving it out was not noticed by any.

--- a/crates/serving/src/claim_book.rs
+++ b/crates/serving/src/claim_book.rs
@@ -113,9 +113,9 @@
         let record = self.new_record(body_hash, phase);
         let mut hold = ClaimHold::new(self.clone(), key, record, self.ports.now());
         for attempt in 0..INSERT_TRIES {
-            let outcome = self.write_claim(&mut hold).await;
-            match outcome {
-                RowOutcome::Written => return self.held(hold),
+            hold.confirmed_at = self.ports.now();
+            match self.write_claim(&hold).await {
+                RowOutcome::Written => return ClaimInsert::Held(hold),
                 RowOutcome::Conflict if attempt == 0 => {
                     hold.forget();
                     return ClaimInsert::Taken;
@@ -126,9 +126,10 @@
                 }
                 RowOutcome::Conflict | RowOutcome::NoAnswer | RowOutcome::Unavailable => {}
             }
+            hold.confirmed_at = self.ports.now();
             match self.read(Step::ClaimReadBack, &hold.key).await {
                 Ok(None) => {}
-                Ok(Some((_, record))) if hold.is(&record) => return self.held(hold),
+                Ok(Some((_, record))) if hold.is(&record) => return ClaimInsert::Held(hold),
                 Ok(Some(_)) => {
                     hold.forget();
                     return ClaimInsert::Taken;
@@ -139,17 +140,12 @@
         ClaimInsert::Unavailable
     }
 
-    async fn write_claim(&self, hold: &mut ClaimHold) -> RowOutcome {
+    async fn write_claim(&self, hold: &ClaimHold) -> RowOutcome {
         let check = RowCheck { key: hold.key.clone(), version: RowVersion(0) };
         let write = RowWrite { key: hold.key.clone(), value: Some(to_text(&hold.record)) };
         self.inserts.write(check, write).await
     }
 
-    fn held(&self, mut hold: ClaimHold) -> ClaimInsert {
-        hold.confirmed_at = self.ports.now();
-        ClaimInsert::Held(hold)
-    }
-
     fn new_record(&self, body_hash: u64, phase: ClaimPhase) -> ClaimRecord {
         let serial = self.next_serial.get();
         self.next_serial.set(serial + 1);
--- a/crates/serving/src/claim_hold.rs
+++ b/crates/serving/src/claim_hold.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Instant};
 
-use comfreyturn_ports::RowKey;
+use comfreyturn_ports::{RowKey, TableResult};
 use comfreyturn_types::StreamId;
 
 use crate::{
@@ -26,7 +26,7 @@
     book: Rc<ClaimBook>,
     pub(crate) key: RowKey,
     pub(crate) record: ClaimRecord,
-    /// When the claim was last known to stand.
+    /// When the question was sent whose answer said that the claim stands.
     pub(crate) confirmed_at: Instant,
     state: HoldState,
 }
@@ -48,13 +48,12 @@
     }
 
     /// Whether the request may be dispatched. After a long pause the row is read again.
-    pub(crate) async fn confirm(&mut self, now: Instant) -> bool {
+    pub(crate) async fn confirm(&mut self, now: Instant) -> TableResult<bool> {
         if !self.book.is_late(self.confirmed_at) {
-            return true;
+            return Ok(true);
         }
-        let holds = self.book.still_holds(self).await.unwrap_or(false);
         self.confirmed_at = now;
-        holds
+        self.book.still_holds(self).await
     }
 
     /// The request goes to another backend server than the row says.
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -251,8 +251,10 @@
         let Some(mut claim) = self.claim.take() else {
             return Ok(());
         };
-        if !claim.confirm(now).await {
-            return Err(self.stop(RefusalReason::TableUnavailable));
+        match claim.confirm(now).await {
+            Ok(true) => {}
+            Ok(false) => return Err(self.stop(RefusalReason::DuplicateKey)),
+            Err(_) => return Err(self.stop(RefusalReason::TableUnavailable)),
         }
         self.claim = Some(claim);
         if self.now() >= self.scope.deadline {
--- a/crates/serving/tests/requests.rs
+++ b/crates/serving/tests/requests.rs
@@ -8,7 +8,7 @@
 use comfreyturn_serving::{ServingSettings, request_fingerprint};
 use comfreyturn_standin::{
     ExecutionEnd, content_hash,
-    fakes::{FaultSettings, LocalPool},
+    fakes::{Fault, FaultEndpoint, FaultRule, FaultSettings, LocalPool},
 };
 use comfreyturn_types::{GroupGeneration, OutcomeWord, RefusalReason};
 use futures_util::{StreamExt, future::join_all};
@@ -255,6 +255,58 @@
     }
 }
 
+#[test]
+fn a_cut_is_no_death() {
+    let (world, mut pool) = warm_world();
+    let node = FaultEndpoint::Node(world.node(0).identity.node.clone());
+    let jobs: Vec<_> = (0..9).map(|n| TestJob::completion(&format!("cut off {n}"))).collect();
+    let cut = Duration::from_secs(20);
+    let ends = world.run(&mut pool, async {
+        let work = join_all(jobs.iter().map(|job| submit(&world, job, 0)));
+        let cut = async {
+            world.sleep(Duration::from_millis(100)).await;
+            world.plan.cut(node, FaultEndpoint::Address(address_of(1)), true, cut);
+        };
+        futures_util::join!(work, cut).0
+    });
+    assert!(ends.iter().all(|end| *end == SubmissionEnd::Whole), "{ends:?}");
+    assert!(world.plan.reached(Step::SuspectNotify) > 0, "some looked as if they met a death");
+    world.run(&mut pool, world.sleep(cut));
+    let slots = world.plan.reached(Step::SuspectSlot);
+    for job in &jobs {
+        assert_eq!(world.run(&mut pool, submit(&world, job, 0)), SubmissionEnd::Whole);
+        assert_eq!(world.run(&mut pool, submit(&world, job, 1)), SubmissionEnd::Whole);
+    }
+    assert_eq!(world.plan.reached(Step::SuspectSlot), slots, "no suspicion is left");
+}
+
+/// The owner stands still between its claim and its dispatch, and is taken off the roster. The one
+/// that joins says `unknown`, and the owner sees that when it wakes.
+#[test]
+fn an_owner_that_wakes_does_not_run_what_was_given_up() {
+    let (world, mut pool) =
+        start_world(FaultSettings { clock_stands_still: false, ..FaultSettings::default() });
+    world.run(&mut pool, world.sleep(WARM_UP));
+    let owner = world.node(0).identity.node.clone();
+    let (step, fault) = (Step::ClaimInsert, Fault::TableSlow);
+    world.plan.inject(FaultRule { step, occurrence: 1, node: None, fault });
+    let job = TestJob::completion("given up").keyed();
+    let ends = world.run(&mut pool, async {
+        let first = submit(&world, &job, 0);
+        let second = async {
+            world.sleep(Duration::from_millis(500)).await;
+            world.plan.freeze(&owner, Duration::from_secs(20));
+            world.expelled.borrow_mut().insert(owner.clone());
+            world.sleep(Duration::from_secs(2)).await;
+            submit(&world, &job, 1).await
+        };
+        futures_util::join!(first, second)
+    });
+    assert_eq!(ends.1.outcome(), Some(OutcomeWord::Unknown));
+    assert_eq!(ends.0.outcome(), Some(OutcomeWord::NotRun));
+    assert!(world.backends.executions().is_empty());
+}
+
 #[test]
 fn late_and_repeated_notices_raise_no_suspicion() {
     let (world, mut pool) = warm_world();
--- a/crates/serving/tests/support/world.rs
+++ b/crates/serving/tests/support/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -59,6 +59,8 @@
     pub groups: RefCell<Vec<GroupAssignment>>,
     pub roster: RefCell<BTreeMap<NodeId, RosterMember>>,
     pub nodes: RefCell<Vec<Rc<TestNode>>>,
+    /// Nodes that an operator took off the roster.
+    pub expelled: RefCell<BTreeSet<NodeId>>,
     /// Whether dead backend servers are started again.
     pub repairs: Cell<bool>,
 }
@@ -76,6 +78,7 @@
         groups: RefCell::new((1..=GROUPS).map(assignment).collect()),
         roster: RefCell::default(),
         nodes: RefCell::default(),
+        expelled: RefCell::default(),
         repairs: Cell::new(true),
         clock,
         plan,
@@ -178,7 +181,8 @@
                     && (from..until).contains(&now)
             });
             let mut roster = self.roster.borrow_mut();
-            if lapsed || !self.plan.is_alive(name) {
+            let expelled = self.expelled.borrow().contains(name);
+            if lapsed || expelled || !self.plan.is_alive(name) {
                 roster.remove(name);
             } else if !roster.contains_key(name) {
                 roster.insert(name.clone(), member(&node.identity, 0));
