--- a/crates/control/src/group_loop.rs
+++ b/crates/control/src/group_loop.rs
@@ -1,5 +1,4 @@
-//! The holder of the planner's lease: plans groups, and orders VMs until their reports equal the
-//! rows.
+//! The holder of the planner's lease: plans groups and writes their rows.
 
 use std::{
     cell::{Cell, RefCell},
@@ -11,17 +10,14 @@
     EVIDENCE_LIFETIME, FirstFitPlanner, GroupPlanner, LeaseHold, PlannerAction, PlannerInput,
     PlannerVm, WantedService,
 };
-use comfreyturn_ports::{CommitOutcome, EngineError, EngineOrder, Step, TableError, TableResult};
+use comfreyturn_ports::{CommitOutcome, Step, TableError, TableResult};
 use comfreyturn_types::{
-    ConfigChange, GroupAssignment, GroupId, GroupPhase, GroupRecord, Incarnation, OperationId,
-    ServiceBackend, VmId, VmOwner, VmRecord, VmRole,
+    ConfigChange, GroupId, GroupPhase, GroupRecord, Incarnation, OperationId, ServiceBackend, VmId,
+    VmOwner, VmRecord, VmRole,
 };
-use futures_util::future::join_all;
 
 use crate::{
-    ApplyCommand, ChangePrecondition, NodeControl,
-    group_store::GroupRows,
-    quiet_watch::{QuietWatch, stands_before},
+    ApplyCommand, ChangePrecondition, NodeControl, group_store::GroupRows, quiet_watch::QuietWatch,
 };
 
 /// New groups that one round may form.
@@ -38,8 +34,12 @@
     /// The rows as last read.
     pub(crate) rows: RefCell<Rc<GroupRows>>,
 
-    quiet: RefCell<QuietWatch>,
-    ordering: RefCell<BTreeSet<VmId>>,
+    /// How long things have been as they are.
+    pub(crate) quiet: RefCell<QuietWatch>,
+
+    /// VMs to which an order is under way.
+    pub(crate) ordering: RefCell<BTreeSet<VmId>>,
+
     step: Cell<Step>,
 }
 
@@ -55,13 +55,6 @@
     }
 }
 
-/// An order that is due.
-struct DueOrder {
-    step: Step,
-    record: VmRecord,
-    assignment: Option<GroupAssignment>,
-}
-
 impl NodeControl {
     /// Keeps the planner's lease, unless this node is leaving or sees too little.
     pub(crate) async fn run_lease(self: Rc<Self>) {
@@ -91,7 +84,7 @@
     }
 
     /// The planner's lease, while this node may act under it.
-    fn planner_hold(&self) -> Option<LeaseHold> {
+    pub(crate) fn planner_hold(&self) -> Option<LeaseHold> {
         self.lease.held(self.now()).filter(|_| self.may_plan())
     }
 
@@ -115,7 +108,7 @@
         Ok(())
     }
 
-    async fn store_rows(&self) -> TableResult<GroupRows> {
+    pub(crate) async fn store_rows(&self) -> TableResult<GroupRows> {
         let rows = self.groups.load(self.desk.step.get()).await?;
         self.desk.step.set(Step::GroupReadRows);
         Ok(rows)
@@ -266,65 +259,6 @@
         }
     }
 
-    /// Orders all VMs whose reports differ from the rows, each at most once at a time.
-    async fn order_vms(&self, hold: &LeaseHold) {
-        let Ok(rows) = self.store_rows().await else { return };
-        *self.desk.rows.borrow_mut() = Rc::new(rows.clone());
-        let Some(control) = self.this.upgrade() else { return };
-        for due in self.due_orders(&rows) {
-            if !self.desk.ordering.borrow_mut().insert(due.record.vm.clone()) {
-                continue;
-            }
-            let control = Rc::clone(&control);
-            let hold = *hold;
-            self.spawn(async move {
-                control.send_order(&hold, &due).await;
-                control.desk.ordering.borrow_mut().remove(&due.record.vm);
-            });
-        }
-    }
-
-    fn due_orders(&self, rows: &GroupRows) -> Vec<DueOrder> {
-        let table = self.table.borrow();
-        let engines = table.records().values();
-        let engines = engines.filter(|record| matches!(record.role, VmRole::Engine { .. }));
-        engines.filter_map(|record| self.due_order(rows, record)).collect()
-    }
-
-    fn due_order(&self, rows: &GroupRows, record: &VmRecord) -> Option<DueOrder> {
-        let table = self.table.borrow();
-        let evidence = table.evidence(&record.vm)?;
-        let held = evidence.report.as_ref()?.assignment.as_ref();
-        let place = rows.place(&record.vm);
-        if held == place {
-            return None;
-        }
-        let step = if place.is_some() { Step::GroupOrder } else { Step::GroupRelease };
-        let admitted = place.is_none_or(|place| {
-            stands_before(held, place) || self.desk.quiet.borrow().admits_newcomers(place)
-        });
-        let due = DueOrder { step, record: record.clone(), assignment: place.cloned() };
-        admitted.then_some(due)
-    }
-
-    /// Sends an order, unless the lease lapsed meanwhile.
-    async fn send_order(&self, hold: &LeaseHold, due: &DueOrder) {
-        let held = self.planner_hold();
-        if held.map(|held| held.fencing) != Some(hold.fencing) {
-            return;
-        }
-        let order = EngineOrder { fencing: hold.fencing, assignment: due.assignment.clone() };
-        let vm = &due.record.vm;
-        match self.ports.order(due.step, &due.record, &order).await {
-            Ok(()) => self.probe(vm).await,
-            Err(EngineError::Fenced { seen }) => {
-                log::warn!("planner: {vm} refused an order: it has seen number {seen}.");
-                self.lease.note_fenced(seen);
-            }
-            Err(error) => log::debug!("planner: order to {vm} failed: {error}."),
-        }
-    }
-
     /// Takes one member off the roster whose VM is gone from the platform's list.
     async fn remove_dead_member(&self) {
         let members = self.log.state().roster.current.members.clone();
@@ -345,11 +279,6 @@
             Err(error) => log::debug!("roster: {node} not taken off yet: {error}."),
         }
     }
-
-    /// Probes many VMs at once.
-    pub(crate) async fn probe_all(&self, vms: &[VmId]) {
-        join_all(vms.iter().map(|vm| self.probe(vm))).await;
-    }
 }
 
 fn wanted_services(state: &comfreyturn_policy::ConfigState) -> Vec<WantedService> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! and written.
 
 mod apply_command;
+mod config_accept;
 mod config_apply;
 mod config_log;
 mod config_loop;
@@ -17,6 +18,7 @@
 mod control_ports;
 mod control_settings;
 mod group_loop;
+mod group_orders;
 mod group_store;
 mod lease_keeper;
 mod node_control;
--- a/crates/control/src/watch_loop.rs
+++ b/crates/control/src/watch_loop.rs
@@ -9,7 +9,10 @@
 use comfreyturn_policy::watchers_of;
 use comfreyturn_ports::{PeerNotice, Step};
 use comfreyturn_types::{VmId, VmRecord, VmReport, VmRole};
-use futures_util::{FutureExt, future::LocalBoxFuture};
+use futures_util::{
+    FutureExt,
+    future::{LocalBoxFuture, join_all},
+};
 
 use crate::{NodeControl, watch_share::WatchShare};
 
@@ -83,6 +86,11 @@
         probe.await;
     }
 
+    /// Probes many VMs at once.
+    pub(crate) async fn probe_all(&self, vms: &[VmId]) {
+        join_all(vms.iter().map(|vm| self.probe(vm))).await;
+    }
+
     /// Polls a backend server in the background.
     pub(crate) fn spawn_probe(&self, vm: VmId) {
         let Some(control) = self.this.upgrade() else { return };
