--- a/crates/ports/src/peer_link.rs
+++ b/crates/ports/src/peer_link.rs
@@ -4,7 +4,8 @@
 
 use async_trait::async_trait;
 use comfreyturn_types::{
-    CellName, ConfigEntry, ConfigVersion, CustomerName, Incarnation, NodeId, RosterMember, VmId, VmReport,
+    CellName, ConfigEntry, ConfigVersion, CustomerName, Incarnation, NodeId, RosterMember, VmId,
+    VmReport,
 };
 use serde::{Deserialize, Serialize};
 
