--- a/crates/policy/benches/replay/fault_plan.rs
+++ b/crates/policy/benches/replay/fault_plan.rs
@@ -38,6 +38,7 @@
 const FLEET_VMS: f64 = 11_000.0;
 const FLEET_RACKS: f64 = 690.0;
 const FLEET_FAILURE_DOMAINS: f64 = 23.0;
+const HOUR: Duration = Duration::from_secs(3_600);
 const DAY: Duration = Duration::from_secs(86_400);
 
 impl Default for FaultRates {
@@ -81,6 +82,9 @@
                 });
             }
         }
+        if let (Some(at), Some(vms)) = (plan.dark_at, failure_domains.first()) {
+            faults.push(FleetFault { at, away: HOUR, vms: vms.clone() });
+        }
         faults.sort_by_key(|fault| fault.at);
         faults
     }
--- a/crates/policy/benches/replay/fleet_plan.rs
+++ b/crates/policy/benches/replay/fleet_plan.rs
@@ -35,6 +35,9 @@
     /// Virtual time between two plans; also the quiet period of a released VM.
     pub tick: Duration,
 
+    /// When the first failure domain goes dark for an hour, if it does.
+    pub dark_at: Option<Duration>,
+
     /// Time replayed.
     pub length: Duration,
 }
--- a/crates/policy/benches/replay/replay_flags.rs
+++ b/crates/policy/benches/replay/replay_flags.rs
@@ -11,6 +11,8 @@
         optional --seeds seeds: u64
         /// Hours of the fleet to replay.
         optional --fleet-hours hours: u32
+        /// Hours of the fleet to replay around the loss of a failure domain.
+        optional --dark-hours hours: u32
         /// Days of the site to replay.
         optional --site-days days: u32
         /// Where to write the plots.
--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -189,6 +189,14 @@
     assert_eq!(first, ["fabric-1", "fabric-2", "fabric-3"]);
 }
 
+#[test]
+fn a_spare_goes_before_the_spread_over_failure_domains() {
+    let mut scene = PlannerScene::new(&[("fabric-1", 4), ("fabric-2", 9)], 4);
+    scene.declare("a", 0, 2);
+    let forms = formed_in(&WeightedPlanner::default().plan(&scene.input));
+    assert_eq!(forms, ["fabric-2", "fabric-2"]);
+}
+
 #[test]
 fn last_spares_stay_with_a_higher_rank_where_losses_are_long() {
     let forms = |losses_per_vm_day| {
@@ -296,3 +304,53 @@
     scene.add_group("g3", "gone", &["fabric-1-8", "fabric-1-9", "fabric-1-10", "fabric-1-11"]);
     assert_eq!(retired(&WeightedPlanner::default().plan(&scene.input)), ["g3", "g2"]);
 }
+
+/// Two groups of a service, one of them broken and held, while the adapters change.
+fn change_beside_broken_group() -> (PlannerScene, WeightedPlanner) {
+    let mut scene = PlannerScene::new(&[("fabric-1", 8)], 4);
+    scene.input.weights = PlannerWeights { group_downtime: 1.0, stranded_accelerator: 0.0 };
+    scene.declare("a", 0, 2);
+    scene.add_group("g1", "a", &["fabric-1-0", "fabric-1-1", "fabric-1-2", "fabric-1-3"]);
+    scene.add_group("g2", "a", &["fabric-1-4", "fabric-1-5", "fabric-1-6", "fabric-1-7"]);
+    let mut planner = WeightedPlanner::default();
+    planner.plan(&scene.input);
+    scene.lose("fabric-1-0");
+    scene.input.services[0].backend.adapters = vec![AdapterName::from("x")];
+    (scene, planner)
+}
+
+#[test]
+fn change_waits_while_another_group_is_broken() {
+    let (mut scene, mut planner) = change_beside_broken_group();
+    assert!(plan_after(&mut scene, &mut planner, 599).is_empty());
+}
+
+#[test]
+fn change_goes_on_once_a_service_has_been_short_for_long() {
+    let (mut scene, mut planner) = change_beside_broken_group();
+    assert!(plan_after(&mut scene, &mut planner, 599).is_empty());
+    scene.pass(SECOND);
+    let actions = planner.plan(&scene.input);
+    assert_eq!(reassigned(&actions)[0].0, "g2");
+}
+
+#[test]
+fn version_change_waits_for_released_vms() {
+    let mut scene = PlannerScene::new(&[("fabric-1", 12)], 4);
+    scene.declare("a", 0, 2);
+    scene.add_group("g1", "a", &["fabric-1-0", "fabric-1-1", "fabric-1-2", "fabric-1-3"]);
+    scene.add_group("g2", "a", &["fabric-1-4", "fabric-1-5", "fabric-1-6", "fabric-1-7"]);
+    let version = ModelVersionName::from("2");
+    scene.input.services[0].backend.version = version.clone();
+    scene.input.services[0].version.version = version;
+    let mut planner = WeightedPlanner::default();
+    let actions = planner.plan(&scene.input);
+    assert_eq!(formed_in(&actions).len(), 1);
+    assert!(retired(&actions).is_empty(), "the new group comes first");
+    scene.carry_out(&actions);
+    scene.settle();
+    let actions = planner.plan(&scene.input);
+    assert_eq!(retired(&actions).len(), 1);
+    scene.carry_out(&actions);
+    assert!(planner.plan(&scene.input).is_empty(), "the released VMs make the next one");
+}
