Trust no ages of a watcher whose clock stood still

Cause: a watcher that woke on a VM whose clock had stood still stated the ages of its old reports as low, and others took them for fresh until it noticed; the new test woken_watcher_revives_no_report failed first (node-2 saw a VM in a group that was retired during the freeze). Ruled out: only the watcher dropping its reports; it answers before it can notice.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod group_store;
 mod lease_keeper;
 mod node_control;
+mod peer_clock;
 mod peer_loop;
 mod peer_view;
 mod quiet_watch;
--- a/crates/control/src/peer_loop.rs
+++ b/crates/control/src/peer_loop.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     NodeControl,
+    peer_clock::{ClockVerdict, PeerClock},
     peer_view::PeerView,
     watch_log::{RelayedNews, RelayedReports},
 };
@@ -18,12 +19,6 @@
 /// How often new peers are looked for.
 const PEER_SCAN_PERIOD: Duration = Duration::from_millis(200);
 
-/// How far a peer's clock may run ahead before this VM must have stood still.
-const UPTIME_SLACK: Duration = Duration::from_millis(500);
-
-/// A peer's uptime, and when the question was sent that it answered.
-type UptimeMark = (Instant, Duration);
-
 impl NodeControl {
     /// Starts a task for each member, and takes note of runs that a successor replaced.
     pub(crate) async fn run_peers(self: Rc<Self>) {
@@ -50,9 +45,9 @@
     async fn run_peer(self: Rc<Self>, member: RosterMember) {
         let run = (member.node.clone(), member.incarnation);
         let mut relayed = RelayedReports::default();
-        let mut mark = None;
+        let mut clock = PeerClock::new(self.now());
         while self.counts(&run) {
-            self.ask_peer(&member, &mut relayed, &mut mark).await;
+            self.ask_peer(&member, &mut relayed, &mut clock).await;
             self.ports.sleep(self.settings.heartbeat_period).await;
         }
         self.peers.borrow_mut().remove(&run);
@@ -62,27 +57,28 @@
         self: &Rc<Self>,
         member: &RosterMember,
         relayed: &mut RelayedReports,
-        mark: &mut Option<UptimeMark>,
+        clock: &mut PeerClock,
     ) {
         let asked_at = self.now();
         let config = self.log.version();
         let question = PeerQuestion::Heartbeat { config, cursor: relayed.cursor };
-        match self.ports.ask(Step::PeerHeartbeat, member, question).await {
-            Ok(reply) if self.is_jump(asked_at, reply.uptime, mark) => {
+        let reply = match self.ports.ask(Step::PeerHeartbeat, member, question).await {
+            Ok(reply) => reply,
+            Err(error) => return self.note_peer_error(member, &error),
+        };
+        match clock.check(self.now(), asked_at, reply.uptime) {
+            ClockVerdict::Even => {}
+            ClockVerdict::OwnStoodStill => {
                 log::warn!("watcher: clock stood still; all evidence dropped.");
-                self.drop_evidence();
+                return self.drop_evidence();
+            }
+            ClockVerdict::PeerStoodStill => {
+                log::warn!("watcher: clock of {} stood still.", member.node);
+                *relayed = RelayedReports::default();
             }
-            Ok(reply) => self.take_in_reply(member, asked_at, reply, relayed).await,
-            Err(error) => self.note_peer_error(member, &error),
         }
-    }
-
-    /// Whether the peer's clock ran on between two answers for longer than this node's did.
-    fn is_jump(&self, asked_at: Instant, uptime: Duration, mark: &mut Option<UptimeMark>) -> bool {
-        let earlier = mark.replace((asked_at, uptime));
-        let Some((earlier_asked_at, earlier_uptime)) = earlier else { return false };
-        let own = self.now().saturating_duration_since(earlier_asked_at);
-        uptime.saturating_sub(earlier_uptime) > own + UPTIME_SLACK
+        let trusted = clock.trusts(self.now()).then_some(relayed);
+        self.take_in_reply(member, asked_at, reply, trusted).await;
     }
 
     async fn take_in_reply(
@@ -90,7 +86,7 @@
         member: &RosterMember,
         asked_at: Instant,
         reply: PeerReply,
-        relayed: &mut RelayedReports,
+        relayed: Option<&mut RelayedReports>,
     ) {
         let run = (member.node.clone(), member.incarnation);
         let from = (reply.from.node, reply.from.incarnation);
@@ -109,8 +105,10 @@
             peer.leaving |= leaving;
             peer.in_flight = in_flight;
         }
-        let news = relayed.take_in(asked_at, watch);
-        self.take_in_news(news);
+        if let Some(relayed) = relayed {
+            let news = relayed.take_in(asked_at, watch);
+            self.take_in_news(news);
+        }
         if config > self.log.version() {
             self.fetch_entries(member).await;
         }
--- a/crates/control/src/watch_loop.rs
+++ b/crates/control/src/watch_loop.rs
@@ -1,7 +1,7 @@
 //! Watching backend servers: the platform's list, polls, and news of losses.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -108,6 +108,7 @@
     pub(crate) fn drop_evidence(&self) {
         self.gauge.borrow_mut().clear();
         self.table.borrow_mut().clear_evidence();
+        self.watch.borrow_mut().retain(&BTreeSet::new());
         self.lease.forget();
     }
 
--- a/crates/control/tests/cell/outages.rs
+++ b/crates/control/tests/cell/outages.rs
@@ -200,3 +200,26 @@
     cell.await_groups(2);
     assert_held(&cell);
 }
+
+/// A watcher whose clock stood still states ages that are too low, until it notices.
+#[test]
+fn woken_watcher_revives_no_report() {
+    for number in 1..=5 {
+        let mut cell = ControlCell::started(FaultSettings::default());
+        let watcher = node_name(number);
+        cell.plan.freeze(&watcher, Duration::from_millis(39_500 + 500 * u64::from(number)));
+        cell.run(Duration::from_secs(1));
+        cell.apply(vec![declared_groups(0)]);
+        cell.run(Duration::from_secs(25));
+        for _ in 0..200 {
+            cell.run(Duration::from_millis(100));
+            let others = (1..=5).map(node_name).filter(|node| *node != watcher);
+            for node in others {
+                let status = cell.nodes.borrow()[&node].vm_status(cell.node_now(&node));
+                let held: Vec<_> = status.iter().filter(|vm| vm.group.is_some()).collect();
+                assert!(held.is_empty(), "{node} after {watcher} woke: {held:?}");
+            }
+        }
+        assert_held(&cell);
+    }
+}
