--- a/crates/ctl/tests/process_faults.rs
+++ b/crates/ctl/tests/process_faults.rs
@@ -31,25 +31,6 @@
 /// Engines that are slow enough for faults to hit answers under way.
 const SLOW_ENGINES: &[&str] = &["--tokens-per-second", "50"];
 
-fn start_site(layout: &SiteLayout, groups: usize) -> Site {
-    let site = Site::start(layout);
-    site.wait_for_roster();
-    site.declare(groups);
-    site.wait_for_groups(groups);
-    wait_until_admitted(&site);
-    site
-}
-
-/// Waits until every node holds its share of the customer's limits.
-fn wait_until_admitted(site: &Site) {
-    for node in &site.nodes {
-        wait_for("share of the limits", START_LIMIT, || {
-            let answer = complete(node.callers, "warm up", 1, &[])?;
-            (answer.status == 200).then_some(())
-        });
-    }
-}
-
 fn join_all(callers: Vec<JoinHandle<CallerStory>>) -> Vec<CallerStory> {
     callers.into_iter().map(|caller| caller.join().unwrap()).collect()
 }
@@ -94,7 +75,7 @@
         engine_flags: SLOW_ENGINES,
         ..SiteLayout::default()
     };
-    let mut site = start_site(&layout, 2);
+    let mut site = Site::start_serving(&layout, 2);
     let addresses = addresses_from(site.nodes[0].callers);
     let callers = start_callers(&addresses, "killed node", 16, 60, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
@@ -113,7 +94,7 @@
         engine_flags: SLOW_ENGINES,
         ..SiteLayout::default()
     };
-    let mut site = start_site(&layout, 2);
+    let mut site = Site::start_serving(&layout, 2);
     let addresses = addresses_from(site.nodes[0].callers);
     let callers = start_callers(&addresses, "killed engine", 16, 60, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
@@ -127,7 +108,7 @@
 
 #[test]
 fn frozen_node_does_not_serve_by_an_old_configuration() {
-    let site = start_site(&SiteLayout { name: "frozen_node", ..SiteLayout::default() }, 1);
+    let site = Site::start_serving(&SiteLayout { name: "frozen_node", ..SiteLayout::default() }, 1);
     site.ctl_ok(&[
         "create",
         "customer",
@@ -164,7 +145,8 @@
 
 #[test]
 fn platform_outage_stops_only_what_needs_the_table() {
-    let site = start_site(&SiteLayout { name: "platform_outage", ..SiteLayout::default() }, 1);
+    let site =
+        Site::start_serving(&SiteLayout { name: "platform_outage", ..SiteLayout::default() }, 1);
     let node = site.nodes[0].callers;
     set_faults(&site, &json!({"table_outage_ms": 12_000}));
     let outage = Instant::now();
@@ -208,7 +190,7 @@
         engine_flags: SLOW_ENGINES,
         ..SiteLayout::default()
     };
-    let mut site = start_site(&layout, 1);
+    let mut site = Site::start_serving(&layout, 1);
     let addresses = addresses_from(site.nodes[0].callers);
     let early = start_callers(&addresses, "early", 8, 100, CALLER_LIMIT);
     thread::sleep(Duration::from_millis(500));
@@ -235,7 +217,7 @@
 #[test]
 fn rolling_restart_under_load_costs_no_answer() {
     let layout = SiteLayout { name: "rolling_restart", engines: 4, ..SiteLayout::default() };
-    let mut site = start_site(&layout, 2);
+    let mut site = Site::start_serving(&layout, 2);
     let addresses = addresses_from(site.nodes[0].callers);
     let load = {
         let addresses = addresses.clone();
@@ -265,7 +247,7 @@
 #[test]
 fn leaving_engine_gets_no_new_work() {
     let layout = SiteLayout { name: "leaving_engine", engines: 4, ..SiteLayout::default() };
-    let site = start_site(&layout, 2);
+    let site = Site::start_serving(&layout, 2);
     set_faults(&site, &json!({"list_lag_ms": 60_000}));
     let busy = site
         .engines
@@ -304,7 +286,7 @@
         engine_flags: &["--tokens-per-second", "50", "--crash-marker", "BOOM"],
         ..SiteLayout::default()
     };
-    let mut site = start_site(&layout, 4);
+    let mut site = Site::start_serving(&layout, 4);
     let addresses = addresses_from(site.nodes[0].callers);
     let innocent = start_callers(&addresses, "innocent", 6, 60, CALLER_LIMIT);
     let mut last = None;
@@ -332,7 +314,7 @@
 #[test]
 fn killed_node_never_doubles_a_non_idempotent_request() {
     let site_layout = SiteLayout { name: "at_most_once", ..SiteLayout::default() };
-    let mut site = start_site(&site_layout, 1);
+    let mut site = Site::start_serving(&site_layout, 1);
     let addresses = addresses_from(site.nodes[0].callers);
     let first = addresses[0];
     let submissions: Vec<_> = (0..8)
@@ -361,7 +343,7 @@
 #[test]
 fn killed_engine_is_replaced_by_the_spare() {
     let layout = SiteLayout { name: "replaced_engine", engines: 3, ..SiteLayout::default() };
-    let mut site = start_site(&layout, 1);
+    let mut site = Site::start_serving(&layout, 1);
     site.engines[0].process.kill();
     let answer = call_until_whole(
         &addresses_from(site.nodes[0].callers),
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod caller;
 pub mod http;
 pub mod process;
+pub mod relay;
 pub mod site;
--- a/crates/ctl/tests/support/site.rs
+++ b/crates/ctl/tests/support/site.rs
@@ -15,6 +15,7 @@
     process::{
         OwnProcess, ctl_binary, free_address, node_binary, run_ctl, scratch_directory, wait_for,
     },
+    relay::OwnRelay,
 };
 
 /// Generous to a busy machine; no promise is measured by it.
@@ -30,6 +31,9 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
+
+    /// What the node reaches the platform through.
+    pub to_platform: OwnRelay,
 }
 
 /// A stand-in with its address.
@@ -199,6 +203,26 @@
             (whole.count() == self.nodes.len()).then_some(())
         });
     }
+
+    /// Waits until every node holds its share of the customer's limits.
+    pub fn wait_until_admitted(&self) {
+        for node in &self.nodes {
+            wait_for("share of the limits", START_LIMIT, || {
+                let answer = complete(node.callers, "warm up", 1, &[])?;
+                (answer.status == 200).then_some(())
+            });
+        }
+    }
+
+    /// Starts a site that serves a model by this many groups.
+    pub fn start_serving(layout: &SiteLayout, groups: usize) -> Self {
+        let site = Self::start(layout);
+        site.wait_for_roster();
+        site.declare(groups);
+        site.wait_for_groups(groups);
+        site.wait_until_admitted();
+        site
+    }
 }
 
 /// Asks a node which addresses to use.
@@ -242,6 +266,8 @@
     platform: SocketAddr,
     address_validity_ms: u64,
 ) -> SiteNode {
+    let relay = OwnRelay::start(platform);
+    let platform = relay.address;
     let (callers, operators, peers) = (free_address(), free_address(), free_address());
     let text = format!(
         "cell: test\nnode: node-{number}\nvm: vm-node-{number}\nfailure_domain: fd-{number}\n\
@@ -250,7 +276,7 @@
     );
     fs::write(&path, text).unwrap();
     let process = run_node(&path);
-    SiteNode { process, settings: path, callers, operators, peers }
+    SiteNode { process, settings: path, callers, operators, peers, to_platform: relay }
 }
 
 /// Starts a node with a settings file that is there.
