--- /dev/null
+++ b/crates/serving/src/completion_place.rs
@@ -0,0 +1,160 @@
+//! Where a completion runs.
+
+use std::time::Duration;
+
+use comfreyturn_policy::{RouteQuery, WholeGroup};
+use comfreyturn_types::{RefusalReason, StreamId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    Refusal,
+    completion_run::CompletionRun,
+    death_doubt::KnownVm,
+    run_scope::{RunResult, RunStop},
+    suspect_slots::SlotHold,
+};
+
+/// Length of the prompt's part that is hashed for prefix affinity, in bytes.
+const PREFIX_BYTES: usize = 1024;
+
+/// Estimated length of a token, in bytes.
+const TOKEN_BYTES: usize = 4;
+
+/// Where an attempt goes.
+pub(crate) struct Placement {
+    pub(crate) group: WholeGroup,
+    pub(crate) stream: StreamId,
+    pub(crate) known: Vec<KnownVm>,
+    /// Held by suspects until they ended.
+    pub(crate) slot: Option<SlotHold>,
+}
+
+/// What came of asking for the right to run a suspect.
+enum Slot {
+    NotNeeded,
+    Held(SlotHold),
+    Busy,
+}
+
+impl CompletionRun {
+    /// Chooses a group. A request that already ran waits for one; another one waits only while
+    /// the groups are busy.
+    pub(crate) async fn place(&mut self) -> RunResult<Placement> {
+        let give_up = self.run.now() + self.run.service.settings.group_wait;
+        loop {
+            self.run.check_condemned()?;
+            if let Some(placement) = self.try_place().await? {
+                return Ok(placement);
+            }
+            let busy = !self.open_groups().is_empty();
+            let late = self.run.now() >= give_up && !self.run.is_suspect();
+            if late || !(busy || self.run.sent) {
+                return Err(self.no_group(busy));
+            }
+            self.run.pause(self.run.service.settings.poll_period).await?;
+            if self.run.sent {
+                self.refused_by.clear();
+            }
+        }
+    }
+
+    fn no_group(&self, busy: bool) -> RunStop {
+        let overloaded = busy || !self.refused_by.is_empty();
+        let reason = if overloaded { RefusalReason::Overloaded } else { RefusalReason::NoCapacity };
+        RunStop::Refused(Refusal { retry_after: self.retry_after, ..self.run.refusal(reason) })
+    }
+
+    async fn try_place(&mut self) -> RunResult<Option<Placement>> {
+        let suspect = self.run.is_suspect();
+        let mut groups = self.open_groups();
+        while !groups.is_empty() {
+            let Some(group) = self.choose(&groups) else {
+                return Ok(None);
+            };
+            groups.retain(|other| other.assignment.group != group.assignment.group);
+            let slot = match self.slot(&group, suspect).await? {
+                Slot::NotNeeded => None,
+                Slot::Held(hold) => Some(hold),
+                Slot::Busy => continue,
+            };
+            if self.recheck(&group).await? {
+                return Ok(Some(self.placement(group, slot)));
+            }
+        }
+        Ok(None)
+    }
+
+    fn open_groups(&self) -> Vec<WholeGroup> {
+        let view = &self.run.service.view;
+        let mut groups = view.whole_groups(self.run.now(), &self.run.scope.service);
+        groups.retain(|group| !self.refused_by.contains(&group.assignment.group));
+        groups
+    }
+
+    fn choose(&self, groups: &[WholeGroup]) -> Option<WholeGroup> {
+        let query = self.route_query();
+        let now = self.run.now();
+        let mut policies = self.run.service.policies.borrow_mut();
+        let chosen = policies.router.choose(now, &query, groups)?;
+        groups.iter().find(|group| group.assignment.group == chosen).cloned()
+    }
+
+    pub(crate) fn route_query(&self) -> RouteQuery {
+        let prompt = self.call.prompt.as_bytes();
+        let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
+        RouteQuery {
+            customer: self.run.scope.customer.clone(),
+            prefix: xxh3_64(prefix),
+            prompt_tokens: u32::try_from(prompt.len() / TOKEN_BYTES).unwrap_or(u32::MAX),
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    async fn slot(&self, group: &WholeGroup, suspect: bool) -> RunResult<Slot> {
+        if !suspect {
+            return Ok(Slot::NotNeeded);
+        }
+        let place = group.assignment.group.as_str();
+        let slots = self.run.service.slots.clone();
+        if !slots.may_ask(self.run.now(), place) {
+            return Ok(Slot::Busy);
+        }
+        let hold = self.run.within_deadline(slots.take(place)).await?;
+        Ok(hold.map_or(Slot::Busy, Slot::Held))
+    }
+
+    /// Whether a group may still take the request; polled at once if the evidence is old.
+    async fn recheck(&self, group: &WholeGroup) -> RunResult<bool> {
+        if self.is_whole(group) {
+            return Ok(true);
+        }
+        for vm in &group.assignment.members {
+            self.run.within_deadline(self.run.service.view.probe(vm)).await?;
+        }
+        Ok(self.is_whole(group))
+    }
+
+    pub(crate) fn is_whole(&self, group: &WholeGroup) -> bool {
+        let assignment = &group.assignment;
+        let view = &self.run.service.view;
+        view.is_group_whole(self.run.now(), &assignment.group, assignment.generation)
+    }
+
+    fn placement(&self, group: WholeGroup, slot: Option<SlotHold>) -> Placement {
+        Placement {
+            known: self.run.known_vms(&group.assignment.members),
+            stream: self.run.service.next_stream(),
+            group,
+            slot,
+        }
+    }
+
+    /// A group did not start the request; it is not asked again.
+    pub(crate) fn pass_over(&mut self, placement: &Placement, retry_after: Option<Duration>) {
+        self.refused_by.push(placement.group.assignment.group.clone());
+        self.retry_after = match (self.retry_after, retry_after) {
+            (Some(earlier), Some(later)) => Some(earlier.min(later)),
+            (earlier, later) => earlier.or(later),
+        };
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 mod claim_hold;
 mod claim_record;
 mod completion_join;
+mod completion_place;
 mod completion_run;
 mod death_doubt;
 mod death_memory;
