--- a/crates/policy/benches/replay/replay_plot.rs
+++ b/crates/policy/benches/replay/replay_plot.rs
@@ -28,9 +28,16 @@
 }
 
 const SIZE: (u32, u32) = (760, 520);
-const MARGIN: f64 = 1.15;
+const MARGIN: f64 = 1.25;
 
-/// Writes an SVG with missing groups across and stranded accelerators upwards.
+/// Points that are nearer, as a part of the plot, share a label.
+const LABEL_GAP: f64 = 0.04;
+
+/// From a point to its label, in pixels.
+const LABEL_OFFSET: (i32, i32) = (7, -12);
+
+/// Writes an SVG with missing groups across and stranded accelerators upwards. Labels are ratios
+/// of the weights, a stranded accelerator's over a missing group's.
 pub fn draw_plot(path: &Path, title: &str, points: &[PlotPoint]) -> PlotResult<()> {
     let x = |point: &PlotPoint| point.summary.missing_group_hours();
     let y = |point: &PlotPoint| point.summary.stranded_accelerator_hours();
@@ -53,12 +60,22 @@
         .map_err(|_| PlotError)?;
     let line = points.iter().filter(|point| !point.baseline).map(|point| (x(point), y(point)));
     chart.draw_series(LineSeries::new(line, BLUE)).map_err(|_| PlotError)?;
-    for point in points {
+    for (index, point) in points.iter().enumerate() {
         let color = if point.baseline { RED } else { BLUE };
         let mark = Circle::new((x(point), y(point)), 4, color.filled());
-        let label = Text::new(point.label.clone(), (x(point), y(point)), ("sans-serif", 12));
         chart.draw_series([mark]).map_err(|_| PlotError)?;
-        chart.draw_series([label]).map_err(|_| PlotError)?;
+        let near = |other: &PlotPoint| {
+            let across = (x(other) - x(point)).abs() / right;
+            across + (y(other) - y(point)).abs() / top < LABEL_GAP && !other.baseline
+        };
+        if point.baseline || !points[..index].iter().any(near) {
+            let labels = points.iter().filter(|other| near(other) && !point.baseline);
+            let labels: Vec<&str> = labels.map(|other| other.label.as_str()).collect();
+            let label = if point.baseline { point.label.clone() } else { labels.join(", ") };
+            let text = Text::new(label, LABEL_OFFSET, ("sans-serif", 12));
+            let label = EmptyElement::at((x(point), y(point))) + text;
+            chart.draw_series([label]).map_err(|_| PlotError)?;
+        }
     }
     area.present().map_err(|_| PlotError)
 }
