Count no death that came before the dispatch

Cause: after its group had died, a suspect was sent to another one that was dead already, over a link cut at that moment. Change: a death counts only if the attempt got an answer, or broke within a second.

--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -25,6 +25,9 @@
 /// Rounds of a submission that finds its key taken, and then free again.
 pub(crate) const CLAIM_ROUNDS: u32 = 3;
 
+/// An attempt that breaks later than this without an answer may never have arrived.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
 /// How long beyond its deadline a caller may take to read the last part of its answer.
 const LAST_PART_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -181,6 +184,8 @@
             Err(BackendError::Rejected { .. }) => return Ok(AttemptEnd::Rejected),
             opened => opened.ok(),
         };
+        let elapsed = self.run.now().saturating_duration_since(dispatched_at);
+        self.run.accepted = opened.is_some() || elapsed < SILENCE_LIMIT;
         let address = placement.group.entry.address;
         let source = (placement.group.assignment.group.clone(), dispatched_at);
         let mut idle_resumes = 0;
@@ -202,7 +207,10 @@
             self.pause_before_resume(idle_resumes).await?;
             idle_resumes += 1;
             opened = match self.resume(address, &placement.stream).await? {
-                Ok(stream) => Some(stream),
+                Ok(stream) => {
+                    self.run.accepted = true;
+                    Some(stream)
+                }
                 Err(BackendError::NotSent | BackendError::Broken) => None,
                 Err(_) => return Ok(AttemptEnd::Lost),
             };
--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -260,6 +260,7 @@
             sent: false,
             lost: 0,
             claim: None,
+            accepted: false,
             place_mark: None,
             in_flight,
         }
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -66,6 +66,9 @@
     pub(crate) lost: u32,
     /// The claim, once the request holds one.
     pub(crate) claim: Option<ClaimHold>,
+    /// Whether the last attempt may have met a living backend server. A death before the dispatch
+    /// is not the request's.
+    pub(crate) accepted: bool,
     /// Where the last attempt runs, or ran until it was lost.
     pub(crate) place_mark: Option<PlaceMark>,
     pub(crate) in_flight: InFlightGuard,
@@ -261,6 +264,7 @@
     pub(crate) fn dispatched(&mut self, place: &str, known: &[KnownVm]) {
         let death = death_number(place, known);
         self.place_mark = Some(self.service.place_runs.enter(death, self.fingerprint));
+        self.accepted = true;
         self.sent = true;
         if let Some(claim) = &mut self.claim {
             claim.dispatched();
@@ -337,7 +341,7 @@
                 missing.push(member.clone());
             }
         }
-        if missing.is_empty() {
+        if missing.is_empty() || !self.accepted {
             return false;
         }
         let death = death_number(place, known);
