Mend the benches of capacity, and add a bare server as their limit

Neither bench had run: the site waited for engines' channels that stay open as long as the engines run, so that it never started.

CPU is taken from /proc, as the machine was busy with other builds.

--- a/crates/ctl/benches/node_speed.rs
+++ b/crates/ctl/benches/node_speed.rs
@@ -3,20 +3,26 @@
 //! `cargo bench -p comfreyturn_ctl --bench node_speed -- 250 220 20`
 //!
 //! The arguments are requests a second, tokens of each answer, and seconds of load. Engines and
-//! callers run in this process, the node in one of its own.
+//! callers run in this process, the node in one of its own. With `echo` as a further argument the
+//! same callers ask a bare server on the same runtime instead, which makes up the same events by
+//! itself: what remains of latency then is the callers' and the machine's, and its CPU is the least
+//! for the callers' side alone.
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{net::SocketAddr, thread, time::Duration};
 
 use comfreyturn_standin::{EngineSettings, LoadReport, LoadSettings, run_load};
 use comfreyturn_types::ServiceName;
 use compio::runtime::Runtime;
-use support::{BenchSite, CUSTOMER_KEY};
+use support::{BenchSite, CUSTOMER_KEY, EchoServer};
 
 /// Groups of one VM each.
 const GROUPS: usize = 8;
 
+/// Requests that an engine runs at once, and as many that wait there.
+const BATCH_CAPACITY: u32 = 512;
+
 /// Threads that the engines share.
 const ENGINE_THREADS: usize = 4;
 
@@ -29,13 +35,29 @@
 fn main() {
     let numbers: Vec<u32> = std::env::args().filter_map(|text| text.parse().ok()).collect();
     let [rate, tokens, seconds] = numbers[..] else {
-        println!("usage: node_speed REQUESTS-A-SECOND TOKENS SECONDS");
+        println!("usage: node_speed REQUESTS-A-SECOND TOKENS SECONDS [echo]");
         return;
     };
+    let load = SpeedLoad { rate, tokens, seconds };
+    if std::env::args().any(|text| text == "echo") {
+        measure_echo(&load);
+    } else {
+        measure_node(&load);
+    }
+}
+
+/// The load of a run.
+struct SpeedLoad {
+    rate: u32,
+    tokens: u32,
+    seconds: u32,
+}
+
+fn measure_node(load: &SpeedLoad) {
     let engine = EngineSettings {
         tokens_per_second: STREAM_RATE,
-        batch_capacity: 512,
-        queue_capacity: 512,
+        batch_capacity: BATCH_CAPACITY,
+        queue_capacity: BATCH_CAPACITY,
         ..EngineSettings::default()
     };
     let site = BenchSite::start("node-speed", 1, GROUPS, ENGINE_THREADS, &engine);
@@ -43,46 +65,58 @@
     site.declare(GROUPS, 1);
     site.wait_for_groups(GROUPS);
     let node = &site.nodes[0];
-    let idle = node.usage();
     let before = node.usage();
-    let callers: Vec<_> = (0..CALLER_THREADS)
-        .map(|number| start_callers(node.callers, number, rate, tokens, seconds))
-        .collect();
-    thread::sleep(Duration::from_secs(u64::from(seconds)) / 2);
+    let callers = start_all_callers(node.callers, load);
+    thread::sleep(Duration::from_secs(u64::from(load.seconds)) / 2);
     let loaded = node.usage();
-    let reports: Vec<LoadReport> =
-        callers.into_iter().map(|caller| caller.join().expect("callers end")).collect();
+    let reports = join_all(callers);
     let after = node.usage();
+    print_cpu(load, after.cpu_seconds - before.cpu_seconds, &reports);
+    println!("memory idle          {:.1} MB", before.memory_bytes / 1e6);
+    println!("memory loaded        {:.1} MB", loaded.memory_bytes / 1e6);
+}
+
+fn measure_echo(load: &SpeedLoad) {
+    let server = EchoServer::start(STREAM_RATE);
+    let before = server.cpu_seconds();
+    let reports = join_all(start_all_callers(server.address, load));
+    print_cpu(load, server.cpu_seconds() - before, &reports);
+}
+
+fn print_cpu(load: &SpeedLoad, cpu: f64, reports: &[LoadReport]) {
     let whole: u64 = reports.iter().map(|report| report.whole).sum();
-    let cpu = after.cpu_seconds - before.cpu_seconds;
-    println!("whole answers        {whole} of {}", rate * seconds);
-    println!("node CPU             {cpu:.2} s");
+    println!("whole answers        {whole} of {}", load.rate * load.seconds);
+    println!("CPU                  {cpu:.2} s");
     println!("  per request        {:.0} us", cpu * 1e6 / whole as f64);
-    println!("  per token          {:.2} us", cpu * 1e6 / (whole as f64 * f64::from(tokens)));
-    println!("  cores at this load {:.2}", cpu / f64::from(seconds));
-    println!("node memory          {:.1} MB idle", idle.memory_bytes / 1e6);
-    println!("                     {:.1} MB loaded", loaded.memory_bytes / 1e6);
+    println!("  per token          {:.2} us", cpu * 1e6 / (whole as f64 * f64::from(load.tokens)));
+    println!("  cores at this load {:.2}", cpu / f64::from(load.seconds));
     for report in reports {
-        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+        println!("{}", serde_json::to_string(report).unwrap_or_default());
     }
 }
 
+fn join_all(callers: Vec<thread::JoinHandle<LoadReport>>) -> Vec<LoadReport> {
+    callers.into_iter().map(|caller| caller.join().expect("callers end")).collect()
+}
+
+fn start_all_callers(to: SocketAddr, load: &SpeedLoad) -> Vec<thread::JoinHandle<LoadReport>> {
+    (0..CALLER_THREADS).map(|number| start_callers(to, number, load)).collect()
+}
+
 fn start_callers(
-    to: std::net::SocketAddr,
+    to: SocketAddr,
     number: usize,
-    rate: u32,
-    tokens: u32,
-    seconds: u32,
+    load: &SpeedLoad,
 ) -> thread::JoinHandle<LoadReport> {
     let threads = u32::try_from(CALLER_THREADS).unwrap_or(1);
     let settings = LoadSettings {
         to,
         service: ServiceName::from("assistant"),
         key: CUSTOMER_KEY.to_owned(),
-        requests: rate * seconds / threads,
+        requests: load.rate * load.seconds / threads,
         concurrency: 10_000,
-        requests_per_second: f64::from(rate / threads),
-        output_tokens: tokens,
+        requests_per_second: f64::from(load.rate) / f64::from(threads),
+        output_tokens: load.tokens,
         seed: 1 + number as u64,
         ..LoadSettings::default()
     };
--- a/crates/ctl/benches/support/mod.rs
+++ b/crates/ctl/benches/support/mod.rs
@@ -1,5 +1,12 @@
 //! A site for measurements: stand-ins on threads of this process, nodes as processes of their own.
-#![allow(dead_code, clippy::allow_attributes, reason = "each bench uses a part of it")]
+#![allow(
+    dead_code,
+    unused_imports,
+    clippy::allow_attributes,
+    reason = "each bench uses a part of it"
+)]
+
+mod echo_server;
 
 use std::{
     fs,
@@ -17,6 +24,8 @@
 use compio::runtime::{Runtime, spawn};
 use serde_json::Value;
 
+pub use echo_server::EchoServer;
+
 /// The customer that [`BenchSite::declare`] creates.
 pub const CUSTOMER_KEY: &str = "key-of-bench";
 
@@ -46,16 +55,12 @@
     /// What the node has used since it started.
     pub fn usage(&self) -> NodeUsage {
         let directory = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let stat = fs::read_to_string(directory.join("stat")).expect("the node runs");
-        let fields: Vec<&str> =
-            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks: f64 = [11, 12].iter().filter_map(|at| fields[*at].parse::<f64>().ok()).sum();
         let memory = fs::read_to_string(directory.join("statm")).expect("the node runs");
         let pages: f64 =
             memory.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or_default();
         let metrics = get(self.operators, "/metrics").unwrap_or_default();
         NodeUsage {
-            cpu_seconds: ticks / PROC_TICKS,
+            cpu_seconds: cpu_seconds(directory.join("stat")),
             memory_bytes: pages * PAGE_BYTES,
             sent_bytes: metric(&metrics, "comfreyturn_control_bytes_total{direction=\"sent\"}"),
             received_bytes: metric(
@@ -99,7 +104,7 @@
             thread::spawn(move || run_engines(numbers, &engine, &ready, &stopped));
         }
         drop(ready);
-        assert_eq!(started.into_iter().count(), engines, "not all engines started");
+        assert_eq!(started.iter().take(engines).count(), engines, "not all engines started");
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::create_dir_all(&directory).expect("the directory of builds can be written");
         let nodes = (1..=nodes).map(|number| start_node(number, &directory, platform)).collect();
@@ -276,6 +281,16 @@
     }
 }
 
+/// CPU time by a `stat` file of `/proc`, of user and of system.
+fn cpu_seconds(stat: impl AsRef<Path>) -> f64 {
+    const USER_AND_SYSTEM: [usize; 2] = [11, 12];
+    let stat = fs::read_to_string(stat).expect("the process runs");
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = USER_AND_SYSTEM.iter().filter_map(|at| fields[*at].parse::<f64>().ok());
+    ticks.sum::<f64>() / PROC_TICKS
+}
+
 /// Reads a page by HTTP.
 fn get(address: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
