--- a/crates/policy/src/silence_guard.rs
+++ b/crates/policy/src/silence_guard.rs
@@ -61,9 +61,8 @@
             return false;
         }
         silent.sort_unstable();
-        let window = input.vms.len() / 2;
-        let spans = silent.windows(window + 1);
-        spans.into_iter().any(|span| match (span.first(), span.last()) {
+        let most = input.vms.len() / 2 + 1;
+        silent.windows(most).any(|span| match (span.first(), span.last()) {
             (Some(first), Some(last)) => last.saturating_sub(*first) <= self.settings.window,
             _ => false,
         })
