Read the list of VMs again only if it has changed

Cause: each node read the platform's whole list every 2 s. At 9 nodes and 500 backend servers that was the larger part of the bytes that control received. Longer periods were ruled out, as leaving VMs would be seen later. The client now sends the entity tag of the last list, if there was one, and takes 304 for the same list.

Tests of adapters and stand-ins pass.

--- a/crates/adapters/src/directory_client.rs
+++ b/crates/adapters/src/directory_client.rs
@@ -1,40 +1,65 @@
 //! The platform's list of VMs over HTTP.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use async_trait::async_trait;
 use comfreyturn_ports::{DirectoryError, DirectoryResult, Step, VmDirectory};
 use comfreyturn_types::VmRecord;
-use http::{Method, StatusCode, Uri};
+use http::{
+    HeaderValue, Method, StatusCode, Uri,
+    header::{ETAG, IF_NONE_MATCH},
+};
 
 use crate::{
-    HttpPool,
+    HttpPool, WholeAnswer,
     json_call::{bare_request, call},
 };
 
 const LIST_PATH: &str = "/vms";
 
-/// The list of VMs at one address.
+/// The list of VMs at one address. A list that has an entity tag is asked for again only in case it
+/// has changed.
 pub struct DirectoryClient {
     pool: Rc<HttpPool>,
     address: SocketAddr,
+    known: RefCell<Option<KnownList>>,
+}
+
+/// The list that came last, with its entity tag.
+#[derive(Clone)]
+struct KnownList {
+    tag: HeaderValue,
+    records: Vec<VmRecord>,
 }
 
 impl DirectoryClient {
     /// Makes a client that calls through `pool`.
     pub fn new(pool: Rc<HttpPool>, address: SocketAddr) -> Self {
-        Self { pool, address }
+        Self { pool, address, known: RefCell::default() }
+    }
+
+    fn take_in(&self, answer: &WholeAnswer) -> DirectoryResult<Vec<VmRecord>> {
+        let records: Vec<VmRecord> =
+            serde_json::from_slice(&answer.body).map_err(|_| DirectoryError)?;
+        let tag = answer.head.headers.get(ETAG).cloned();
+        *self.known.borrow_mut() = tag.map(|tag| KnownList { tag, records: records.clone() });
+        Ok(records)
     }
 }
 
 #[async_trait(?Send)]
 impl VmDirectory for DirectoryClient {
     async fn list(&self, _step: Step) -> DirectoryResult<Vec<VmRecord>> {
-        let request = bare_request(Method::GET, Uri::from_static(LIST_PATH));
+        let mut request = bare_request(Method::GET, Uri::from_static(LIST_PATH));
+        let known = self.known.borrow().clone();
+        if let Some(known) = &known {
+            request.headers_mut().insert(IF_NONE_MATCH, known.tag.clone());
+        }
         let answer = call(&self.pool, self.address, request).await.map_err(|_| DirectoryError)?;
-        if answer.head.status != StatusCode::OK {
-            return Err(DirectoryError);
+        match (answer.head.status, known) {
+            (StatusCode::OK, _) => self.take_in(&answer),
+            (StatusCode::NOT_MODIFIED, Some(known)) => Ok(known.records),
+            _ => Err(DirectoryError),
         }
-        serde_json::from_slice(&answer.body).map_err(|_| DirectoryError)
     }
 }
--- a/crates/adapters/tests/table_client.rs
+++ b/crates/adapters/tests/table_client.rs
@@ -136,3 +136,31 @@
         assert_eq!(directory.list(Step::WatchDirectory).await, Err(DirectoryError));
     }
 }
+
+const LIST: &str = r#"[{"vm":"vm-1","role":{"engine":{"accelerators":4}},"address":"127.0.0.1:1",
+"failure_domain":"fd-1","fabric_domain":"fabric-1","leaving":false}]"#;
+
+#[compio::test]
+async fn an_unchanged_list_comes_without_a_body() {
+    let tagged = answer("200 OK", "ETag: \"a\"\r\n", LIST);
+    let same = "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n".to_owned();
+    let other = answer("200 OK", "ETag: \"b\"\r\n", "[]");
+    let script = [tagged, same, other].map(|text| [Act::Read, Act::Write(text)]);
+    let server = ScriptServer::start(vec![script.concat()]);
+    let directory = DirectoryClient::new(pool(), server.address);
+    let first = directory.list(Step::WatchDirectory).await.unwrap();
+    assert_eq!(first.len(), 1);
+    assert_eq!(directory.list(Step::WatchDirectory).await, Ok(first));
+    assert_eq!(directory.list(Step::WatchDirectory).await, Ok(Vec::new()));
+    let requests = server.requests();
+    assert!(!requests[0].contains("if-none-match"), "{requests:?}");
+    assert!(requests[1].contains("if-none-match: \"a\""), "{requests:?}");
+    assert!(requests[2].contains("if-none-match: \"a\""), "{requests:?}");
+}
+
+#[compio::test]
+async fn a_list_that_is_said_to_be_unchanged_but_was_never_given_is_an_error() {
+    let server = ScriptServer::answering("HTTP/1.1 304 Not Modified\r\n\r\n");
+    let directory = DirectoryClient::new(pool(), server.address);
+    assert_eq!(directory.list(Step::WatchDirectory).await, Err(DirectoryError));
+}
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use serde::Serialize;
 
-use crate::{ServerEnd, StandinError, StandinResult, task_set::TaskSet};
+use crate::{ServerEnd, StandinError, StandinResult, content_hash, task_set::TaskSet};
 
 /// The connection is to be dropped without a further byte.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -100,6 +100,22 @@
     answer_with(status, Some("application/json"), Bytes::from(bytes))
 }
 
+/// An answer in JSON with an entity tag, or that it is what the caller of `head` holds already.
+pub(crate) fn tagged_answer(head: &Parts, content: &impl Serialize) -> HttpAnswer {
+    let Ok(bytes) = serde_json::to_vec(content) else {
+        return Err(DropConnection);
+    };
+    let tag = format!("\"{:016x}\"", content_hash(&bytes));
+    let tag = HeaderValue::try_from(tag).map_err(|_| DropConnection)?;
+    let mut answer = if head.headers.get(header::IF_NONE_MATCH) == Some(&tag) {
+        empty_answer(StatusCode::NOT_MODIFIED)?
+    } else {
+        answer_with(StatusCode::OK, Some("application/json"), Bytes::from(bytes))?
+    };
+    answer.headers_mut().insert(header::ETAG, tag);
+    Ok(answer)
+}
+
 /// An error in the form `{"error": …}`.
 pub(crate) fn error_answer(status: StatusCode, error: &str) -> HttpAnswer {
     json_answer(status, &serde_json::json!({ "error": error }))
--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -19,7 +19,7 @@
     PlatformFaults, ServerEnd, StandinResult, TableFaults, TableRows, VmList, WeightStore,
     http_server::{
         DropConnection, HttpAnswer, HttpHandler, empty_answer, error_answer, json_answer,
-        json_body, listen, malformed_answer, serve_http,
+        json_body, listen, malformed_answer, serve_http, tagged_answer,
     },
 };
 
@@ -235,7 +235,7 @@
         }
         match (&head.method, path) {
             (&Method::GET, "/vms") => {
-                json_answer(StatusCode::OK, &self.list.borrow().visible(Instant::now()))
+                tagged_answer(&head, &self.list.borrow().visible(Instant::now()))
             }
             (&Method::POST, "/vms") => self.put_vm(&body),
             (&Method::POST, "/weights") => self.load_weights(&body).await,
