Write and read token events without an untyped tree

Cause: each token was parsed twice (an untagged enum buffers the event first) and written through a tree of JSON values. An event with both finished and a malformed position is now broken. Callers' connections no longer wait to fill packets, which the connections to backend servers never did.

--- a/crates/adapters/src/completion_reader.rs
+++ b/crates/adapters/src/completion_reader.rs
@@ -22,11 +22,12 @@
     idle_timeout: Duration,
 }
 
+/// An event as an engine writes it: a token, or `finished` alone.
 #[derive(Deserialize)]
-#[serde(untagged)]
-enum EventBody {
-    Finished { finished: String },
-    Token(CompletionToken),
+struct EventBody {
+    finished: Option<String>,
+    position: Option<u32>,
+    text: Option<String>,
 }
 
 impl CompletionReader {
@@ -77,8 +78,10 @@
 
 fn parse_event(data: &str) -> BackendResult<CompletionEvent> {
     match serde_json::from_str(data) {
-        Ok(EventBody::Token(token)) => Ok(CompletionEvent::Token(token)),
-        Ok(EventBody::Finished { finished }) => Ok(CompletionEvent::Finished { reason: finished }),
-        Err(_) => Err(BackendError::Broken),
+        Ok(EventBody { finished: Some(reason), .. }) => Ok(CompletionEvent::Finished { reason }),
+        Ok(EventBody { position: Some(position), text: Some(text), .. }) => {
+            Ok(CompletionEvent::Token(CompletionToken { position, text }))
+        }
+        _ => Err(BackendError::Broken),
     }
 }
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -37,6 +37,9 @@
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("caller: cannot switch off the delay of small messages: {error}.");
+        }
         self.open.set(self.open.get() + 1);
         self.serve_requests(stream).await;
         self.open.set(self.open.get() - 1);
--- a/crates/node/src/caller/completion_answer.rs
+++ b/crates/node/src/caller/completion_answer.rs
@@ -11,6 +11,7 @@
 use super::{
     answer_body::{AnswerBody, json_answer, streamed_body},
     completion_body::CompletionShape,
+    completion_chunk::CompletionChunk,
     error_answer::ErrorAnswer,
 };
 
@@ -83,26 +84,7 @@
     }
 
     fn event(&self, text: Option<&str>, finish: Option<&str>) -> Bytes {
-        let choice = match self.shape {
-            CompletionShape::Text => {
-                json!({"index": 0, "text": text.unwrap_or_default(), "finish_reason": finish})
-            }
-            CompletionShape::Chat => {
-                let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
-                json!({"index": 0, "delta": delta, "finish_reason": finish})
-            }
-        };
-        let object = match self.shape {
-            CompletionShape::Text => "text_completion",
-            CompletionShape::Chat => "chat.completion.chunk",
-        };
-        let value = json!({
-            "id": self.request,
-            "object": object,
-            "model": self.service,
-            "choices": [choice],
-        });
-        Bytes::from(format!("data: {value}\n\n"))
+        CompletionChunk::new(self.shape, &self.request, &self.service, text, finish).to_event()
     }
 
     fn body(&self, text: &str, tokens: u32, finish: &str) -> Value {
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -9,6 +9,7 @@
 mod caller_server;
 mod completion_answer;
 mod completion_body;
+mod completion_chunk;
 mod error_answer;
 mod request_head;
 
