Plan groups by the weights of downtime and stranded accelerators

Cause: the node still planned with the baseline, which ignores the weights. Change: the weighted planner, with the weight store's rates from the node's settings.

--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -9,7 +9,7 @@
 use comfreyturn_control::{ControlPorts, ControlSettings, NodeControl};
 use comfreyturn_policy::{
     CrashLedger, CrashLedgerSettings, FairQueue, FairQueueSettings, LoadRouter, LoadRouterSettings,
-    RetryBudgetSettings, ShareRetryBudget,
+    RetryBudgetSettings, ShareRetryBudget, WeightedPlanner, WeightedPlannerSettings,
 };
 use comfreyturn_ports::{Clock, PeerIdentity, PeerLink, Spawner};
 use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
@@ -106,6 +106,7 @@
         let control =
             NodeControl::new(settings.cell.clone(), member, ports, ControlSettings::default());
         let limits = LimitDesk::new(control.clone(), peers.clone(), clock.clone());
+        control.set_planner(Box::new(WeightedPlanner::new(planner_settings(settings))));
         let view = Rc::new(NodeView {
             control: control.clone(),
             peers,
@@ -227,6 +228,14 @@
     }
 }
 
+fn planner_settings(settings: &NodeSettings) -> WeightedPlannerSettings {
+    WeightedPlannerSettings {
+        store_bytes_per_second: settings.weight_store.store_bytes_per_second,
+        vm_bytes_per_second: settings.weight_store.vm_bytes_per_second,
+        ..WeightedPlannerSettings::default()
+    }
+}
+
 fn serving_settings(settings: &NodeSettings) -> ServingSettings {
     ServingSettings {
         address_validity: settings.callers.address_validity,
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::{CallerSettings, SettingsError, SettingsResult};
+use super::{CallerSettings, SettingsError, SettingsResult, StoreSettings};
 
 /// Smallest head that the HTTP library can be limited to, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
@@ -50,6 +50,10 @@
     /// Limits towards callers.
     #[serde(default)]
     pub callers: CallerSettings,
+
+    /// Rates of the platform's weight store.
+    #[serde(default)]
+    pub weight_store: StoreSettings,
 }
 
 impl Default for NodeSettings {
@@ -66,6 +70,7 @@
             platform_address: loopback(9000),
             shutdown_limit: None,
             callers: CallerSettings::default(),
+            weight_store: StoreSettings::default(),
         }
     }
 }
@@ -134,7 +139,18 @@
                 "listening addresses need an IP number and a port that others can reach",
             ));
         }
-        self.callers_fault()
+        self.callers_fault().or_else(|| self.store_fault())
+    }
+
+    fn store_fault(&self) -> Option<(&'static str, &'static str)> {
+        let store = &self.weight_store;
+        if store.vm_bytes_per_second == 0 {
+            return Some(("vm_bytes_per_second", "must be above zero"));
+        }
+        if store.store_bytes_per_second < store.vm_bytes_per_second {
+            return Some(("store_bytes_per_second", "must be at least vm_bytes_per_second"));
+        }
+        None
     }
 
     fn callers_fault(&self) -> Option<(&'static str, &'static str)> {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -14,6 +14,7 @@
 fn sample_is_accepted_and_states_the_defaults() {
     let settings = NodeSettings::parse("node.yaml", SAMPLE).unwrap();
     assert_eq!(settings.callers, NodeSettings::default().callers);
+    assert_eq!(settings.weight_store, NodeSettings::default().weight_store);
 }
 
 #[test]
@@ -58,6 +59,12 @@
         ("head_timeout_ms: 10000", "head_timeout_ms: 0", "head_timeout_ms"),
         ("address_validity_ms: 30000", "address_validity_ms: 0", "address_validity_ms"),
         ("default_max_tokens: 256", "default_max_tokens: 99999", "default_max_tokens"),
+        ("vm_bytes_per_second: 1000000000", "vm_bytes_per_second: 0", "vm_bytes_per_second"),
+        (
+            "store_bytes_per_second: 32000000000",
+            "store_bytes_per_second: 7",
+            "store_bytes_per_second",
+        ),
         ("caller_address: 127.0.0.1:8080", "caller_address: 0.0.0.0:8080", "caller_address"),
     ] {
         let text = SAMPLE.replace(old, new);
