--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -122,6 +122,10 @@
     #[display("a part of the lab panicked")]
     LabPanicked,
 
+    /// Too few ports of loopback are free for a lab.
+    #[display("too few free ports for a lab")]
+    NoFreePorts,
+
     /// The lab's services did not serve in time.
     #[display("the lab does not serve yet")]
     LabNotReady,
@@ -166,6 +170,7 @@
             | Self::Node(_)
             | Self::System(_)
             | Self::LabPanicked
+            | Self::NoFreePorts
             | Self::LabNotReady => EXIT_UNAVAILABLE,
         })
     }
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -192,7 +192,7 @@
             ClaimJoin::Settled(StoredAnswer::Refused { outcome, reason }) => {
                 Refusal { outcome, ..Refusal::unknown(reason) }
             }
-            ClaimJoin::OtherBody => Refusal::failed(RefusalReason::DuplicateKey),
+            ClaimJoin::OtherBody => Refusal::not_run(RefusalReason::DuplicateKey),
             ClaimJoin::Unavailable => self.refusal(RefusalReason::TableUnavailable),
             ClaimJoin::Orphaned { .. } => Refusal::unknown(RefusalReason::BackendLost),
             ClaimJoin::Settled(_) | ClaimJoin::Vacant => {
