--- a/crates/ports/src/step.rs
+++ b/crates/ports/src/step.rs
@@ -118,8 +118,6 @@
     LimitLoan,
     /// Tells peers that the node is leaving.
     ShutdownAnnounce,
-    /// Gives back lease and place on the roster.
-    ShutdownGiveBack,
     /// Tells peers of a suspect request.
     SuspectNotify,
     /// Runs a suspect request again.
@@ -158,7 +156,7 @@
             | Self::ClaimOutcome
             | Self::ClaimJoin => Protocol::Claim,
             Self::LimitLoan => Protocol::Limit,
-            Self::ShutdownAnnounce | Self::ShutdownGiveBack => Protocol::Shutdown,
+            Self::ShutdownAnnounce => Protocol::Shutdown,
             Self::SuspectNotify | Self::SuspectRetry | Self::SuspectSlot => Protocol::Suspect,
         }
     }
