Poll a group right before a suspect goes there, and count its death

Cause: a suspect's dispatch was answered late, its backend server died, and the death did not count: a death counts only if the attempt got an answer or broke within a second, so that one which came before the dispatch condemns nobody. Ruled out: counting every death, which condemns an innocent request sent to a group that is dead already. Change: a suspect's group is polled right before the dispatch, whatever the age of the evidence; a death after that counts without an answer.

--- a/crates/serving/src/completion_place.rs
+++ b/crates/serving/src/completion_place.rs
@@ -77,7 +77,7 @@
                 Slot::Held(hold) => Some(hold),
                 Slot::Busy => continue,
             };
-            if self.recheck(&group).await? {
+            if self.recheck(&group, suspect).await? {
                 return Ok(Some(self.placement(group, slot)));
             }
         }
@@ -123,9 +123,10 @@
         Ok(hold.map_or(Slot::Busy, Slot::Held))
     }
 
-    /// Whether a group may still take the request; polled at once if the evidence is old.
-    async fn recheck(&self, group: &WholeGroup) -> RunResult<bool> {
-        if self.is_whole(group) {
+    /// Whether a group may still take the request; polled at once if the evidence is old, and for
+    /// a suspect always, so that a death after its dispatch is known to be no earlier one.
+    async fn recheck(&self, group: &WholeGroup, suspect: bool) -> RunResult<bool> {
+        if !suspect && self.is_whole(group) {
             return Ok(true);
         }
         for vm in &group.assignment.members {
--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -185,7 +185,8 @@
             opened => opened.ok(),
         };
         let elapsed = self.run.now().saturating_duration_since(dispatched_at);
-        self.run.accepted = opened.is_some() || elapsed < SILENCE_LIMIT;
+        let seen_alive = placement.slot.is_some();
+        self.run.accepted = seen_alive || opened.is_some() || elapsed < SILENCE_LIMIT;
         let address = placement.group.entry.address;
         let source = (placement.group.assignment.group.clone(), dispatched_at);
         let mut idle_resumes = 0;
