--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -1,6 +1,6 @@
 //! Callers' connections.
 
-use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc};
+use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
@@ -11,6 +11,9 @@
 
 use super::CallerEdge;
 
+/// Pause after a connection could not be accepted, when the process is out of descriptors, say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Accepts callers' connections, one task for each.
 pub struct CallerServer {
     /// Answers requests.
@@ -27,7 +30,10 @@
     /// Accepts connections for ever. A connection beyond the limit is closed at once.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                compio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
             if self.open.get() >= self.edge.settings.max_connections {
                 log::warn!("caller: too many connections, one refused.");
                 continue;
--- a/crates/node/src/operator/operator_server.rs
+++ b/crates/node/src/operator/operator_server.rs
@@ -1,6 +1,6 @@
 //! Operators' connections.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use comfreyturn_proto::operator::operator_server::OperatorServer as GrpcService;
@@ -19,6 +19,9 @@
 
 type OperatorBody = UnsyncBoxBody<Bytes, Status>;
 
+/// Pause after a connection could not be accepted, when the process is out of descriptors, say.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Accepts operators' connections, one task for each.
 pub struct OperatorServer {
     /// Answers gRPC.
@@ -32,7 +35,10 @@
     /// Accepts connections for ever.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                compio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
             compio::runtime::spawn(self.clone().serve(stream)).detach();
         }
     }
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -15,7 +15,7 @@
 use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
 use comfreyturn_types::RosterMember;
 use compio::net::TcpListener;
-use futures_util::{FutureExt, future::OptionFuture, pin_mut, select_biased};
+use futures_util::{FutureExt, pin_mut, select_biased};
 
 use crate::{
     NodeError, NodeSettings, Result, StopSignal,
@@ -27,6 +27,9 @@
     operator::{OperatorServer, OperatorService},
 };
 
+/// Time for connections to carry out their last bytes after the last request has ended.
+const CONNECTION_END_TIME: Duration = Duration::from_millis(200);
+
 /// Runs a node until it is told to stop. Must be called inside a compio runtime, on a thread that
 /// runs no other node.
 ///
@@ -178,14 +181,7 @@
     ) {
         let graceful = self.leave(drain_end).fuse();
         pin_mut!(graceful);
-        let limit = settings.shutdown_limit.map(|limit| self.clock.sleep(limit));
-        let limit = OptionFuture::from(limit.map(FutureExt::fuse));
-        let limit = async move {
-            if limit.await.is_none() {
-                std::future::pending::<()>().await;
-            }
-        }
-        .fuse();
+        let limit = self.limit_reached(settings.shutdown_limit).fuse();
         pin_mut!(limit);
         let second = stop.recv_async().fuse();
         pin_mut!(second);
@@ -196,6 +192,14 @@
         }
     }
 
+    /// Completes at the limit, or never if there is none.
+    async fn limit_reached(&self, limit: Option<Duration>) {
+        match limit {
+            Some(limit) => self.clock.sleep(limit).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Announces, serves on while addresses are valid, ends requests and connections, gives back.
     async fn leave(&self, drain_end: flume::Sender<Infallible>) {
         self.control.set_leaving();
@@ -208,9 +212,6 @@
     }
 }
 
-/// Time for connections to carry out their last bytes after the last request has ended.
-const CONNECTION_END_TIME: Duration = Duration::from_millis(200);
-
 fn identity(settings: &NodeSettings, member: &RosterMember) -> PeerIdentity {
     PeerIdentity {
         cell: settings.cell.clone(),
