Show the backend servers' side in golden sessions

Cause: sessions held callers and operators only; that bad input reaches no backend server, and that a key runs once, was not shown. Change: a line that asks all backend servers how many requests they ran since it was last asked.

--- a/crates/ctl/tests/golden.rs
+++ b/crates/ctl/tests/golden.rs
@@ -1,12 +1,13 @@
 //! Golden sessions: whole conversations of callers and operators with a lab of its own each.
 //!
 //! A session file holds requests and what came back. Lines of a request start with `> `, commands
-//! of operators with `$ `; the lines that start with `< ` are what came back, with ids, ports and
+//! of operators with `$ `, and a line `? runs` asks all backend servers how many requests they ran
+//! since it was last asked, or since the start; the lines that start with `< ` are what came back, with ids, ports and
 //! times normalised. `UPDATE_GOLDEN=1` writes them anew.
 
 mod support;
 
-use std::{fmt::Write as _, fs, net::SocketAddr, path::Path};
+use std::{cell::Cell, fmt::Write as _, fs, net::SocketAddr, path::Path};
 
 use serde_json::Value;
 use similar::TextDiff;
@@ -24,6 +25,8 @@
     callers: SocketAddr,
     operators: String,
     key: String,
+    backends: Vec<SocketAddr>,
+    runs: Cell<usize>,
     _process: OwnProcess,
 }
 
@@ -32,12 +35,28 @@
         let mut process = OwnProcess::start(&ctl_binary(), &["lab", "--nodes", "1"]);
         let ready = process.ready_line();
         let text = |value: &Value| value.as_str().unwrap().to_owned();
-        Self {
+        let backends = ready["backends"].as_array().unwrap();
+        let backends = backends.iter().map(|address| text(address).parse().unwrap()).collect();
+        let lab = Self {
             callers: text(&ready["callers"][0]).parse().unwrap(),
             operators: text(&ready["operators"][0]),
             key: text(&ready["customers"][0]["key"]),
+            backends,
+            runs: Cell::new(0),
             _process: process,
-        }
+        };
+        lab.new_runs();
+        lab
+    }
+
+    /// Requests that backend servers ran since this was last asked.
+    fn new_runs(&self) -> usize {
+        let records = |address: &SocketAddr| {
+            let answer = http::send(*address, "GET", "/control/records", &[], "").unwrap();
+            answer.json()["executions"].as_array().unwrap().len()
+        };
+        let runs: usize = self.backends.iter().map(records).sum();
+        runs - self.runs.replace(runs)
     }
 
     fn fill_in(&self, text: &str) -> String {
@@ -142,6 +161,9 @@
             request.clear();
         }
         let _ = writeln!(output, "{line}");
+        if line == "? runs" {
+            answer_lines(&mut output, &format!("{}\n", lab.new_runs()));
+        }
         if let Some(command) = line.strip_prefix("$ ") {
             answer_lines(&mut output, &lab.command(command));
         }
