--- a/crates/adapters/src/system_clock.rs
+++ b/crates/adapters/src/system_clock.rs
@@ -1,20 +1,38 @@
-//! The monotonic clock of the operating system.
+//! The operating system's clock that never stands still.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
 
 use comfreyturn_ports::Clock;
 use futures_util::future::LocalBoxFuture;
+use rustix::time::{ClockId, clock_gettime};
 
-/// The operating system's monotonic clock, with the timers of the compio runtime.
+/// A moment of the monotonic clock, and the time since boot at that moment.
+static ANCHOR: OnceLock<(Instant, Duration)> = OnceLock::new();
+
+/// The time since boot, with the timers of the compio runtime.
+///
+/// The monotonic clock may leave out the time for which a VM was suspended. Ages of evidence must
+/// not, so this clock counts on through a suspension.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        let (moment, booted) = ANCHOR.get_or_init(|| (Instant::now(), since_boot()));
+        *moment + since_boot().saturating_sub(*booted)
     }
 
     fn sleep(&self, duration: Duration) -> LocalBoxFuture<'static, ()> {
         Box::pin(compio::time::sleep(duration))
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
--- a/crates/control/src/lease_keeper.rs
+++ b/crates/control/src/lease_keeper.rs
@@ -5,15 +5,14 @@
     time::Instant,
 };
 
-use comfreyturn_policy::{LeaseHold, LeaseSight};
+use comfreyturn_policy::{LeaseHold, LeaseSight, LeaseTerm};
 use comfreyturn_ports::{CommitOutcome, RowCheck, RowKey, Step, TableResult, TableTransaction};
 use comfreyturn_types::{FencingNumber, Incarnation, LeaseScope, NodeId, RowVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ControlSettings, RowKeys,
+    RowKeys, TimedTable,
     config_store::{parse, write},
-    timed_ports::TimedPorts,
 };
 
 /// The row of a lease. Changes hands only; renewals have a row of their own.
@@ -39,9 +38,9 @@
 }
 
 /// Takes, renews and gives back one lease.
-pub(crate) struct LeaseKeeper {
-    ports: TimedPorts,
-    settings: ControlSettings,
+pub struct LeaseKeeper {
+    table: TimedTable,
+    term: LeaseTerm,
     lease_key: RowKey,
     beat_key: RowKey,
     run: (NodeId, Incarnation),
@@ -52,16 +51,17 @@
 }
 
 impl LeaseKeeper {
-    pub(crate) fn new(
-        ports: TimedPorts,
-        settings: ControlSettings,
+    /// Keeps the lease of `scope` for one run of a node.
+    pub fn new(
+        table: TimedTable,
+        term: LeaseTerm,
         keys: &RowKeys,
         scope: &LeaseScope,
         run: (NodeId, Incarnation),
     ) -> Self {
         Self {
-            ports,
-            settings,
+            table,
+            term,
             lease_key: keys.lease(scope),
             beat_key: keys.lease_beat(scope),
             run,
@@ -73,23 +73,23 @@
     }
 
     /// The lease, while this node may act under it.
-    pub(crate) fn held(&self, now: Instant) -> Option<LeaseHold> {
-        self.hold.get().filter(|hold| self.settings.lease_term.is_held(now, hold))
+    pub fn held(&self, now: Instant) -> Option<LeaseHold> {
+        self.hold.get().filter(|hold| self.term.is_held(now, hold))
     }
 
     /// Who held the lease when it was last looked at.
-    pub(crate) fn holder(&self) -> Option<(NodeId, Incarnation)> {
+    pub fn holder(&self) -> Option<(NodeId, Incarnation)> {
         self.holder.borrow().clone()
     }
 
     /// Forgets that the lease is held, and how long others were seen to hold it.
-    pub(crate) fn forget(&self) {
+    pub fn forget(&self) {
         self.hold.set(None);
         self.sight.set(None);
     }
 
     /// An engine saw a higher fencing number: the lease is lost, or must be taken anew above it.
-    pub(crate) fn note_fenced(&self, seen: FencingNumber) {
+    pub fn note_fenced(&self, seen: FencingNumber) {
         self.fencing_floor.set(self.fencing_floor.get().max(seen));
         self.hold.set(None);
     }
@@ -100,35 +100,57 @@
     }
 
     /// Renews the lease, or takes it if it is free or has lapsed.
-    pub(crate) async fn keep(&self) -> TableResult<()> {
+    ///
+    /// # Errors
+    ///
+    /// If the table service does not answer; then nothing is known to have changed.
+    pub async fn keep(&self) -> TableResult<()> {
         match self.hold.get() {
             Some(hold) => self.renew(hold).await,
-            None => self.look().await,
+            None => self.look(false).await,
+        }
+    }
+
+    /// Takes the lease although it has not lapsed, because its holder seems to be dead. Only for
+    /// leases whose fencing number is checked by everybody who takes orders: a holder that lives
+    /// after all then finds itself refused.
+    ///
+    /// # Errors
+    ///
+    /// As [`LeaseKeeper::keep`].
+    pub async fn take_over(&self) -> TableResult<()> {
+        match self.hold.get() {
+            Some(hold) => self.renew(hold).await,
+            None => self.look(true).await,
         }
     }
 
     /// Gives the lease back.
-    pub(crate) async fn release(&self) -> TableResult<()> {
+    ///
+    /// # Errors
+    ///
+    /// If the table service does not answer; the lease then lapses.
+    pub async fn release(&self) -> TableResult<()> {
         let Some(hold) = self.hold.take() else { return Ok(()) };
         let row = LeaseRow { holder: None, fencing: hold.fencing };
         let transaction = TableTransaction {
             checks: vec![self.check(&hold)],
             writes: vec![write(self.lease_key.clone(), &row)],
         };
-        self.ports.commit(Step::LeaseRelease, transaction).await?;
+        self.table.commit(Step::LeaseRelease, transaction).await?;
         log::info!("lease: {} given back.", self.lease_key);
         Ok(())
     }
 
     /// Renews. A renewal whose answer is lost extends nothing; the next one tells who holds.
     async fn renew(&self, hold: LeaseHold) -> TableResult<()> {
-        let sent_at = self.ports.ports.clock.now();
+        let sent_at = self.table.clock().now();
         let beat = LeaseBeat { fencing: hold.fencing };
         let transaction = TableTransaction {
             checks: vec![self.check(&hold)],
             writes: vec![write(self.beat_key.clone(), &beat)],
         };
-        match self.ports.commit(Step::LeaseRenew, transaction).await? {
+        match self.table.commit(Step::LeaseRenew, transaction).await? {
             CommitOutcome::Committed if self.hold.get() == Some(hold) => {
                 self.hold.set(Some(LeaseHold { renewed_at: sent_at, ..hold }));
             }
@@ -141,9 +163,9 @@
         Ok(())
     }
 
-    async fn look(&self) -> TableResult<()> {
+    async fn look(&self, holder_is_dead: bool) -> TableResult<()> {
         let view = self.read().await?;
-        let now = self.ports.ports.clock.now();
+        let now = self.table.clock().now();
         let sight = LeaseSight::update(self.sight.get(), now, view.versions);
         self.sight.set(Some(sight));
         let own = view.row.holder.as_ref() == Some(&self.run);
@@ -151,7 +173,7 @@
         if own && view.row.fencing > self.fencing_floor.get() {
             return self.resume(&view).await;
         }
-        if own || free || self.settings.lease_term.has_lapsed(now, &sight) {
+        if own || free || holder_is_dead || self.term.has_lapsed(now, &sight) {
             return self.acquire(&view).await;
         }
         Ok(())
@@ -159,7 +181,7 @@
 
     async fn read(&self) -> TableResult<LeaseView> {
         let keys = [self.lease_key.clone(), self.beat_key.clone()];
-        let rows = self.ports.read(Step::LeaseRead, &keys).await?;
+        let rows = self.table.read(Step::LeaseRead, &keys).await?;
         let version = |index: usize| {
             rows.get(index).and_then(Option::as_ref).map(|row| row.version).unwrap_or_default()
         };
@@ -187,7 +209,7 @@
                 write(self.beat_key.clone(), &LeaseBeat { fencing }),
             ],
         };
-        match self.ports.commit(Step::LeaseAcquire, transaction).await? {
+        match self.table.commit(Step::LeaseAcquire, transaction).await? {
             CommitOutcome::Committed => {
                 let view = self.read().await?;
                 if view.row != row {
@@ -204,13 +226,13 @@
     async fn resume(&self, view: &LeaseView) -> TableResult<()> {
         let fencing = view.row.fencing;
         let row = view.versions.0;
-        let sent_at = self.ports.ports.clock.now();
+        let sent_at = self.table.clock().now();
         let hold = LeaseHold { fencing, row, renewed_at: sent_at };
         let transaction = TableTransaction {
             checks: vec![self.check(&hold)],
             writes: vec![write(self.beat_key.clone(), &LeaseBeat { fencing })],
         };
-        match self.ports.commit(Step::LeaseRenew, transaction).await {
+        match self.table.commit(Step::LeaseRenew, transaction).await {
             Ok(CommitOutcome::Committed) => {
                 log::info!("lease: {} taken with fencing number {fencing}.", self.lease_key);
                 self.hold.set(Some(hold));
--- a/crates/control/src/node_control.rs
+++ b/crates/control/src/node_control.rs
@@ -90,7 +90,7 @@
             member,
             log: ConfigLog::new(kept),
             store: ConfigStore::new(ports.clone(), keys.clone(), kept),
-            lease: LeaseKeeper::new(ports.clone(), settings.clone(), &keys, &scope, run),
+            lease: LeaseKeeper::new(ports.table.clone(), settings.lease_term, &keys, &scope, run),
             groups: GroupStore::new(ports.clone(), keys),
             settings,
             ports,
--- a/crates/control/src/timed_ports.rs
+++ b/crates/control/src/timed_ports.rs
@@ -4,24 +4,25 @@
 
 use comfreyturn_ports::{
     CommitOutcome, EngineError, EngineOrder, EngineResult, PeerAnswer, PeerError, PeerNotice,
-    PeerQuestion, PeerReply, PeerResult, RowKey, Step, TableError, TableResult, TableRow,
-    TableTransaction,
+    PeerQuestion, PeerReply, PeerResult, RowKey, Step, TableResult, TableRow, TableTransaction,
 };
 use comfreyturn_types::{RosterMember, VmRecord, VmReport};
-use futures_util::future::{Either, select};
 
-use crate::{ControlPorts, ControlSettings};
+use crate::{ControlPorts, ControlSettings, TimedTable, timed_table::within};
 
 /// The ports, with a limit on the time of every call.
 #[derive(Clone)]
 pub(crate) struct TimedPorts {
     pub(crate) ports: ControlPorts,
+    pub(crate) table: TimedTable,
     settings: ControlSettings,
 }
 
 impl TimedPorts {
     pub(crate) fn new(ports: ControlPorts, settings: ControlSettings) -> Self {
-        Self { ports, settings }
+        let table =
+            TimedTable::new(ports.table.clone(), ports.clock.clone(), settings.table_timeout);
+        Self { ports, table, settings }
     }
 
     /// Reads rows.
@@ -30,13 +31,7 @@
         step: Step,
         keys: &[RowKey],
     ) -> TableResult<Vec<Option<TableRow>>> {
-        let call = self.ports.table.read(step, keys);
-        let rows = self.within(self.settings.table_timeout, call).await;
-        let rows = rows.ok_or(TableError::Unavailable)??;
-        if rows.len() != keys.len() {
-            return Err(TableError::Malformed);
-        }
-        Ok(rows)
+        self.table.read(step, keys).await
     }
 
     /// Reads all rows under a prefix.
@@ -45,9 +40,7 @@
         step: Step,
         prefix: &str,
     ) -> TableResult<Vec<(RowKey, TableRow)>> {
-        let call = self.ports.table.scan(step, prefix);
-        let rows = self.within(self.settings.table_timeout, call).await;
-        rows.ok_or(TableError::Unavailable)?
+        self.table.scan(step, prefix).await
     }
 
     /// Writes. A call that takes too long has an unknown result.
@@ -56,12 +49,7 @@
         step: Step,
         transaction: TableTransaction,
     ) -> TableResult<CommitOutcome> {
-        let call = self.ports.table.commit(step, transaction);
-        let outcome = self.within(self.settings.table_timeout, call).await;
-        match outcome.ok_or(TableError::NoAnswer)? {
-            Err(TableError::Malformed) => Err(TableError::NoAnswer),
-            outcome => outcome,
-        }
+        self.table.commit(step, transaction).await
     }
 
     /// Asks a peer.
@@ -128,10 +116,6 @@
         limit: Duration,
         call: impl Future<Output = T>,
     ) -> Option<T> {
-        let call = std::pin::pin!(call);
-        match select(call, self.ports.clock.sleep(limit)).await {
-            Either::Left((value, _)) => Some(value),
-            Either::Right(_) => None,
-        }
+        within(&*self.ports.clock, limit, call).await
     }
 }
--- /dev/null
+++ b/crates/gateway/src/beat_loop.rs
@@ -0,0 +1,185 @@
+//! What nodes tell each other several times a second.
+
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_policy::SuspectLedger;
+use comfreyturn_proto::peer;
+use comfreyturn_types::{Incarnation, NodeId, ServerLife, VmId};
+use prost::Message;
+
+use crate::{Gateway, PeerRecord};
+
+/// Deaths are told for this time, so that lost datagrams do not matter.
+const DEATH_REPEAT_TIME: Duration = Duration::from_secs(2);
+
+/// A node that is silent for this time is forgotten.
+const FORGET_TIME: Duration = Duration::from_secs(20);
+
+/// Requests of a node that is silent for this time are not counted any more.
+const LOAD_MEMORY: Duration = Duration::from_millis(1500);
+
+/// A stall that another node tells does not count if the server was heard of here within this.
+const FRESH_TIME: Duration = Duration::from_millis(250);
+
+/// Tells other nodes what this one sees, and takes in what they tell.
+pub struct BeatLoop {
+    gateway: Rc<Gateway>,
+    sequence: Cell<u64>,
+}
+
+impl BeatLoop {
+    /// A loop of a gateway.
+    pub fn new(gateway: Rc<Gateway>) -> Self {
+        Self { gateway, sequence: Cell::new(0) }
+    }
+
+    /// Tells for ever.
+    pub(crate) async fn send(self: Rc<Self>) {
+        let ports = &self.gateway.ports;
+        loop {
+            let now = ports.clock.now();
+            let beat = self.beat(now).encode_to_vec();
+            let addresses = self.gateway.state.peers.borrow().peer_addresses();
+            for address in addresses {
+                ports.datagrams.send(address, beat.clone()).await;
+            }
+            self.forget(now);
+            ports.clock.sleep(self.gateway.state.settings.beat_period).await;
+        }
+    }
+
+    /// Takes in what comes, for ever.
+    pub(crate) async fn receive(self: Rc<Self>) {
+        let ports = &self.gateway.ports;
+        loop {
+            match ports.datagrams.receive().await {
+                Ok(bytes) => self.take(ports.clock.now(), &bytes),
+                Err(error) => {
+                    log::warn!("beats: nothing received: {error}.");
+                    ports.clock.sleep(self.gateway.state.settings.beat_period).await;
+                }
+            }
+        }
+    }
+
+    fn beat(&self, now: Instant) -> peer::GatewayBeat {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        self.sequence.set(self.sequence.get() + 1);
+        let own = state.loads.own().into_iter();
+        let stalls = state.stalls.borrow().own_stalls(now, state.settings.stall_memory);
+        let refusals = state.update_refusals(state.settings.beat_period).into_iter();
+        let deaths = state.deaths.borrow();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a rate of requests is small and not negative"
+        )]
+        let milli = |rate: f64| (rate * 1000.0) as u64;
+        peer::GatewayBeat {
+            node: identity.node.to_string(),
+            incarnation: identity.incarnation.0,
+            sequence: self.sequence.get(),
+            peer_address: identity.peer_address.to_string(),
+            caller_address: identity.caller_address.to_string(),
+            ready: self.gateway.is_ready(),
+            leaving: state.leaving.get(),
+            lease: state.lease.get(),
+            has_traffic: state.has_traffic.get(),
+            loads: own
+                .map(|(life, running)| peer::ServerLoad { server: Some(name(&life)), running })
+                .collect(),
+            stalls: stalls
+                .iter()
+                .map(|life| peer::ServerStall { server: Some(name(life)) })
+                .collect(),
+            refusals: refusals
+                .map(|(model, rate)| peer::ModelRefusals {
+                    model: model.to_string(),
+                    rate_milli: milli(rate),
+                })
+                .collect(),
+            deaths: deaths
+                .iter()
+                .map(|(_, fingerprint, death)| peer::RequestDeath {
+                    fingerprint: *fingerprint,
+                    death: *death,
+                })
+                .collect(),
+        }
+    }
+
+    fn take(&self, now: Instant, bytes: &[u8]) {
+        let Some((node, beat)) = decode(bytes) else {
+            log::debug!("beats: datagram of {} bytes not understood.", bytes.len());
+            return;
+        };
+        let Gateway { identity, state, .. } = &*self.gateway;
+        if node == identity.node {
+            return;
+        }
+        let Some(record) = record(now, &beat) else {
+            log::debug!("beats: {node} names an address that is none.");
+            return;
+        };
+        if !state.peers.borrow_mut().hear(node.clone(), record) {
+            return;
+        }
+        if beat.has_traffic {
+            state.has_traffic.set(true);
+        }
+        let loads = beat.loads.iter().filter_map(|load| Some((life(load.server.as_ref()?), load)));
+        let loads: HashMap<_, _> = loads.map(|(life, load)| (life, load.running)).collect();
+        state.loads.take_peer(now, node, loads);
+        let mut stalls = state.stalls.borrow_mut();
+        for server in beat.stalls.iter().filter_map(|stall| stall.server.as_ref()) {
+            stalls.stall_elsewhere(now, &life(server), FRESH_TIME);
+        }
+        let mut suspects = state.suspects.borrow_mut();
+        for death in &beat.deaths {
+            suspects.record_death(now, death.fingerprint, death.death);
+        }
+    }
+
+    fn forget(&self, now: Instant) {
+        let state = &self.gateway.state;
+        state.loads.forget_silent(now, LOAD_MEMORY);
+        state.peers.borrow_mut().forget_silent(now, FORGET_TIME);
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < DEATH_REPEAT_TIME;
+        state.deaths.borrow_mut().retain(|(at, _, _)| recent(at));
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<(NodeId, peer::GatewayBeat)> {
+    let beat = peer::GatewayBeat::decode(bytes).ok()?;
+    (!beat.node.is_empty()).then(|| (NodeId::from(beat.node.as_str()), beat))
+}
+
+fn record(now: Instant, beat: &peer::GatewayBeat) -> Option<PeerRecord> {
+    let refusals = beat.refusals.iter();
+    Some(PeerRecord {
+        incarnation: Incarnation(beat.incarnation),
+        peer_address: beat.peer_address.parse().ok()?,
+        caller_address: Some(beat.caller_address.parse().ok()?),
+        sequence: beat.sequence,
+        heard_at: Some(now),
+        ready: beat.ready && !beat.leaving,
+        lease: beat.lease,
+        has_traffic: beat.has_traffic,
+        refusals: refusals
+            .map(|refusal| (refusal.model.clone(), refusal.rate_milli as f64 / 1000.0))
+            .collect(),
+    })
+}
+
+fn name(life: &ServerLife) -> peer::ServerName {
+    peer::ServerName { vm: life.vm.to_string(), born: life.born }
+}
+
+fn life(name: &peer::ServerName) -> ServerLife {
+    ServerLife { vm: VmId::from(name.vm.as_str()), born: name.born }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,202 @@
+//! One node's part of the gateway.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use comfreyturn_control::TimedTable;
+use comfreyturn_policy::choose_target;
+use comfreyturn_ports::{
+    Clock, ConfigFeed, DatagramLink, FleetControl, NodeRegistry, ServerFeed, ServerLink, Spawner,
+    TableStore,
+};
+use comfreyturn_types::{CellName, Incarnation, NodeId};
+
+use crate::{
+    BeatLoop, DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings,
+    NotRunReason,
+    forward_run::{ForwardRun, InFlight},
+    gateway_state::GatewayState,
+};
+
+/// Everything outside of a gateway.
+#[derive(Clone)]
+pub struct GatewayPorts {
+    /// Time.
+    pub clock: Rc<dyn Clock>,
+
+    /// Tasks.
+    pub spawner: Rc<dyn Spawner>,
+
+    /// The table service, for the lease of the fleet.
+    pub table: Rc<dyn TableStore>,
+
+    /// Requests to servers.
+    pub servers: Rc<dyn ServerLink>,
+
+    /// Orders to servers.
+    pub fleet: Rc<dyn FleetControl>,
+
+    /// The operators' configuration.
+    pub config_feed: Rc<dyn ConfigFeed>,
+
+    /// The list of servers.
+    pub server_feed: Rc<dyn ServerFeed>,
+
+    /// The list of nodes.
+    pub nodes: Rc<dyn NodeRegistry>,
+
+    /// Datagrams to other nodes.
+    pub datagrams: Rc<dyn DatagramLink>,
+}
+
+/// Who a gateway is.
+#[derive(Clone, Debug)]
+pub struct GatewayIdentity {
+    /// The scope of its lease.
+    pub cell: CellName,
+
+    /// The node.
+    pub node: NodeId,
+
+    /// This run of it.
+    pub incarnation: Incarnation,
+
+    /// Where it takes datagrams.
+    pub peer_address: SocketAddr,
+
+    /// Where it takes callers.
+    pub caller_address: SocketAddr,
+}
+
+/// One node's part of the gateway.
+pub struct Gateway {
+    pub(crate) identity: GatewayIdentity,
+    pub(crate) ports: GatewayPorts,
+    pub(crate) state: Rc<GatewayState>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(
+        identity: GatewayIdentity,
+        ports: GatewayPorts,
+        settings: GatewaySettings,
+    ) -> Rc<Self> {
+        Rc::new(Self { identity, ports, state: Rc::new(GatewayState::new(settings)) })
+    }
+
+    /// Starts to learn, to tell, and to form groups whenever this node holds the lease.
+    pub fn start(self: &Rc<Self>) {
+        let spawn = |task| self.ports.spawner.spawn(task);
+        spawn(Box::pin(self.clone().follow_config()));
+        spawn(Box::pin(self.clone().follow_servers()));
+        spawn(Box::pin(self.clone().keep_node_rows()));
+        let beats = Rc::new(BeatLoop::new(self.clone()));
+        spawn(Box::pin(beats.clone().send()));
+        spawn(Box::pin(beats.receive()));
+        spawn(Box::pin(FleetLoop::new(self.clone()).run()));
+    }
+
+    /// Answers a request.
+    pub async fn forward(&self, request: ForwardRequest) -> ForwardAnswer {
+        let state = &self.state;
+        state.has_traffic.set(true);
+        if state.refusing.get() {
+            return self.not_run(&request, NotRunReason::Leaving);
+        }
+        let view = state.config.borrow().clone();
+        let Some(view) = view else { return self.not_run(&request, NotRunReason::NoConfig) };
+        let Some(route) = view.routes.find(&request.host, request.path()) else {
+            return denied(&request, DeniedReason::NoRoute);
+        };
+        let needs_key = view.keys.is_some() && !route.public;
+        if needs_key && !state.config_is_usable(self.ports.clock.now()) {
+            return self.not_run(&request, NotRunReason::StaleConfig);
+        }
+        let customer = match &view.keys {
+            Some(keys) if needs_key => {
+                let Some(customer) = request.key.as_deref().and_then(|key| keys.customer(key))
+                else {
+                    return denied(&request, DeniedReason::UnknownKey);
+                };
+                Some(customer)
+            }
+            _ => None,
+        };
+        let target = choose_target(route, rand::random());
+        let service = target.and_then(|target| view.config.services.get(&target.service));
+        let Some(service) = service else {
+            return self.not_run(&request, NotRunReason::NoServer);
+        };
+        let limit = request.deadline.map_or(route.timeout, |limit| limit.min(route.timeout));
+        let run = ForwardRun {
+            state: state.clone(),
+            ports: self.ports.clone(),
+            deadline_at: request.received_at + limit,
+            route: route.clone(),
+            service: service.clone(),
+            customer: customer.map(|customer| customer.name.clone()),
+            priority: customer.and_then(|customer| customer.priority),
+            tried: Vec::new(),
+            sent: 0,
+            _in_flight: InFlight::start(state),
+            request,
+        };
+        run.run().await
+    }
+
+    fn not_run(&self, request: &ForwardRequest, reason: NotRunReason) -> ForwardAnswer {
+        log::info!("forward: {} not run: {reason}.", request.id);
+        ForwardAnswer::NotRun { reason, retry_after: self.state.settings.retry_after }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // What others ask of this node
+
+    /// Whether callers should come to this node.
+    pub fn is_ready(&self) -> bool {
+        let now = self.ports.clock.now();
+        !self.state.leaving.get()
+            && self.state.config.borrow().is_some()
+            && self.state.config_is_usable(now)
+    }
+
+    /// The addresses of all nodes that callers should use.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let now = self.ports.clock.now();
+        let peers = self.state.peers.borrow();
+        let alive = peers.alive(now, self.state.settings.peer_silence);
+        let ready = alive.filter(|(_, peer)| peer.ready);
+        let mut addresses: Vec<_> = ready.filter_map(|(_, peer)| peer.caller_address).collect();
+        if self.is_ready() {
+            addresses.push(self.identity.caller_address);
+        }
+        addresses
+    }
+
+    /// Requests of callers that are under way.
+    pub fn in_flight(&self) -> usize {
+        self.state.in_flight.get()
+    }
+
+    /// Tells everybody that callers should go elsewhere. Requests are still answered.
+    pub fn announce_leaving(&self) {
+        self.state.leaving.set(true);
+        log::info!("gateway: leaving, {} requests under way.", self.in_flight());
+    }
+
+    /// Refuses requests that come from now on.
+    pub fn refuse_new(&self) {
+        self.state.refusing.set(true);
+        log::info!("gateway: refuses new requests, {} under way.", self.in_flight());
+    }
+
+    /// The table service, for the lease.
+    pub(crate) fn table(&self, limit: Duration) -> TimedTable {
+        TimedTable::new(self.ports.table.clone(), self.ports.clock.clone(), limit)
+    }
+}
+
+fn denied(request: &ForwardRequest, reason: DeniedReason) -> ForwardAnswer {
+    log::info!("forward: {} denied: {reason}.", request.id);
+    ForwardAnswer::Denied(reason)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_state.rs
@@ -0,0 +1,211 @@
+//! What a gateway knows.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_policy::{
+    ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadCandidate, HeadPicker, KeyTable,
+    RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
+};
+use comfreyturn_types::{
+    FleetServer, GatewayConfig, ModelName, ServerLife, ServiceName, ServiceSpec,
+};
+
+use crate::{GatewaySettings, LoadBook, NotRunReason, PeerBook, ServerBook, StallBook};
+
+/// A configuration with its tables.
+#[derive(Debug)]
+pub(crate) struct ConfigView {
+    pub(crate) config: Rc<GatewayConfig>,
+    pub(crate) routes: RouteTable,
+    pub(crate) keys: Option<KeyTable>,
+}
+
+impl ConfigView {
+    pub(crate) fn new(config: Rc<GatewayConfig>) -> Self {
+        let routes = RouteTable::new(&config.routes);
+        let keys = config.customers.as_deref().map(KeyTable::new);
+        Self { config, routes, keys }
+    }
+}
+
+/// Deaths that condemn a request, whatever else dies at the time.
+const CONDEMNING_DEATHS: usize = 3;
+
+/// Weight of a new second in the average of refusals.
+const REFUSAL_WEIGHT: f64 = 0.3;
+
+/// What a gateway knows. All parts are changed on one thread; no borrow is held over an await.
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) config: RefCell<Option<Rc<ConfigView>>>,
+    pub(crate) confirmed: Cell<ConfirmedConfig>,
+    pub(crate) servers: RefCell<ServerBook>,
+    pub(crate) loads: LoadBook,
+    pub(crate) stalls: RefCell<StallBook>,
+    pub(crate) peers: RefCell<PeerBook>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, ShareRetryBudget>>,
+    pub(crate) suspects: RefCell<CrashLedger>,
+
+    /// Deaths by requests that this node saw, with when.
+    pub(crate) deaths: RefCell<Vec<(Instant, u64, u64)>>,
+
+    /// Servers in the list that do not answer.
+    pub(crate) lost: RefCell<std::collections::HashSet<ServerLife>>,
+
+    /// Requests refused for want of room since the last beat, by model.
+    refused: RefCell<HashMap<ModelName, f64>>,
+    refusal_rates: RefCell<HashMap<ModelName, f64>>,
+    pub(crate) has_traffic: Cell<bool>,
+    pub(crate) leaving: Cell<bool>,
+    pub(crate) refusing: Cell<bool>,
+    pub(crate) in_flight: Cell<usize>,
+
+    /// The fencing number of the fleet's lease while this node holds it; else zero.
+    pub(crate) lease: Cell<u64>,
+
+    /// Whether this node orders servers into groups.
+    pub(crate) plans: Cell<bool>,
+    picker: HeadPicker,
+}
+
+impl GatewayState {
+    pub(crate) fn new(settings: GatewaySettings) -> Self {
+        let suspects = CrashLedgerSettings {
+            burst_deaths: 0,
+            burst_condemning_deaths: CONDEMNING_DEATHS,
+            ..CrashLedgerSettings::default()
+        };
+        Self {
+            picker: HeadPicker::new(settings.picker),
+            settings,
+            config: RefCell::default(),
+            confirmed: Cell::default(),
+            servers: RefCell::default(),
+            loads: LoadBook::default(),
+            stalls: RefCell::default(),
+            peers: RefCell::default(),
+            budgets: RefCell::default(),
+            suspects: RefCell::new(CrashLedger::new(suspects)),
+            deaths: RefCell::default(),
+            lost: RefCell::default(),
+            refused: RefCell::default(),
+            refusal_rates: RefCell::default(),
+            has_traffic: Cell::new(false),
+            leaving: Cell::new(false),
+            refusing: Cell::new(false),
+            in_flight: Cell::new(0),
+            lease: Cell::new(0),
+            plans: Cell::new(false),
+        }
+    }
+
+    /// Whether the configuration is known to be new enough to decide about keys.
+    pub(crate) fn config_is_usable(&self, now: Instant) -> bool {
+        self.confirmed.get().is_usable(now, self.settings.config_limit)
+    }
+
+    /// Counts a request of a service for its retry budget.
+    pub(crate) fn note_request(&self, now: Instant, service: &ServiceName) {
+        self.with_budget(service, |budget| budget.record_request(now));
+    }
+
+    /// Whether a request of a service may be sent once more; if so, counts it.
+    pub(crate) fn try_retry(&self, now: Instant, service: &ServiceName) -> bool {
+        self.with_budget(service, |budget| budget.try_retry(now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut ShareRetryBudget) -> T,
+    ) -> T {
+        let settings = RetryBudgetSettings {
+            share: self.settings.retry_share,
+            floor: self.settings.retry_floor,
+            window: self.settings.retry_window,
+            ..RetryBudgetSettings::default()
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget =
+            budgets.entry(service.clone()).or_insert_with(|| ShareRetryBudget::new(settings));
+        change(budget)
+    }
+
+    /// Picks the server that takes a request, leaving out those in `tried`. An urgent request,
+    /// such as the rest of a stream, goes to the best server even if it is full.
+    pub(crate) fn pick(
+        &self,
+        now: Instant,
+        service: &ServiceSpec,
+        model: Option<&ModelName>,
+        tried: &[ServerLife],
+        urgent: bool,
+    ) -> Result<FleetServer, NotRunReason> {
+        let servers = self.servers.borrow();
+        let mut heads: Vec<(&FleetServer, u32)> = Vec::new();
+        match &service.engine {
+            Some(engine) => {
+                let groups = servers.groups(&service.name, engine);
+                let serving = groups.iter().filter(|group| {
+                    group.is_serving()
+                        && model.is_none_or(|model| group.model.name == *model)
+                        && !self.has_lost(group.members.iter().flatten().copied())
+                });
+                heads.extend(serving.filter_map(|group| Some((group.head()?, engine.slots))));
+            }
+            None => heads.extend(servers.plain(&service.name).map(|head| (head, head.slots))),
+        }
+        let memory = self.settings.stall_memory;
+        let stalls = self.stalls.borrow();
+        heads.retain(|(head, _)| {
+            !tried.contains(&head.life) && !stalls.is_stalled(now, &head.life, memory)
+        });
+        let candidates: Vec<HeadCandidate> = heads
+            .iter()
+            .map(|(head, slots)| HeadCandidate {
+                life: head.life.clone(),
+                running: self.loads.running(&head.life),
+                slots: (*slots).max(1),
+                distance: Duration::ZERO,
+            })
+            .collect();
+        if candidates.is_empty() {
+            return Err(NotRunReason::NoServer);
+        }
+        let picked = self.picker.pick(&candidates, rand::random(), urgent);
+        let head = picked.and_then(|picked| servers.get(&picked.life)).cloned();
+        head.ok_or(NotRunReason::NoRoom)
+    }
+
+    fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
+        let lost = self.lost.borrow();
+        members.any(|member| lost.contains(&member.life))
+    }
+
+    /// Notes that a request for a model was refused for want of room.
+    pub(crate) fn note_refusal(&self, model: Option<&ModelName>) {
+        if let Some(model) = model {
+            *self.refused.borrow_mut().entry(model.clone()).or_default() += 1.0;
+        }
+    }
+
+    /// Turns refusals since the last call, `period` ago, into averages by model.
+    pub(crate) fn update_refusals(&self, period: Duration) -> Vec<(ModelName, f64)> {
+        let refused = std::mem::take(&mut *self.refused.borrow_mut());
+        let mut rates = self.refusal_rates.borrow_mut();
+        let weight = REFUSAL_WEIGHT * period.as_secs_f64();
+        for (model, count) in &refused {
+            let rate = rates.entry(model.clone()).or_default();
+            *rate += weight * count / period.as_secs_f64();
+        }
+        for rate in rates.values_mut() {
+            *rate *= 1.0 - weight;
+        }
+        rates.iter().map(|(model, rate)| (model.clone(), *rate)).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_book.rs
@@ -0,0 +1,108 @@
+//! The other nodes, as they tell of themselves.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{Incarnation, NodeId};
+
+/// What is known of another node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerRecord {
+    /// Its run.
+    pub incarnation: Incarnation,
+
+    /// Where it takes datagrams.
+    pub peer_address: SocketAddr,
+
+    /// Where it takes callers.
+    pub caller_address: Option<SocketAddr>,
+
+    /// The number of its last datagram.
+    pub sequence: u64,
+
+    /// When that came; `None` if it is known from its row alone.
+    pub heard_at: Option<Instant>,
+
+    /// Whether it takes callers.
+    pub ready: bool,
+
+    /// The fencing number of the fleet's lease, if it holds that; else zero.
+    pub lease: u64,
+
+    /// Whether callers have come to it.
+    pub has_traffic: bool,
+
+    /// Requests that it refused for want of room, by model, each second.
+    pub refusals: Vec<(String, f64)>,
+}
+
+/// The other nodes.
+#[derive(Debug, Default)]
+pub struct PeerBook {
+    peers: BTreeMap<NodeId, PeerRecord>,
+}
+
+impl PeerBook {
+    /// Takes in a node that was found in its row, unless more is known of it.
+    pub fn found(&mut self, node: NodeId, incarnation: Incarnation, address: SocketAddr) {
+        let known = self.peers.get(&node);
+        if known.is_some_and(|known| known.incarnation == incarnation || known.heard_at.is_some()) {
+            return;
+        }
+        let record = PeerRecord {
+            incarnation,
+            peer_address: address,
+            caller_address: None,
+            sequence: 0,
+            heard_at: None,
+            ready: false,
+            lease: 0,
+            has_traffic: false,
+            refusals: Vec::new(),
+        };
+        self.peers.insert(node, record);
+    }
+
+    /// Takes in a datagram; returns whether it is newer than what is known.
+    pub fn hear(&mut self, node: NodeId, record: PeerRecord) -> bool {
+        if let Some(known) = self.peers.get(&node) {
+            let same = known.incarnation == record.incarnation;
+            if same && known.sequence >= record.sequence {
+                return false;
+            }
+        }
+        self.peers.insert(node, record);
+        true
+    }
+
+    /// All other nodes, heard of or not.
+    pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
+        self.peers.values()
+    }
+
+    /// Where all other nodes take datagrams, heard of or not.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.peer_address).collect()
+    }
+
+    /// Nodes that were heard of within `silence`.
+    pub fn alive(
+        &self,
+        now: Instant,
+        silence: Duration,
+    ) -> impl Iterator<Item = (&NodeId, &PeerRecord)> {
+        self.peers.iter().filter(move |(_, peer)| {
+            peer.heard_at.is_some_and(|at| now.saturating_duration_since(at) < silence)
+        })
+    }
+
+    /// Forgets nodes that were not heard of for `limit`.
+    pub fn forget_silent(&mut self, now: Instant, limit: Duration) {
+        self.peers.retain(|_, peer| {
+            peer.heard_at.is_none_or(|at| now.saturating_duration_since(at) < limit)
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay_stream.rs
@@ -0,0 +1,163 @@
+//! A stream of events on its way to the caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreyturn_ports::LinkError;
+
+use crate::{
+    EventCutter, ForwardAnswer, NotRunReason,
+    forward_run::{Attempt, AttemptError, ForwardRun},
+};
+
+/// Pause before a stream that found no server to go on at looks again.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// The stream broke and cannot go on; what the caller has is not the whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("the stream broke and cannot go on")]
+pub struct StreamBroken;
+
+/// A stream of events that goes on at another server when its own one fails.
+///
+/// Only whole events are handed on. The new server starts after the last of them, so the caller
+/// sees one whole stream, with the headers of the first server.
+pub struct RelayStream {
+    run: ForwardRun,
+    attempt: Attempt,
+    cutter: EventCutter,
+
+    /// Events that have come and were not taken.
+    ready: Option<Bytes>,
+
+    /// The stream came to its proper end.
+    ended: bool,
+}
+
+impl RelayStream {
+    /// Awaits the first event. Until then, the request may go to another server as a whole.
+    pub(crate) async fn start(
+        run: ForwardRun,
+        attempt: Attempt,
+        limit: Option<Duration>,
+    ) -> Result<ForwardAnswer, (ForwardRun, AttemptError)> {
+        let status = attempt.answer.status();
+        let headers = attempt.answer.headers().clone();
+        let mut stream =
+            Self { run, attempt, cutter: EventCutter::default(), ready: None, ended: false };
+        match stream.read_events(limit).await {
+            Ok(events) => {
+                stream.ended = events.is_none();
+                stream.ready = events;
+                Ok(ForwardAnswer::Stream { status, headers, body: Box::new(stream) })
+            }
+            Err(error) => {
+                stream.note(error);
+                Err((stream.run, error))
+            }
+        }
+    }
+
+    /// The next events; `None` at the proper end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamBroken`] if the stream cannot go on.
+    pub async fn next_events(&mut self) -> Result<Option<Bytes>, StreamBroken> {
+        if let Some(events) = self.ready.take() {
+            return Ok(Some(events));
+        }
+        if self.ended {
+            return Ok(None);
+        }
+        loop {
+            let error = match self.read_events(self.pause_limit()).await {
+                Ok(events) => return Ok(events),
+                Err(error) => error,
+            };
+            self.note(error);
+            self.resume(error).await?;
+        }
+    }
+
+    /// Reads until events are whole. `None` at the proper end.
+    async fn read_events(
+        &mut self,
+        limit: Option<Duration>,
+    ) -> Result<Option<Bytes>, AttemptError> {
+        loop {
+            if let Some(events) = self.cutter.take_whole() {
+                return Ok(Some(events));
+            }
+            let Self { run, attempt, .. } = self;
+            let chunk = run.await_server(&attempt.life, limit, attempt.answer.chunk()).await?;
+            match chunk.map_err(AttemptError::Link)? {
+                Some(bytes) => {
+                    let now = self.run.now();
+                    self.run.state.stalls.borrow_mut().hear(now, &self.attempt.life);
+                    self.cutter.push(&bytes);
+                }
+                None if self.cutter.has_rest() => {
+                    return Err(AttemptError::Link(LinkError::Broken));
+                }
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// How long an event is waited for before the stream goes on elsewhere.
+    fn pause_limit(&self) -> Option<Duration> {
+        let settings = &self.run.state.settings;
+        let pause = self.run.route.longest_pause.unwrap_or(settings.default_pause);
+        let may_resume =
+            self.run.route.kind.is_repeatable() && self.run.sent < self.run.route.max_attempts;
+        may_resume.then(|| pause.mul_f64(settings.stall_factor))
+    }
+
+    fn note(&self, error: AttemptError) {
+        match error {
+            AttemptError::Silent => self.run.note_stall(&self.attempt.life),
+            AttemptError::Link(error) => self.run.note_failure(&self.attempt.life, error),
+            AttemptError::NotMade(_) | AttemptError::OutOfTime => {}
+        }
+    }
+
+    /// Goes on after the last whole event at another server.
+    async fn resume(&mut self, cause: AttemptError) -> Result<(), StreamBroken> {
+        self.cutter.drop_rest();
+        let repeatable = self.run.route.kind.is_repeatable();
+        if !repeatable || cause == AttemptError::OutOfTime || !self.run.take_retry() {
+            return Err(self.broken(cause));
+        }
+        let last = self.cutter.last_id().map(str::to_owned);
+        let after = last.or_else(|| self.run.request.resume_after.clone());
+        loop {
+            match self.run.attempt(None, after.clone(), true).await {
+                Ok(attempt) if attempt.answer.status().is_success() => {
+                    log::info!(
+                        "forward: {} goes on at {} after {after:?}.",
+                        self.run.request.id,
+                        attempt.life
+                    );
+                    self.attempt = attempt;
+                    return Ok(());
+                }
+                Err(AttemptError::NotMade(NotRunReason::NoServer | NotRunReason::NoRoom)) => {
+                    self.run.ports.clock.sleep(RESUME_PAUSE).await;
+                }
+                Ok(_) => return Err(self.broken(AttemptError::Link(LinkError::Foreign))),
+                Err(AttemptError::Link(LinkError::NotRun)) if self.run.take_retry() => {}
+                Err(error) => return Err(self.broken(error)),
+            }
+        }
+    }
+
+    fn broken(&self, cause: AttemptError) -> StreamBroken {
+        log::warn!(
+            "forward: {} stream broken after {} attempts: {cause}.",
+            self.run.request.id,
+            self.run.sent
+        );
+        StreamBroken
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,9 +3,10 @@
 use std::{path::Path, process::ExitCode};
 
 use comfreyturn_node::{NodeSettings, StopSignal, run_node};
+use comfreyturn_platform::{PlatformSettings, PlatformSignal, run_platform};
 use flexi_logger::{Logger, LoggerHandle, opt_format};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -22,6 +23,11 @@
                 /// Which log lines are written to standard error: error, warn, info, debug.
                 optional --log level: String
             }
+            /// Runs a node on the users' platform, whose settings file the environment names.
+            cmd platform {
+                /// Which log lines are written to standard output: error, warn, info, debug.
+                optional --log level: String
+            }
             /// Checks a settings file and ends.
             cmd check {
                 /// The settings file.
@@ -38,6 +44,7 @@
     let flags = flags::Comfreyturn::from_env_or_exit();
     match flags.subcommand {
         flags::ComfreyturnCmd::Check(check) => check_settings(&check.settings),
+        flags::ComfreyturnCmd::Platform(platform) => run_on_platform(platform.log.as_deref()),
         flags::ComfreyturnCmd::Run(run) => run_process(&run.settings, run.log.as_deref()),
     }
 }
@@ -75,6 +82,46 @@
     }
 }
 
+fn run_on_platform(level: Option<&str>) -> ExitCode {
+    let settings = match PlatformSettings::from_environment() {
+        Ok(settings) => settings,
+        Err(error) => return usage_error(&error),
+    };
+    let logger = Logger::try_with_str(level.unwrap_or("info"));
+    let logger = logger.and_then(|logger| logger.format(opt_format).log_to_stdout().start());
+    let _logger = match logger {
+        Ok(logger) => logger,
+        Err(error) => return usage_error(&error),
+    };
+    let signals = match platform_signals() {
+        Ok(signals) => signals,
+        Err(error) => return failure(&error),
+    };
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return failure(&error),
+    };
+    match runtime.block_on(run_platform(settings, signals)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failure(&error),
+    }
+}
+
+/// Turns SIGTERM and SIGINT into the end of the node, and SIGHUP into a look at its settings.
+fn platform_signals() -> std::io::Result<flume::Receiver<PlatformSignal>> {
+    let (sender, receiver) = flume::unbounded();
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            let told = if signal == SIGHUP { PlatformSignal::Reload } else { PlatformSignal::Stop };
+            if sender.send(told).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(receiver)
+}
+
 fn start_logging(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
     Logger::try_with_str(level)?.format(opt_format).log_to_stderr().start()
 }
--- /dev/null
+++ b/crates/policy/src/fleet_state.rs
@@ -0,0 +1,88 @@
+//! Groups as the servers of a service tell them.
+
+use std::collections::BTreeMap;
+
+use comfreyturn_types::{
+    EngineSpec, FleetServer, GroupId, GroupMembership, MemberPhase, ModelName, PooledModel,
+    ServiceName,
+};
+
+/// Names a group after its model, so that whoever reads a server's entry knows what it is for.
+pub fn group_name(model: &ModelName, epoch: u64) -> GroupId {
+    GroupId::from(format!("{model}.{epoch}"))
+}
+
+/// The model that a group is for.
+pub fn group_model<'a>(engine: &'a EngineSpec, group: &GroupId) -> Option<&'a PooledModel> {
+    let (name, _) = group.as_str().rsplit_once('.')?;
+    engine.models.iter().find(|model| model.name.as_str() == name)
+}
+
+/// The servers that tell the same group and epoch.
+#[derive(Clone, Debug)]
+pub struct ToldGroup<'a> {
+    /// The group.
+    pub group: GroupId,
+
+    /// The epoch of its members.
+    pub epoch: u64,
+
+    /// Its model.
+    pub model: &'a PooledModel,
+
+    /// Members by rank; `None` for one that nobody tells.
+    /// Invariant: as long as the group's size.
+    pub members: Vec<Option<&'a FleetServer>>,
+}
+
+impl<'a> ToldGroup<'a> {
+    /// The server that takes the group's requests.
+    pub fn head(&self) -> Option<&'a FleetServer> {
+        *self.members.first()?
+    }
+
+    /// Whether every member is there, none is leaving, and the head serves.
+    pub fn is_serving(&self) -> bool {
+        let settled = |member: &&FleetServer| {
+            let phase = phase_of(member);
+            !member.leaving && matches!(phase, Some(MemberPhase::Ready | MemberPhase::Open))
+        };
+        let all = self.members.iter().all(|member| member.as_ref().is_some_and(settled));
+        all && self.head().and_then(phase_of) == Some(MemberPhase::Open)
+    }
+}
+
+/// How far a server is with its place in a group.
+pub fn phase_of(server: &FleetServer) -> Option<MemberPhase> {
+    server.membership.as_ref().map(|membership| membership.phase)
+}
+
+/// Assembles the groups that the servers of a service tell.
+pub fn told_groups<'a>(
+    servers: impl Iterator<Item = &'a FleetServer>,
+    service: &ServiceName,
+    engine: &'a EngineSpec,
+) -> Vec<ToldGroup<'a>> {
+    let mut groups: BTreeMap<(u64, GroupId), ToldGroup<'a>> = BTreeMap::new();
+    for server in servers.filter(|server| server.service == *service) {
+        let Some(membership) = &server.membership else { continue };
+        let Some(model) = group_model(engine, &membership.group) else { continue };
+        let group = groups
+            .entry((membership.epoch, membership.group.clone()))
+            .or_insert_with(|| empty_group(membership, model));
+        let place = usize::try_from(membership.rank).ok();
+        if let Some(member) = place.and_then(|place| group.members.get_mut(place)) {
+            *member = Some(server);
+        }
+    }
+    groups.into_values().collect()
+}
+
+fn empty_group<'a>(membership: &GroupMembership, model: &'a PooledModel) -> ToldGroup<'a> {
+    ToldGroup {
+        group: membership.group.clone(),
+        epoch: membership.epoch,
+        model,
+        members: vec![None; model.group_size as usize],
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet_target.rs
@@ -0,0 +1,46 @@
+//! How many groups of each model ought to be there.
+
+use std::collections::HashMap;
+
+use comfreyturn_types::{EngineSpec, ModelName, PooledModel};
+
+/// Divides servers among models so that each group has about the same work.
+///
+/// `work` is in requests under way, or any other measure that is the same for all models.
+/// `spare_share` is the part of the servers that stays out of groups.
+pub fn target_groups(
+    engine: &EngineSpec,
+    work: &HashMap<ModelName, f64>,
+    servers: usize,
+    spare_share: f64,
+) -> HashMap<ModelName, u32> {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of the number of servers"
+    )]
+    let spares = (servers as f64 * spare_share).ceil() as usize;
+    let mut rest = servers.saturating_sub(spares);
+    let mut targets: HashMap<ModelName, u32> = HashMap::new();
+    loop {
+        let fitting = engine.models.iter().filter(|model| model.group_size as usize <= rest);
+        let next =
+            fitting.max_by(|a, b| need(a, work, &targets).total_cmp(&need(b, work, &targets)));
+        let Some(model) = next.filter(|model| model.group_size > 0) else { return targets };
+        rest -= model.group_size as usize;
+        *targets.entry(model.name.clone()).or_default() += 1;
+    }
+}
+
+/// Work for each group; a model without a group comes before all that have one.
+fn need(
+    model: &PooledModel,
+    work: &HashMap<ModelName, f64>,
+    targets: &HashMap<ModelName, u32>,
+) -> f64 {
+    let work = work.get(&model.name).copied().unwrap_or_default();
+    match targets.get(&model.name) {
+        None | Some(0) => f64::MAX / 2.0 + work,
+        Some(groups) => work / f64::from(*groups),
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod config_change;
 mod config_intent;
+mod fleet_server;
+mod gateway_config;
 mod group_record;
 mod names;
 mod numbers;
@@ -16,6 +18,8 @@
 
 pub use config_change::*;
 pub use config_intent::*;
+pub use fleet_server::*;
+pub use gateway_config::*;
 pub use group_record::*;
 pub use names::*;
 pub use numbers::*;
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -107,3 +107,11 @@
     /// The caller's key for a request that must run at most once.
     IdempotencyKey
 }
+name_type! {
+    /// A host that callers name in their requests.
+    HostName
+}
+name_type! {
+    /// A route, as operators name it.
+    RouteName
+}
