Mend groups within a second of a loss

Ruled out: heads that do not answer within 0.7 s being given up (trial): no gain without spares, and a head that is only cut off from one node may still serve.

Change: probes run beside the planner; a server that any node heard of lives; a holder counts as silent by its run, not its name; members dropped from the list keep their group while they answer; a head's answer to 'leave' proves it gone; a fifth of the servers are spares; twice as many loads at once before traffic.

--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -91,7 +91,11 @@
             lease: state.lease.get(),
             has_traffic: state.has_traffic.get(),
             loads: own
-                .map(|(life, running)| peer::ServerLoad { server: Some(name(&life)), running })
+                .map(|(life, running)| peer::ServerLoad {
+                    server: Some(name(&life)),
+                    running,
+                    heard_age_ms: age_code(state.stalls.borrow().heard_age(now, &life)),
+                })
                 .collect(),
             stalls: stalls
                 .iter()
@@ -136,6 +140,12 @@
         let loads: HashMap<_, _> = loads.map(|(life, load)| (life, load.running)).collect();
         state.loads.take_peer(now, node, loads);
         let mut stalls = state.stalls.borrow_mut();
+        for load in &beat.loads {
+            let heard_at = heard_at(now, load.heard_age_ms);
+            if let (Some(server), Some(heard_at)) = (&load.server, heard_at) {
+                stalls.hear_elsewhere(heard_at, &life(server));
+            }
+        }
         for server in beat.stalls.iter().filter_map(|stall| stall.server.as_ref()) {
             stalls.stall_elsewhere(now, &life(server), FRESH_TIME);
         }
@@ -176,6 +186,15 @@
     })
 }
 
+/// An age as it is sent: in milliseconds plus one, zero for none.
+fn age_code(age: Option<Duration>) -> u64 {
+    age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1)
+}
+
+fn heard_at(now: Instant, code: u64) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(code.checked_sub(1)?))
+}
+
 fn name(life: &ServerLife) -> peer::ServerName {
     peer::ServerName { vm: life.vm.to_string(), born: life.born }
 }
--- a/crates/gateway/src/config_loop.rs
+++ b/crates/gateway/src/config_loop.rs
@@ -45,8 +45,8 @@
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("servers: platform reached again.");
                     }
-                    self.state.servers.borrow_mut().apply(reading);
-                    self.forget_servers();
+                    let dropped = self.state.servers.borrow_mut().apply(reading);
+                    self.state.note_dropped(self.ports.clock.now(), dropped);
                     self.ports.clock.sleep(self.server_pause()).await;
                 }
                 Err(error) => {
@@ -63,11 +63,4 @@
         let settings = &self.state.settings;
         if self.state.plans.get() { settings.planner_period } else { settings.server_period }
     }
-
-    /// Forgets what is known of servers that are not in the list any more.
-    fn forget_servers(&self) {
-        let servers = self.state.servers.borrow();
-        self.state.stalls.borrow_mut().retain(|life| servers.get(life).is_some());
-        self.state.lost.borrow_mut().retain(|life| servers.get(life).is_some());
-    }
 }
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -11,11 +11,11 @@
 use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView};
 use comfreyturn_ports::OrderOutcome;
 use comfreyturn_types::{
-    EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, ServerLife, ServiceName,
+    EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, ServiceName,
 };
-use futures_util::future::{Either, join_all, select};
+use futures_util::future::{Either, select};
 
-use crate::Gateway;
+use crate::{Gateway, server_watch::ServerWatch};
 
 /// What the lease covers.
 const FLEET_SCOPE: &str = "fleet";
@@ -40,9 +40,6 @@
     fencing: FencingNumber,
     planners: HashMap<ServiceName, FleetPlanner>,
     work: HashMap<ModelName, f64>,
-
-    /// Probes in a row that a server did not answer.
-    silent: HashMap<ServerLife, u32>,
 }
 
 impl FleetLoop {
@@ -65,13 +62,14 @@
         let clock = this.gateway.ports.clock.clone();
         let keeping = this.clone();
         this.gateway.ports.spawner.spawn(Box::pin(async move { keeping.keep_lease().await }));
+        let watch = ServerWatch::new(this.gateway.clone());
+        this.gateway.ports.spawner.spawn(Box::pin(watch.run()));
         loop {
             let state = &this.gateway.state;
             let held = this.lease.held(clock.now());
             state.lease.set(held.map_or(0, |hold| hold.fencing.0));
             state.plans.set(held.is_some());
             if let Some(hold) = held {
-                this.probe_suspects().await;
                 this.plan(hold.fencing);
             }
             clock.sleep(state.settings.planner_period).await;
@@ -100,16 +98,19 @@
         }
     }
 
-    /// Whether another node held the lease and is not heard of any more. Only the first of the
-    /// nodes that are heard of acts on it, so that they do not take the lease from each other.
+    /// Whether the run that held the lease is not heard of any more. Only the first of the nodes
+    /// that are heard of acts on it, so that they do not take the lease from each other.
     fn holder_is_silent(&self, now: Instant) -> bool {
         let Gateway { identity, state, .. } = &*self.gateway;
-        let Some((holder, _)) = self.lease.holder() else { return false };
+        let Some((holder, run)) = self.lease.holder() else { return false };
+        if holder == identity.node {
+            return run != identity.incarnation;
+        }
         let peers = state.peers.borrow();
         let alive: Vec<_> = peers.alive(now, state.settings.holder_silence).collect();
-        let heard = alive.iter().any(|(node, _)| **node == holder);
+        let heard = alive.iter().any(|(node, peer)| **node == holder && peer.incarnation == run);
         let first = alive.iter().all(|(node, _)| identity.node <= **node);
-        !heard && first && holder != identity.node && !alive.is_empty()
+        !heard && first && !alive.is_empty()
     }
 
     fn lease_pause(&self) -> Duration {
@@ -120,60 +121,10 @@
         }
         let peers = state.peers.borrow();
         let held = peers.alive(now, state.settings.holder_silence).any(|(_, peer)| peer.lease > 0);
-        if held { state.settings.lease_look_period } else { state.settings.lease_period }
-    }
-
-    // ---------------------------------------------------------------------------------------
-    // Servers that do not answer
-
-    /// Asks the members of groups whose head fell silent whether they live, and servers that are
-    /// lost whether they are back.
-    async fn probe_suspects(&self) {
-        let Gateway { ports, state, .. } = &*self.gateway;
-        let suspects = self.suspects(ports.clock.now());
-        let probes = suspects.into_iter().map(|server| async move {
-            let answer =
-                select(ports.fleet.probe(&server), ports.clock.sleep(state.settings.probe_timeout));
-            let alive = matches!(answer.await, Either::Left((Ok(()), _)));
-            (server.life, alive)
-        });
-        for (life, alive) in join_all(probes).await {
-            self.take_probe(life, alive);
-        }
-    }
-
-    fn suspects(&self, now: Instant) -> Vec<FleetServer> {
-        let state = &self.gateway.state;
-        let stalled = state.stalls.borrow().stalled(now, state.settings.stall_memory);
-        let servers = state.servers.borrow();
-        let mut suspects: HashSet<ServerLife> = state.lost.borrow().iter().cloned().collect();
-        for life in stalled {
-            let group = servers.get(&life).and_then(|head| head.membership.as_ref());
-            let Some(group) = group else { continue };
-            let members = servers.all().filter(|server| {
-                let membership = server.membership.as_ref();
-                membership.is_some_and(|own| own.group == group.group && own.epoch == group.epoch)
-            });
-            suspects.extend(members.map(|server| server.life.clone()));
-        }
-        suspects.iter().filter_map(|life| servers.get(life)).cloned().collect()
-    }
-
-    fn take_probe(&self, life: ServerLife, alive: bool) {
-        let state = &self.gateway.state;
-        let mut parts = self.parts.borrow_mut();
-        if alive {
-            parts.silent.remove(&life);
-            if state.lost.borrow_mut().remove(&life) {
-                log::info!("fleet: {life} answers again.");
-            }
-            return;
-        }
-        let silent = parts.silent.entry(life.clone()).or_default();
-        *silent += 1;
-        if *silent >= state.settings.lost_probes && state.lost.borrow_mut().insert(life.clone()) {
-            log::warn!("fleet: {life} does not answer and counts as lost.");
+        if !held {
+            return state.settings.lease_period / 2;
         }
+        state.settings.lease_look_period
     }
 
     // ---------------------------------------------------------------------------------------
@@ -199,6 +150,8 @@
         let now = self.gateway.ports.clock.now();
         let servers = state.servers.borrow();
         let lost = state.lost.borrow();
+        let remembered = state.unlisted.borrow();
+        let unlisted = remembered.keys().cloned().collect();
         let mut parts = self.parts.borrow_mut();
         if parts.fencing != fencing {
             *parts = FleetParts { fencing, ..FleetParts::default() };
@@ -212,13 +165,19 @@
         let view = FleetView {
             service: name,
             engine,
-            servers: servers.all().filter(|server| server.service == *name).collect(),
+            servers: servers
+                .all()
+                .chain(remembered.values().map(|(_, server)| server))
+                .filter(|server| server.service == *name)
+                .collect(),
+            unlisted: &unlisted,
             lost: &lost,
             work: &work,
             before_traffic: !state.has_traffic.get(),
         };
         for order in planner.plan(now, &view) {
-            if let Some(server) = servers.get(&order.life) {
+            let dropped = || remembered.get(&order.life).map(|(_, server)| server);
+            if let Some(server) = servers.get(&order.life).or_else(dropped) {
                 let task = self.clone().give_order(server.clone(), order, fencing);
                 self.gateway.ports.spawner.spawn(Box::pin(task));
             }
@@ -277,6 +236,11 @@
         }
         let giving = ports.fleet.order(&server, &order.action, fencing);
         let answer = select(giving, ports.clock.sleep(state.settings.order_timeout)).await;
+        if let (Either::Left((Ok(_), _)), Some(planner)) =
+            (&answer, self.parts.borrow_mut().planners.get_mut(&server.service))
+        {
+            planner.note_answer(&order);
+        }
         let FleetOrder { life, action } = &order;
         match answer {
             Either::Left((Ok(OrderOutcome::Taken), _)) => {
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -36,6 +36,9 @@
 /// Deaths that condemn a request, whatever else dies at the time.
 const CONDEMNING_DEATHS: usize = 3;
 
+/// How long a server that was dropped from the list is remembered.
+const UNLISTED_MEMORY: Duration = Duration::from_secs(20);
+
 /// Weight of a new second in the average of refusals.
 const REFUSAL_WEIGHT: f64 = 0.3;
 
@@ -54,8 +57,11 @@
     /// Deaths by requests that this node saw, with when.
     pub(crate) deaths: RefCell<Vec<(Instant, u64, u64)>>,
 
-    /// Servers in the list that do not answer.
-    pub(crate) lost: RefCell<std::collections::HashSet<ServerLife>>,
+    /// Servers that do not answer.
+    pub(crate) lost: RefCell<HashSet<ServerLife>>,
+
+    /// Members of groups that were dropped from the list, with when. They may serve on.
+    pub(crate) unlisted: RefCell<HashMap<ServerLife, (Instant, FleetServer)>>,
 
     /// Requests refused for want of room since the last beat, by model.
     refused: RefCell<HashMap<ModelName, f64>>,
@@ -93,6 +99,7 @@
             suspects: RefCell::new(CrashLedger::new(suspects)),
             deaths: RefCell::default(),
             lost: RefCell::default(),
+            unlisted: RefCell::default(),
             refused: RefCell::default(),
             refusal_rates: RefCell::default(),
             has_traffic: Cell::new(false),
@@ -146,19 +153,22 @@
         tried: &[ServerLife],
         urgent: bool,
     ) -> Result<FleetServer, NotRunReason> {
-        let servers = self.servers.borrow();
-        let mut heads: Vec<(&FleetServer, u32)> = Vec::new();
+        let mut servers = self.servers.borrow_mut();
+        let mut heads: Vec<(FleetServer, u32)> = Vec::new();
         match &service.engine {
             Some(engine) => {
-                let groups = servers.groups(&service.name, engine);
+                let groups = servers.serving_groups(&service.name, engine);
                 let serving = groups.iter().filter(|group| {
-                    group.is_serving()
-                        && model.is_none_or(|model| group.model.name == *model)
+                    model.is_none_or(|model| group.model.name == *model)
                         && !self.has_lost(group.members.iter().flatten().copied())
                 });
-                heads.extend(serving.filter_map(|group| Some((group.head()?, engine.slots))));
+                heads.extend(
+                    serving.filter_map(|group| Some((group.head()?.clone(), engine.slots))),
+                );
+            }
+            None => {
+                heads.extend(servers.plain(&service.name).map(|head| (head.clone(), head.slots)))
             }
-            None => heads.extend(servers.plain(&service.name).map(|head| (head, head.slots))),
         }
         let memory = self.settings.stall_memory;
         let stalls = self.stalls.borrow();
@@ -182,6 +192,24 @@
         head.ok_or(NotRunReason::NoRoom)
     }
 
+    /// Remembers members of groups that were dropped from the list, and forgets servers that are
+    /// gone for good.
+    pub(crate) fn note_dropped(&self, now: Instant, dropped: Vec<FleetServer>) {
+        let mut unlisted = self.unlisted.borrow_mut();
+        let members = dropped.into_iter().filter(|server| server.membership.is_some());
+        for server in members {
+            log::info!("servers: {} is in the list no more.", server.life);
+            unlisted.insert(server.life.clone(), (now, server));
+        }
+        let servers = self.servers.borrow();
+        unlisted.retain(|life, (at, _)| {
+            servers.get(life).is_none() && now.saturating_duration_since(*at) < UNLISTED_MEMORY
+        });
+        let known = |life: &ServerLife| servers.get(life).is_some() || unlisted.contains_key(life);
+        self.stalls.borrow_mut().retain(&known);
+        self.lost.borrow_mut().retain(known);
+    }
+
     fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
         let lost = self.lost.borrow();
         members.any(|member| lost.contains(&member.life))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer_book;
 mod relay_stream;
 mod server_book;
+mod server_watch;
 mod stall_book;
 
 pub use beat_loop::*;
--- a/crates/gateway/src/server_book.rs
+++ b/crates/gateway/src/server_book.rs
@@ -1,20 +1,25 @@
 //! The servers in the platform's list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use comfreyturn_policy::{ToldGroup, told_groups};
 use comfreyturn_ports::{ServerChange, ServerReading};
-use comfreyturn_types::{EngineSpec, FleetServer, ServerLife, ServiceName, VmId};
+use comfreyturn_types::{EngineSpec, FleetServer, GroupId, ServerLife, ServiceName, VmId};
 
 /// The servers in the platform's list, as they were last read.
 #[derive(Debug, Default)]
 pub struct ServerBook {
     servers: BTreeMap<VmId, FleetServer>,
+
+    /// Groups that were told whole, with their epochs. One of their members may be dropped from
+    /// the list and serve on.
+    whole: HashSet<(GroupId, u64)>,
 }
 
 impl ServerBook {
-    /// Takes in a reading.
-    pub fn apply(&mut self, reading: ServerReading) {
+    /// Takes in a reading, and returns the servers that were dropped by it.
+    pub fn apply(&mut self, reading: ServerReading) -> Vec<FleetServer> {
+        let before = self.servers.clone();
         if reading.is_whole {
             self.servers.clear();
         }
@@ -28,6 +33,12 @@
                 }
             }
         }
+        let told = |name: &GroupId| {
+            let members = self.servers.values().filter_map(|server| server.membership.as_ref());
+            members.into_iter().any(|membership| membership.group == *name)
+        };
+        self.whole.retain(|(name, _)| told(name));
+        before.into_values().filter(|server| self.get(&server.life).is_none()).collect()
     }
 
     /// All servers.
@@ -48,6 +59,22 @@
         self.all().filter(move |server| server.service == *service && !server.leaving)
     }
 
+    /// Groups of a service that serve: the head is listed and open, and every member was ready.
+    pub fn serving_groups<'a>(
+        &'a mut self,
+        service: &ServiceName,
+        engine: &'a EngineSpec,
+    ) -> Vec<ToldGroup<'a>> {
+        let Self { servers, whole } = self;
+        let mut groups = told_groups(servers.values(), service, engine);
+        for group in groups.iter().filter(|group| group.is_whole()) {
+            whole.insert((group.group.clone(), group.epoch));
+        }
+        groups
+            .retain(|group| group.is_open() && whole.contains(&(group.group.clone(), group.epoch)));
+        groups
+    }
+
     /// The groups that the servers of a service tell.
     pub fn groups<'a>(
         &'a self,
--- a/crates/gateway/src/stall_book.rs
+++ b/crates/gateway/src/stall_book.rs
@@ -13,6 +13,9 @@
     /// When one of its streams last brought an event to this node.
     heard_at: Option<Instant>,
 
+    /// When one of its streams last brought an event to another node.
+    heard_elsewhere_at: Option<Instant>,
+
     /// When a stream was given up for its silence, here or at another node.
     stalled_at: Option<Instant>,
 
@@ -48,6 +51,25 @@
         }
     }
 
+    /// Takes in that another node heard of the server.
+    pub fn hear_elsewhere(&mut self, at: Instant, life: &ServerLife) {
+        let pulse = self.pulses.entry(life.clone()).or_default();
+        pulse.heard_elsewhere_at = pulse.heard_elsewhere_at.max(Some(at));
+    }
+
+    /// How long ago this node heard of the server.
+    pub fn heard_age(&self, now: Instant, life: &ServerLife) -> Option<Duration> {
+        let heard_at = self.pulses.get(life)?.heard_at?;
+        Some(now.saturating_duration_since(heard_at))
+    }
+
+    /// Whether any node heard of the server within `fresh`.
+    pub fn is_heard(&self, now: Instant, life: &ServerLife, fresh: Duration) -> bool {
+        let Some(pulse) = self.pulses.get(life) else { return false };
+        let heard_at = pulse.heard_at.max(pulse.heard_elsewhere_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < fresh)
+    }
+
     /// Whether the server was silent within `memory`, and was not heard of since.
     pub fn is_stalled(&self, now: Instant, life: &ServerLife, memory: Duration) -> bool {
         self.pulses.get(life).is_some_and(|pulse| pulse.is_stalled(now, memory))
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -37,18 +37,23 @@
     /// A group that an earlier planner ordered, and that is not whole, is given up after this.
     pub adopt_patience: Duration,
 
-    /// How long a head that cannot be asked may still serve. Its members stay with it so long.
-    pub lost_head_wait: Duration,
+    /// A head that neither answers nor is listed is taken to be gone after this time.
+    pub gone_head_wait: Duration,
+
+    /// Loads that are under way at once before the first request, as a multiple of what runs at
+    /// full speed. More keep the weight store busy without a pause.
+    pub first_load_factor: f64,
 }
 
 impl Default for FleetPlannerSettings {
     fn default() -> Self {
         Self {
-            spare_share: 0.1,
+            spare_share: 0.2,
             order_patience: Duration::from_millis(500),
             form_patience: Duration::from_millis(2500),
             adopt_patience: Duration::from_millis(800),
-            lost_head_wait: Duration::from_millis(4500),
+            gone_head_wait: Duration::from_millis(300),
+            first_load_factor: 2.0,
         }
     }
 }
@@ -62,10 +67,15 @@
     /// How its servers run models.
     pub engine: &'a EngineSpec,
 
-    /// All servers in the platform's list.
+    /// All servers in the platform's list, and those that were dropped from it a short time ago,
+    /// as they were last listed.
     pub servers: Vec<&'a FleetServer>,
 
-    /// Servers that are in the list and do not answer.
+    /// Servers that were dropped from the list. They take no new work; their groups live on as
+    /// long as they answer.
+    pub unlisted: &'a HashSet<ServerLife>,
+
+    /// Servers that do not answer.
     pub lost: &'a HashSet<ServerLife>,
 
     /// Work of each model, in requests under way, or as shares before there are any.
@@ -105,6 +115,9 @@
 
     /// Given up: its members go back once its head surely serves no more.
     dissolving: bool,
+
+    /// The head said that it is not in the group any more.
+    head_left: bool,
 }
 
 /// What the planner thinks of a group now.
@@ -191,6 +204,15 @@
         orders
     }
 
+    /// Takes in that a server answered an order. Whatever the answer to an order to leave says, the
+    /// server is not the group's head any more.
+    pub fn note_answer(&mut self, order: &FleetOrder) {
+        let FleetAction::Leave { group, .. } = &order.action else { return };
+        if let Some(known) = self.groups.get_mut(group) {
+            known.head_left |= known.members[0] == order.life;
+        }
+    }
+
     // ---------------------------------------------------------------------------------------
     // What is known
 
@@ -207,7 +229,10 @@
             waiting && now.saturating_duration_since(*since) < limit(model)
         });
         let lost = view.lost;
-        self.missing_heads.retain(|life, _| !alive.contains_key(life) || lost.contains(life));
+        let unlisted = view.unlisted;
+        self.missing_heads.retain(|life, _| {
+            !alive.contains_key(life) || (lost.contains(life) && unlisted.contains(life))
+        });
     }
 
     /// Takes in groups that an earlier planner ordered.
@@ -227,6 +252,7 @@
                 adopted: true,
                 was_ready: false,
                 dissolving: false,
+                head_left: false,
             };
             self.groups.insert(told.group.clone(), group);
         }
@@ -308,10 +334,11 @@
         }
         let mut phases = Vec::with_capacity(size);
         let mut leaving = false;
-        for life in &group.members {
+        for (rank, life) in group.members.iter().enumerate() {
             let server = servers.get(&life.vm).filter(|server| server.life == *life);
             let Some(server) = server else { return GroupHealth::Failed };
-            if view.lost.contains(life) {
+            let is_gone_head = rank == 0 && view.unlisted.contains(life);
+            if view.lost.contains(life) || is_gone_head {
                 return GroupHealth::Failed;
             }
             leaving |= server.leaving;
@@ -385,26 +412,29 @@
     ) {
         let head = &group.members[0];
         let server = servers.get(&head.vm).filter(|server| server.life == *head);
-        let reachable = server.filter(|_| !view.lost.contains(head));
-        let safe = match reachable {
-            Some(server) => match place_phase(server, name, group.epoch) {
-                Some(MemberPhase::Open | MemberPhase::Closing) => {
-                    let action = FleetAction::Leave { group: name.clone(), epoch: group.epoch };
-                    orders.push(FleetOrder { life: head.clone(), action });
-                    false
-                }
-                _ => true,
-            },
-            None => {
-                let since = *self.missing_heads.entry(head.clone()).or_insert(now);
-                now.saturating_duration_since(since) >= self.settings.lost_head_wait
-            }
-        };
+        let phase = server.and_then(|server| place_phase(server, name, group.epoch));
+        let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
+        if serves && !group.head_left {
+            let action = FleetAction::Leave { group: name.clone(), epoch: group.epoch };
+            orders.push(FleetOrder { life: head.clone(), action });
+        }
+        let listed = server.is_some() && !view.unlisted.contains(head);
+        let answers = server.is_some() && !view.lost.contains(head);
+        // A head that is listed and does not answer may be cut off from this node alone.
+        let safe = group.head_left
+            || (listed && !serves)
+            || (!listed && !answers && self.is_gone(now, head));
         if !safe {
             held.extend(group.members.iter().cloned());
         }
     }
 
+    /// Whether a head has been neither listed nor heard of for long enough.
+    fn is_gone(&mut self, now: Instant, head: &ServerLife) -> bool {
+        let since = *self.missing_heads.entry(head.clone()).or_insert(now);
+        now.saturating_duration_since(since) >= self.settings.gone_head_wait
+    }
+
     // ---------------------------------------------------------------------------------------
     // New groups
 
@@ -434,6 +464,7 @@
                 adopted: false,
                 was_ready: false,
                 dissolving: false,
+                head_left: false,
             };
             self.next_epoch += 1;
             let action = join_action(&name, &group);
@@ -459,7 +490,14 @@
         pools: &[DomainPool<'a>],
         loading: usize,
     ) -> Option<(&'a PooledModel, Vec<&'a FleetServer>)> {
-        let room = (view.engine.loads_at_once as usize + 1).saturating_sub(loading);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small number of loads"
+        )]
+        let limit =
+            (f64::from(view.engine.loads_at_once) * self.settings.first_load_factor) as usize;
+        let room = limit.saturating_sub(loading);
         for model in by_need(view, active) {
             let wanted = targets.get(&model.name).copied().unwrap_or_default();
             if active.get(&model.name).copied().unwrap_or_default() >= wanted {
@@ -507,16 +545,18 @@
         active: &HashMap<ModelName, u32>,
         orders: &mut Vec<FleetOrder>,
     ) {
-        if view.before_traffic && !self.groups.is_empty() && self.loading(view) > 0 {
-            return;
-        }
         let usable = view.servers.iter().filter(|server| is_usable(view, server)).count();
         let targets = target_groups(view.engine, view.work, usable, self.settings.spare_share);
+        let lacks = |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
+        if view.before_traffic && targets.iter().any(lacks) {
+            return;
+        }
         for pool in self.pools(view, held) {
             for (server, model) in pool.wanted_weights(view, &targets, active) {
                 let starts = self.load_starts.len() as f64;
                 let full = self.loading(view) >= view.engine.loads_at_once as usize;
-                if full || starts + 1.0 > view.engine.loads_per_second {
+                let fast = starts + 1.0 > view.engine.loads_per_second;
+                if !view.before_traffic && (full || fast) {
                     return;
                 }
                 self.staging.insert(server.life.clone(), (model.clone(), now));
@@ -568,7 +608,10 @@
 }
 
 fn is_usable(view: &FleetView<'_>, server: &FleetServer) -> bool {
-    server.service == *view.service && !server.leaving && !view.lost.contains(&server.life)
+    server.service == *view.service
+        && !server.leaving
+        && !view.unlisted.contains(&server.life)
+        && !view.lost.contains(&server.life)
 }
 
 /// The phase of a server in exactly this group and epoch.
--- a/crates/policy/src/fleet_state.rs
+++ b/crates/policy/src/fleet_state.rs
@@ -41,14 +41,18 @@
         *self.members.first()?
     }
 
-    /// Whether every member is there, none is leaving, and the head serves.
-    pub fn is_serving(&self) -> bool {
+    /// Whether every member is there and ready.
+    pub fn is_whole(&self) -> bool {
         let settled = |member: &&FleetServer| {
-            let phase = phase_of(member);
-            !member.leaving && matches!(phase, Some(MemberPhase::Ready | MemberPhase::Open))
+            matches!(phase_of(member), Some(MemberPhase::Ready | MemberPhase::Open))
         };
-        let all = self.members.iter().all(|member| member.as_ref().is_some_and(settled));
-        all && self.head().and_then(phase_of) == Some(MemberPhase::Open)
+        self.members.iter().all(|member| member.as_ref().is_some_and(settled))
+    }
+
+    /// Whether the head takes requests.
+    pub fn is_open(&self) -> bool {
+        let head = self.head().filter(|head| !head.leaving);
+        head.and_then(phase_of) == Some(MemberPhase::Open)
     }
 }
 
