--- a/crates/control/src/lease_keeper.rs
+++ b/crates/control/src/lease_keeper.rs
@@ -95,7 +95,7 @@
     }
 
     /// The check that every write under the lease carries.
-    pub(crate) fn check(&self, hold: &LeaseHold) -> RowCheck {
+    pub fn check(&self, hold: &LeaseHold) -> RowCheck {
         RowCheck { key: self.lease_key.clone(), version: hold.row }
     }
 
--- /dev/null
+++ b/crates/gateway/src/feed_loops.rs
@@ -0,0 +1,120 @@
+//! Following the operators' configuration and the list of servers.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_ports::FeedError;
+
+use crate::{Gateway, gateway_state::ConfigView};
+
+impl Gateway {
+    /// Follows the operators' configuration for ever.
+    pub(crate) async fn follow_config(self: Rc<Self>) {
+        let mut is_connected = true;
+        loop {
+            match self.ports.config_feed.next().await {
+                Ok(reading) => {
+                    if !std::mem::replace(&mut is_connected, true) {
+                        log::info!("config: platform reached again.");
+                    }
+                    let mut confirmed = self.state.confirmed.get();
+                    confirmed.confirm(reading.proven_at);
+                    self.state.confirmed.set(confirmed);
+                    if let Some(config) = reading.config {
+                        log::info!(
+                            "config: version {} with {} routes in force.",
+                            config.version,
+                            config.routes.len()
+                        );
+                        *self.state.config.borrow_mut() = Some(Rc::new(ConfigView::new(config)));
+                    }
+                }
+                Err(error) => {
+                    if std::mem::replace(&mut is_connected, false) {
+                        log::warn!("config: no news: {error}.");
+                    }
+                    self.ports.clock.sleep(self.state.settings.feed_pause).await;
+                }
+            }
+        }
+    }
+
+    /// Follows the list of servers for ever.
+    pub(crate) async fn follow_servers(self: Rc<Self>) {
+        let Self { ports, state, .. } = &*self;
+        let mut return_wait = ReturnWait::new(state.settings.return_wait);
+        loop {
+            match ports.server_feed.next(return_wait.is_over(ports.clock.now())).await {
+                Ok(reading) => {
+                    let now = ports.clock.now();
+                    let keeps = return_wait.note_reading(now, reading.is_whole);
+                    let dropped = state.servers.borrow_mut().apply(reading, keeps);
+                    state.note_dropped(now, dropped);
+                    state.note_list(now);
+                    ports.clock.sleep(self.server_pause()).await;
+                }
+                Err(error) => {
+                    return_wait.note_failure(ports.clock.now(), error);
+                    ports.clock.sleep(state.settings.feed_pause).await;
+                }
+            }
+        }
+    }
+
+    fn server_pause(&self) -> Duration {
+        let settings = &self.state.settings;
+        if self.state.plans.get() { settings.planner_period } else { settings.server_period }
+    }
+}
+
+/// Keeps servers that are missing from the list for a while after the list was out of reach: they
+/// may have lapsed with it, and are back soon if they live.
+#[derive(Debug)]
+struct ReturnWait {
+    wait: Duration,
+
+    /// Since when the list is out of reach.
+    away_since: Option<Instant>,
+
+    /// Until when missing servers are kept.
+    until: Option<Instant>,
+}
+
+/// An outage shorter than this lets no server lapse.
+const SHORT_OUTAGE: Duration = Duration::from_millis(700);
+
+impl ReturnWait {
+    fn new(wait: Duration) -> Self {
+        Self { wait, away_since: None, until: None }
+    }
+
+    fn note_failure(&mut self, now: Instant, error: FeedError) {
+        if self.away_since.is_none() {
+            log::warn!("servers: no news: {error}.");
+            self.away_since = Some(now);
+        }
+    }
+
+    /// Takes in a reading; returns whether servers that it drops are kept.
+    fn note_reading(&mut self, now: Instant, is_whole: bool) -> bool {
+        if let Some(since) = self.away_since.take() {
+            let outage = now.saturating_duration_since(since);
+            log::info!("servers: list reached again after {} ms.", outage.as_millis());
+            if outage >= SHORT_OUTAGE {
+                self.until = Some(now + self.wait);
+            }
+        }
+        let keeps = self.until.is_some_and(|until| now < until);
+        if is_whole && !keeps {
+            self.until = None;
+        }
+        keeps
+    }
+
+    /// Whether the time is over and the whole list must be read.
+    fn is_over(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now >= until)
+    }
+}
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -8,20 +8,20 @@
 };
 
 use comfreyturn_control::{LeaseKeeper, RowKeys};
-use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView};
-use comfreyturn_ports::OrderOutcome;
+use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView, LeaseHold};
+use comfreyturn_ports::{OrderOutcome, TableResult};
 use comfreyturn_types::{
     EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, ServiceName,
 };
 use futures_util::future::{Either, select};
 
-use crate::{Gateway, server_watch::ServerWatch};
+use crate::{Gateway, group_rows::GroupRows, server_watch::ServerWatch};
 
 /// What the lease covers.
 const FLEET_SCOPE: &str = "fleet";
 
 /// Weight of a new look in the average of work.
-const WORK_WEIGHT: f64 = 0.08;
+const WORK_WEIGHT: f64 = 0.05;
 
 /// Time that a refused request would have been under way.
 const REFUSED_WORK: f64 = 1.5;
@@ -30,6 +30,7 @@
 pub struct FleetLoop {
     gateway: Rc<Gateway>,
     lease: Rc<LeaseKeeper>,
+    rows: GroupRows,
     parts: RefCell<FleetParts>,
 }
 
@@ -38,22 +39,28 @@
 struct FleetParts {
     /// The lease under which the planners act.
     fencing: FencingNumber,
+
+    /// Whether earlier planners left groups.
+    restored: bool,
     planners: HashMap<ServiceName, FleetPlanner>,
     work: HashMap<ModelName, f64>,
+
+    /// Whether `work` was measured, or only declared.
+    was_measured: bool,
 }
 
 impl FleetLoop {
     /// A loop of a gateway.
     pub fn new(gateway: Rc<Gateway>) -> Self {
         let settings = &gateway.state.settings;
-        let lease = LeaseKeeper::new(
-            gateway.table(settings.lease_term.term / 2),
-            settings.lease_term,
-            &RowKeys::new(gateway.identity.cell.clone()),
-            &LeaseScope::from(FLEET_SCOPE),
-            (gateway.identity.node.clone(), gateway.identity.incarnation),
-        );
-        Self { lease: Rc::new(lease), parts: RefCell::default(), gateway }
+        let table = gateway.table(settings.lease_term.term / 2);
+        let keys = RowKeys::new(gateway.identity.cell.clone());
+        let run = (gateway.identity.node.clone(), gateway.identity.incarnation);
+        let scope = LeaseScope::from(FLEET_SCOPE);
+        let lease = LeaseKeeper::new(table.clone(), settings.lease_term, &keys, &scope, run);
+        let lease = Rc::new(lease);
+        let rows = GroupRows::new(table, keys, lease.clone());
+        Self { lease, rows, parts: RefCell::default(), gateway }
     }
 
     /// Keeps the lease and forms groups, for ever.
@@ -70,7 +77,7 @@
             state.lease.set(held.map_or(0, |hold| hold.fencing.0));
             state.plans.set(held.is_some());
             if let Some(hold) = held {
-                this.plan(hold.fencing);
+                this.plan(hold).await;
             }
             clock.sleep(state.settings.planner_period).await;
         }
@@ -130,7 +137,70 @@
     // ---------------------------------------------------------------------------------------
     // Plans
 
-    fn plan(self: &Rc<Self>, fencing: FencingNumber) {
+    /// Plans each service, writes rows first, then gives orders.
+    async fn plan(self: &Rc<Self>, hold: LeaseHold) {
+        if let Err(error) = self.restore(hold.fencing).await {
+            log::warn!("fleet: groups not read: {error}.");
+            return;
+        }
+        let restored = self.parts.borrow().restored;
+        if !self.gateway.state.list_is_settled(self.gateway.ports.clock.now(), restored) {
+            return;
+        }
+        self.give_orders(hold.fencing);
+        if self.save_rows(&hold).await {
+            self.give_orders(hold.fencing);
+        }
+    }
+
+    /// Reads the groups of earlier planners, once for each time that this node holds the lease.
+    async fn restore(&self, fencing: FencingNumber) -> TableResult<()> {
+        if self.parts.borrow().fencing == fencing {
+            return Ok(());
+        }
+        let records = self.rows.load().await?;
+        let now = self.gateway.ports.clock.now();
+        let state = &self.gateway.state;
+        log::info!("fleet: takes over {} groups.", records.len());
+        for record in &records {
+            state.remember_members(now, record);
+        }
+        let restored = !records.is_empty();
+        let mut parts = FleetParts { fencing, restored, ..FleetParts::default() };
+        for record in records {
+            let planner = parts.planners.entry(record.service.clone());
+            let planner =
+                planner.or_insert_with(|| FleetPlanner::new(fencing.0, state.settings.planner));
+            planner.restore(now, vec![record]);
+        }
+        *self.parts.borrow_mut() = parts;
+        Ok(())
+    }
+
+    /// Writes the rows that the plans changed; returns whether new groups may be ordered now.
+    async fn save_rows(&self, hold: &LeaseHold) -> bool {
+        let mut written = Vec::new();
+        let mut removed = Vec::new();
+        for planner in self.parts.borrow().planners.values() {
+            let (unsaved, obsolete) = planner.row_changes();
+            written.extend(unsaved);
+            removed.extend(obsolete);
+        }
+        // Removals alone can wait for the next group.
+        if written.is_empty() {
+            return false;
+        }
+        if let Err(error) = self.rows.save(hold, &written, &removed).await {
+            log::warn!("fleet: rows of {} groups not written: {error}.", written.len());
+            return false;
+        }
+        for planner in self.parts.borrow_mut().planners.values_mut() {
+            planner.note_rows(&written, &removed);
+        }
+        true
+    }
+
+    fn give_orders(self: &Rc<Self>, fencing: FencingNumber) {
         let state = &self.gateway.state;
         let Some(view) = state.config.borrow().clone() else { return };
         for (name, service) in &view.config.services {
@@ -153,23 +223,17 @@
         let remembered = state.unlisted.borrow();
         let unlisted = remembered.keys().cloned().collect();
         let mut parts = self.parts.borrow_mut();
-        if parts.fencing != fencing {
-            *parts = FleetParts { fencing, ..FleetParts::default() };
-        }
-        self.update_work(&mut parts.work, name, engine);
+        self.update_work(&mut parts, name, engine);
         let work = parts.work.clone();
         let planner = parts
             .planners
             .entry(name.clone())
             .or_insert_with(|| FleetPlanner::new(fencing.0, state.settings.planner));
+        let dropped = remembered.values().map(|(_, server)| server);
         let view = FleetView {
             service: name,
             engine,
-            servers: servers
-                .all()
-                .chain(remembered.values().map(|(_, server)| server))
-                .filter(|server| server.service == *name)
-                .collect(),
+            servers: servers.all().chain(dropped).filter(|s| s.service == *name).collect(),
             unlisted: &unlisted,
             lost: &lost,
             work: &work,
@@ -185,13 +249,9 @@
     }
 
     /// Work of each model, in requests under way; as declared before there are any.
-    fn update_work(
-        &self,
-        work: &mut HashMap<ModelName, f64>,
-        service: &ServiceName,
-        engine: &EngineSpec,
-    ) {
+    fn update_work(&self, parts: &mut FleetParts, service: &ServiceName, engine: &EngineSpec) {
         let state = &self.gateway.state;
+        let FleetParts { work, was_measured, .. } = parts;
         if !state.has_traffic.get() {
             let declared = engine.models.iter();
             *work = declared.map(|model| (model.name.clone(), model.share * model.pace)).collect();
@@ -210,16 +270,24 @@
                 *measured.entry(&known.name).or_default() += rate * REFUSED_WORK;
             }
         }
-        let total: f64 = measured.values().sum();
-        if total < 1.0 {
-            return;
-        }
-        let declared: f64 = engine.models.iter().map(|model| model.share * model.pace).sum();
         for model in &engine.models {
-            let now = measured.get(&model.name).copied().unwrap_or_default() / total;
-            let first = model.share * model.pace / declared;
-            let known = work.entry(model.name.clone()).or_insert(first);
-            *known += WORK_WEIGHT * (now - *known);
+            let now = measured.get(&model.name).copied().unwrap_or_default();
+            match work.get_mut(&model.name).filter(|_| *was_measured) {
+                Some(known) => *known += WORK_WEIGHT * (now - *known),
+                None => {
+                    work.insert(model.name.clone(), now);
+                }
+            }
+        }
+        *was_measured = true;
+    }
+
+    fn note_answer(&self, service: &ServiceName, order: &FleetOrder, outcome: OrderOutcome) {
+        if let Some(planner) = self.parts.borrow_mut().planners.get_mut(service) {
+            planner.note_answer(order, outcome);
+        }
+        if outcome == OrderOutcome::Outdated {
+            self.lease.forget();
         }
     }
 
@@ -236,10 +304,8 @@
         }
         let giving = ports.fleet.order(&server, &order.action, fencing);
         let answer = select(giving, ports.clock.sleep(state.settings.order_timeout)).await;
-        if let (Either::Left((Ok(_), _)), Some(planner)) =
-            (&answer, self.parts.borrow_mut().planners.get_mut(&server.service))
-        {
-            planner.note_answer(&order);
+        if let Either::Left((Ok(outcome), _)) = &answer {
+            self.note_answer(&server.service, &order, *outcome);
         }
         let FleetOrder { life, action } = &order;
         match answer {
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -103,6 +103,9 @@
     /// Attempts that reached a server. Invariant: at most the route's `max_attempts`.
     pub(crate) sent: u32,
 
+    /// Whether a server may have run the request, for all that is known.
+    pub(crate) may_have_run: bool,
+
     pub(crate) _in_flight: InFlight,
 }
 
@@ -262,6 +265,7 @@
             match self.await_server(&server.life, limit, sending).await {
                 Ok(Ok(answer)) => {
                     self.sent += 1;
+                    self.may_have_run = true;
                     return Ok(Attempt { life: server.life, answer, _ticket: ticket });
                 }
                 Ok(Err(LinkError::NotSent)) => {
@@ -269,11 +273,13 @@
                 }
                 Ok(Err(error)) => {
                     self.sent += 1;
+                    self.may_have_run |= error != LinkError::NotRun;
                     self.note_failure(&server.life, error);
                     return Err(AttemptError::Link(error));
                 }
                 Err(error) => {
                     self.sent += 1;
+                    self.may_have_run = true;
                     if error == AttemptError::Silent {
                         self.note_stall(&server.life);
                     }
@@ -374,13 +380,14 @@
     }
 
     fn give_up(&self, error: AttemptError) -> ForwardAnswer {
-        let ran = self.sent > 0 && !self.all_declined(error);
+        let ran = self.may_have_run;
         log::info!("forward: {} given up after {} attempts: {error}.", self.request.id, self.sent);
         match error {
             AttemptError::NotMade(reason) if !ran => self.not_run(reason),
             AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
                 self.not_run(NotRunReason::Declined)
             }
+            AttemptError::OutOfTime if !ran => self.not_run(NotRunReason::TooLate),
             AttemptError::OutOfTime | AttemptError::Silent => {
                 ForwardAnswer::Unknown(UnknownReason::Timeout)
             }
@@ -388,11 +395,6 @@
         }
     }
 
-    /// Whether every server that was reached said that it did not run the request.
-    fn all_declined(&self, last: AttemptError) -> bool {
-        self.sent <= 1 && last == AttemptError::Link(LinkError::NotRun)
-    }
-
     pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
         if matches!(reason, NotRunReason::NoRoom | NotRunReason::NoServer) {
             self.state.note_refusal(self.request.model.as_ref());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -138,6 +138,7 @@
             priority: customer.and_then(|customer| customer.priority),
             tried: Vec::new(),
             sent: 0,
+            may_have_run: false,
             _in_flight: InFlight::start(state),
             request,
         };
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -17,6 +17,9 @@
     /// The same, for the holder of the fleet's lease.
     pub planner_period: Duration,
 
+    /// After an outage of the list, servers that are missing from it are kept for this time.
+    pub return_wait: Duration,
+
     /// Pause after a reading that failed.
     pub feed_pause: Duration,
 
@@ -101,6 +104,7 @@
             config_limit: Duration::from_millis(4500),
             server_period: Duration::from_millis(400),
             planner_period: Duration::from_millis(150),
+            return_wait: Duration::from_millis(2200),
             feed_pause: Duration::from_millis(200),
             beat_period: Duration::from_millis(100),
             peer_silence: Duration::from_millis(1000),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -12,7 +12,8 @@
     RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
 };
 use comfreyturn_types::{
-    FleetServer, GatewayConfig, ModelName, ServerLife, ServiceName, ServiceSpec,
+    FleetGroupRecord, FleetServer, GatewayConfig, GroupMembership, MemberPhase, MemberRecord,
+    ModelName, ServerLife, ServiceName, ServiceSpec,
 };
 
 use crate::{GatewaySettings, LoadBook, NotRunReason, PeerBook, ServerBook, StallBook};
@@ -39,6 +40,9 @@
 /// How long a server that was dropped from the list is remembered.
 const UNLISTED_MEMORY: Duration = Duration::from_secs(20);
 
+/// A list of servers that was not read for this time is no ground for plans.
+const LIST_MEMORY: Duration = Duration::from_secs(2);
+
 /// Weight of a new second in the average of refusals.
 const REFUSAL_WEIGHT: f64 = 0.3;
 
@@ -66,6 +70,9 @@
     /// Requests refused for want of room since the last beat, by model.
     refused: RefCell<HashMap<ModelName, f64>>,
     refusal_rates: RefCell<HashMap<ModelName, f64>>,
+
+    /// When the list of servers was read first and last.
+    list_read: Cell<Option<(Instant, Instant)>>,
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) refusing: Cell<bool>,
@@ -102,6 +109,7 @@
             unlisted: RefCell::default(),
             refused: RefCell::default(),
             refusal_rates: RefCell::default(),
+            list_read: Cell::new(None),
             has_traffic: Cell::new(false),
             leaving: Cell::new(false),
             refusing: Cell::new(false),
@@ -192,6 +200,21 @@
         head.ok_or(NotRunReason::NoRoom)
     }
 
+    /// Notes that the list of servers was read.
+    pub(crate) fn note_list(&self, now: Instant) {
+        let (first, _) = self.list_read.get().unwrap_or((now, now));
+        self.list_read.set(Some((first, now)));
+    }
+
+    /// Whether the list of servers is known well enough to plan: it was read a short time ago,
+    /// and, where groups were `restored`, for long enough that servers that lapsed are back.
+    pub(crate) fn list_is_settled(&self, now: Instant, restored: bool) -> bool {
+        let Some((first, last)) = self.list_read.get() else { return false };
+        let fresh = now.saturating_duration_since(last) < LIST_MEMORY;
+        let known = now.saturating_duration_since(first) >= self.settings.return_wait;
+        fresh && (known || !restored)
+    }
+
     /// Remembers members of groups that were dropped from the list, and forgets servers that are
     /// gone for good.
     pub(crate) fn note_dropped(&self, now: Instant, dropped: Vec<FleetServer>) {
@@ -206,10 +229,24 @@
             servers.get(life).is_none() && now.saturating_duration_since(*at) < UNLISTED_MEMORY
         });
         let known = |life: &ServerLife| servers.get(life).is_some() || unlisted.contains_key(life);
-        self.stalls.borrow_mut().retain(&known);
+        self.stalls.borrow_mut().retain(known);
         self.lost.borrow_mut().retain(known);
     }
 
+    /// Remembers the members of a group that its row names and the list does not. They may serve
+    /// on, cut off from the platform since before this node looked.
+    pub(crate) fn remember_members(&self, now: Instant, record: &FleetGroupRecord) {
+        let servers = self.servers.borrow();
+        let mut unlisted = self.unlisted.borrow_mut();
+        for (rank, member) in record.members.iter().enumerate() {
+            if servers.get(&member.life).is_some() || unlisted.contains_key(&member.life) {
+                continue;
+            }
+            let server = recorded_server(record, member, rank);
+            unlisted.insert(member.life.clone(), (now, server));
+        }
+    }
+
     fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
         let lost = self.lost.borrow();
         members.any(|member| lost.contains(&member.life))
@@ -237,3 +274,25 @@
         rates.iter().map(|(model, rate)| (model.clone(), *rate)).collect()
     }
 }
+
+/// A server as the row of its group tells it. A head is taken to serve until it says otherwise.
+fn recorded_server(record: &FleetGroupRecord, member: &MemberRecord, rank: usize) -> FleetServer {
+    let phase = if rank == 0 { MemberPhase::Open } else { MemberPhase::Ready };
+    FleetServer {
+        life: member.life.clone(),
+        service: record.service.clone(),
+        address: member.address,
+        failure_domain: member.failure_domain.clone(),
+        slots: 0,
+        leaving: false,
+        fabric_domain: None,
+        model: Some(record.model.clone()),
+        staged: Vec::new(),
+        membership: Some(GroupMembership {
+            group: record.group.clone(),
+            epoch: record.epoch,
+            rank: u32::try_from(rank).unwrap_or(u32::MAX),
+            phase,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/group_rows.rs
@@ -0,0 +1,61 @@
+//! The rows of groups in the table service.
+
+use std::rc::Rc;
+
+use comfreyturn_control::{LeaseKeeper, RowKeys, TimedTable};
+use comfreyturn_policy::LeaseHold;
+use comfreyturn_ports::{CommitOutcome, RowWrite, Step, TableError, TableResult, TableTransaction};
+use comfreyturn_types::{FleetGroupRecord, GroupId};
+
+/// The rows of groups, written under the lease of the fleet.
+pub(crate) struct GroupRows {
+    table: TimedTable,
+    keys: RowKeys,
+    lease: Rc<LeaseKeeper>,
+}
+
+impl GroupRows {
+    pub(crate) fn new(table: TimedTable, keys: RowKeys, lease: Rc<LeaseKeeper>) -> Self {
+        Self { table, keys, lease }
+    }
+
+    /// All groups that were ordered and not dissolved. A row that makes no sense is left out.
+    pub(crate) async fn load(&self) -> TableResult<Vec<FleetGroupRecord>> {
+        let rows = self.table.scan(Step::GroupReadRows, &self.keys.groups()).await?;
+        let mut records = Vec::with_capacity(rows.len());
+        for (key, row) in rows {
+            match serde_json::from_str::<FleetGroupRecord>(&row.value) {
+                Ok(record) if !record.members.is_empty() => records.push(record),
+                Ok(_) => log::warn!("fleet: row {key} names no members."),
+                Err(error) => log::warn!("fleet: row {key} names no group: {error}."),
+            }
+        }
+        Ok(records)
+    }
+
+    /// Writes and removes rows together, if this node still holds the lease.
+    pub(crate) async fn save(
+        &self,
+        hold: &LeaseHold,
+        written: &[FleetGroupRecord],
+        removed: &[GroupId],
+    ) -> TableResult<()> {
+        let mut writes = Vec::with_capacity(written.len() + removed.len());
+        for record in written {
+            let value = serde_json::to_string(record).map_err(|_| TableError::Malformed)?;
+            writes.push(RowWrite { key: self.keys.group(&record.group), value: Some(value) });
+        }
+        writes.extend(
+            removed.iter().map(|group| RowWrite { key: self.keys.group(group), value: None }),
+        );
+        let transaction = TableTransaction { checks: vec![self.lease.check(hold)], writes };
+        match self.table.commit(Step::GroupCommit, transaction).await? {
+            CommitOutcome::Committed => Ok(()),
+            CommitOutcome::Conflict(_) => {
+                log::warn!("fleet: rows not written, the lease was taken over.");
+                self.lease.forget();
+                Err(TableError::Unavailable)
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,8 +10,8 @@
 //! used are decisions of `comfreyturn_policy`.
 
 mod beat_loop;
-mod config_loop;
 mod event_cutter;
+mod feed_loops;
 mod fleet_loop;
 mod forward_answer;
 mod forward_request;
@@ -19,6 +19,7 @@
 mod gateway;
 mod gateway_settings;
 mod gateway_state;
+mod group_rows;
 mod load_book;
 mod node_rows;
 mod peer_book;
--- a/crates/gateway/src/server_book.rs
+++ b/crates/gateway/src/server_book.rs
@@ -17,10 +17,11 @@
 }
 
 impl ServerBook {
-    /// Takes in a reading, and returns the servers that were dropped by it.
-    pub fn apply(&mut self, reading: ServerReading) -> Vec<FleetServer> {
+    /// Takes in a reading, and returns the servers that were dropped by it. With `keeps`, servers
+    /// that it lacks stay.
+    pub fn apply(&mut self, reading: ServerReading, keeps: bool) -> Vec<FleetServer> {
         let before = self.servers.clone();
-        if reading.is_whole {
+        if reading.is_whole && !keeps {
             self.servers.clear();
         }
         for change in reading.changes {
@@ -28,9 +29,10 @@
                 ServerChange::Listed(server) => {
                     self.servers.insert(server.life.vm.clone(), *server);
                 }
-                ServerChange::Dropped(vm) => {
+                ServerChange::Dropped(vm) if !keeps => {
                     self.servers.remove(&vm);
                 }
+                ServerChange::Dropped(_) => {}
             }
         }
         let told = |name: &GroupId| {
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -10,33 +10,35 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_ports::FleetAction;
+use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
-    EngineSpec, FleetServer, GroupId, MemberPhase, ModelName, PooledModel, ServerLife, ServiceName,
-    VmId,
+    EngineSpec, FleetGroupRecord, FleetServer, GroupId, MemberPhase, MemberRecord, ModelName,
+    PooledModel, ServerLife, ServiceName,
 };
 
 use crate::{
     fleet_match::{DomainPool, best_pool, pool_servers},
-    fleet_state::{ToldGroup, group_name, phase_of, told_groups},
-    fleet_target::target_groups,
+    fleet_state::{ToldGroup, group_model, group_name, phase_of, told_groups},
+    fleet_target::{demanded_groups, target_groups},
+    planned_group::{GroupHealth, PlanScene, PlannedGroup, load_limit, place_phase},
 };
 
 /// Settings of a [`FleetPlanner`].
 #[derive(Clone, Copy, Debug)]
 pub struct FleetPlannerSettings {
-    /// Part of the servers that is kept out of groups, to replace members that are lost.
+    /// Part of the servers that is kept out of groups before the first request, to replace members
+    /// that are lost.
     pub spare_share: f64,
 
+    /// Part of a group's slots that may be in use before its model gets another group.
+    pub utilization: f64,
+
     /// An order that shows no effect is given again after this time.
     pub order_patience: Duration,
 
     /// A group that is not told whole by then, counted from its first order, is given up.
     pub form_patience: Duration,
 
-    /// A group that an earlier planner ordered, and that is not whole, is given up after this.
-    pub adopt_patience: Duration,
-
     /// A head that neither answers nor is listed is taken to be gone after this time.
     pub gone_head_wait: Duration,
 
@@ -49,9 +51,9 @@
     fn default() -> Self {
         Self {
             spare_share: 0.2,
+            utilization: 0.6,
             order_patience: Duration::from_millis(500),
             form_patience: Duration::from_millis(2500),
-            adopt_patience: Duration::from_millis(800),
             gone_head_wait: Duration::from_millis(300),
             first_load_factor: 2.0,
         }
@@ -78,7 +80,7 @@
     /// Servers that do not answer.
     pub lost: &'a HashSet<ServerLife>,
 
-    /// Work of each model, in requests under way, or as shares before there are any.
+    /// Work of each model, in requests under way; before the first one, in any unit.
     pub work: &'a HashMap<ModelName, f64>,
 
     /// Whether no request has come yet. Weights load fast then, and nobody waits for a group.
@@ -95,48 +97,26 @@
     pub action: FleetAction,
 }
 
-/// A group that was ordered, or found.
-#[derive(Clone, Debug)]
-struct PlannedGroup {
-    epoch: u64,
-    model: ModelName,
-
-    /// By rank. Invariant: not empty.
-    members: Vec<ServerLife>,
-
-    /// When it was ordered or found.
-    since: Instant,
-
-    /// Found, not ordered: the members are those that told it.
-    adopted: bool,
+/// A plan in the making.
+#[derive(Default)]
+struct Plan {
+    orders: Vec<FleetOrder>,
 
-    /// Every member was ready at some time.
-    was_ready: bool,
+    /// Servers that are bound to a group.
+    held: HashSet<ServerLife>,
 
-    /// Given up: its members go back once its head surely serves no more.
-    dissolving: bool,
-
-    /// The head said that it is not in the group any more.
-    head_left: bool,
+    /// Groups that serve or will.
+    active: HashMap<ModelName, u32>,
 }
 
-/// What the planner thinks of a group now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum GroupHealth {
-    /// Whole, the head serves.
-    Serving,
-
-    /// Whole, the head is ready to open.
-    Ready,
-
-    /// Members are on their way.
-    Forming,
-
-    /// Whole but for members that announced to leave.
-    Shrinking,
+impl Plan {
+    fn order(&mut self, life: &ServerLife, action: FleetAction) {
+        self.orders.push(FleetOrder { life: life.clone(), action });
+    }
 
-    /// It will not serve any more.
-    Failed,
+    fn hold(&mut self, group: &PlannedGroup) {
+        self.held.extend(group.record.members.iter().map(|member| member.life.clone()));
+    }
 }
 
 /// Plans the groups of one service.
@@ -152,6 +132,9 @@
     /// Servers that load weights for no group, since when.
     staging: HashMap<ServerLife, (ModelName, Instant)>,
 
+    /// Groups that are dissolved and whose rows still stand.
+    obsolete: Vec<GroupId>,
+
     /// When an order was given last.
     sent: HashMap<(ServerLife, FleetAction), Instant>,
 
@@ -165,9 +148,6 @@
 /// Epochs that one holder of the lease can use.
 const EPOCHS_PER_LEASE: u64 = 1_000_000;
 
-/// Times the load time after which a load that shows no effect is taken as lost.
-const LOAD_PATIENCE: u32 = 5;
-
 impl FleetPlanner {
     /// A planner that acts under a lease.
     pub fn new(fencing: u64, settings: FleetPlannerSettings) -> Self {
@@ -176,6 +156,7 @@
             next_epoch: fencing * EPOCHS_PER_LEASE + 1,
             groups: BTreeMap::new(),
             staging: HashMap::new(),
+            obsolete: Vec::new(),
             sent: HashMap::new(),
             missing_heads: HashMap::new(),
             load_starts: Vec::new(),
@@ -184,19 +165,17 @@
 
     /// Decides the next orders.
     pub fn plan(&mut self, now: Instant, view: &FleetView<'_>) -> Vec<FleetOrder> {
-        let servers: HashMap<&VmId, &FleetServer> =
-            view.servers.iter().map(|server| (&server.life.vm, *server)).collect();
-        self.forget_old(now, view);
-        self.adopt_groups(now, view);
-        let mut orders = Vec::new();
-        let mut held = HashSet::new();
-        let mut active: HashMap<ModelName, u32> = HashMap::new();
+        let scene = PlanScene::new(view);
+        self.forget_old(now, &scene);
+        self.match_told_groups(now, &scene);
+        let mut plan = Plan::default();
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in groups {
-            self.tend_group(now, view, &servers, &group, &mut orders, &mut held, &mut active);
+            self.tend_group(now, &scene, &group, &mut plan);
         }
-        self.form_groups(now, view, &mut held, &mut active, &mut orders);
-        self.stage_weights(now, view, &held, &active, &mut orders);
+        self.form_groups(now, view, &mut plan);
+        self.stage_weights(now, view, &mut plan);
+        let mut orders = plan.orders;
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
             self.sent.insert((order.life.clone(), order.action.clone()), now);
@@ -204,228 +183,150 @@
         orders
     }
 
-    /// Takes in that a server answered an order. Whatever the answer to an order to leave says, the
-    /// server is not the group's head any more.
-    pub fn note_answer(&mut self, order: &FleetOrder) {
+    /// Takes in that a server answered an order. An answer that does not refuse an order to leave
+    /// proves that the server is not the group's head any more.
+    pub fn note_answer(&mut self, order: &FleetOrder, outcome: OrderOutcome) {
         let FleetAction::Leave { group, .. } = &order.action else { return };
+        let left = outcome != OrderOutcome::Outdated;
         if let Some(known) = self.groups.get_mut(group) {
-            known.head_left |= known.members[0] == order.life;
+            known.head_left |= left && known.record.head().life == order.life;
         }
     }
 
+    // ---------------------------------------------------------------------------------------
+    // Rows
+
+    /// Takes in the groups that earlier planners ordered and that were not dissolved.
+    pub fn restore(&mut self, now: Instant, records: Vec<FleetGroupRecord>) {
+        for record in records {
+            let group = PlannedGroup { was_ready: true, ..PlannedGroup::new(record, now, true) };
+            self.groups.insert(group.record.group.clone(), group);
+        }
+    }
+
+    /// Rows to write and rows to remove. No server is ordered into a group before its row stands.
+    pub fn row_changes(&self) -> (Vec<FleetGroupRecord>, Vec<GroupId>) {
+        let unsaved = self.groups.values().filter(|group| !group.is_saved);
+        (unsaved.map(|group| group.record.clone()).collect(), self.obsolete.clone())
+    }
+
+    /// Takes in that row changes took effect.
+    pub fn note_rows(&mut self, written: &[FleetGroupRecord], removed: &[GroupId]) {
+        for record in written {
+            if let Some(group) = self.groups.get_mut(&record.group) {
+                group.is_saved = true;
+            }
+        }
+        self.obsolete.retain(|group| !removed.contains(group));
+    }
+
     // ---------------------------------------------------------------------------------------
     // What is known
 
-    fn forget_old(&mut self, now: Instant, view: &FleetView<'_>) {
+    fn forget_old(&mut self, now: Instant, scene: &PlanScene<'_>) {
+        let view = scene.view;
         let patience = self.settings.order_patience;
         self.sent.retain(|_, at| now.saturating_duration_since(*at) < patience);
         let second = Duration::from_secs(1);
         self.load_starts.retain(|at| now.saturating_duration_since(*at) < second);
-        let alive: HashMap<&ServerLife, &FleetServer> =
-            view.servers.iter().map(|server| (&server.life, *server)).collect();
         let limit = |model: &ModelName| load_limit(view.engine, model);
         self.staging.retain(|life, (model, since)| {
-            let waiting = alive.get(life).is_some_and(|server| !server.staged.contains(model));
+            let waiting = scene.find(life).is_some_and(|server| !server.staged.contains(model));
             waiting && now.saturating_duration_since(*since) < limit(model)
         });
-        let lost = view.lost;
-        let unlisted = view.unlisted;
-        self.missing_heads.retain(|life, _| {
-            !alive.contains_key(life) || (lost.contains(life) && unlisted.contains(life))
-        });
+        self.missing_heads
+            .retain(|life, _| scene.find(life).is_none() || !scene.is_reachable(life));
     }
 
-    /// Takes in groups that an earlier planner ordered.
-    fn adopt_groups(&mut self, now: Instant, view: &FleetView<'_>) {
-        for told in told_groups(view.servers.iter().copied(), view.service, view.engine) {
-            if self.groups.contains_key(&told.group) {
+    /// Takes in groups without a row, and forgets groups that nobody tells any more.
+    ///
+    /// The row of a group stands before its first order and goes when it is dissolved, so members
+    /// that tell an unknown group missed the end of it.
+    fn match_told_groups(&mut self, now: Instant, scene: &PlanScene<'_>) {
+        let view = scene.view;
+        let told = told_groups(view.servers.iter().copied(), view.service, view.engine);
+        for told in &told {
+            self.next_epoch = self.next_epoch.max(told.epoch + 1);
+            if self.groups.contains_key(&told.group) || told.head().is_none() {
                 continue;
             }
-            self.next_epoch = self.next_epoch.max(told.epoch + 1);
-            let members = told.members.iter().flatten();
-            let members: Vec<ServerLife> = members.map(|server| server.life.clone()).collect();
-            let group = PlannedGroup {
-                epoch: told.epoch,
-                model: told.model.name.clone(),
-                members,
-                since: now,
-                adopted: true,
-                was_ready: false,
-                dissolving: false,
-                head_left: false,
-            };
+            let whole = told.members.iter().all(Option::is_some);
+            let record = told_record(view.service, told);
+            let group =
+                PlannedGroup { dissolving: !whole, ..PlannedGroup::new(record, now, !whole) };
             self.groups.insert(told.group.clone(), group);
         }
-        let told = told_groups(view.servers.iter().copied(), view.service, view.engine);
-        for told in &told {
-            self.complete_adopted(told);
-        }
         let names: HashSet<&GroupId> = told.iter().map(|told| &told.group).collect();
         let patience = self.settings.form_patience;
+        let obsolete = &mut self.obsolete;
         self.groups.retain(|name, group| {
             let young = now.saturating_duration_since(group.since) < patience;
-            names.contains(name) || (young && !group.dissolving)
+            let keep = names.contains(name) || (young && !group.dissolving);
+            if !keep && group.is_saved {
+                obsolete.push(name.clone());
+            }
+            keep
         });
     }
 
-    /// A found group may be told by its members one after the other.
-    fn complete_adopted(&mut self, told: &ToldGroup<'_>) {
-        let Some(group) = self.groups.get_mut(&told.group) else { return };
-        if group.adopted && !group.was_ready {
-            let members = told.members.iter().flatten();
-            group.members = members.map(|server| server.life.clone()).collect();
-        }
-    }
-
     // ---------------------------------------------------------------------------------------
     // Groups that are there
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one plan under way")]
-    fn tend_group(
-        &mut self,
-        now: Instant,
-        view: &FleetView<'_>,
-        servers: &HashMap<&VmId, &FleetServer>,
-        name: &GroupId,
-        orders: &mut Vec<FleetOrder>,
-        held: &mut HashSet<ServerLife>,
-        active: &mut HashMap<ModelName, u32>,
-    ) {
-        let Some(group) = self.groups.get(name).cloned() else { return };
-        let health = self.health(now, view, servers, name, &group);
-        if let Some(known) = self.groups.get_mut(name) {
-            known.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
-            known.dissolving |= health == GroupHealth::Failed;
-        }
-        if health == GroupHealth::Failed || group.dissolving {
-            self.dissolve(now, view, servers, name, &group, orders, held);
+    /// Does what a group needs next, and notes which servers are bound to it.
+    fn tend_group(&mut self, now: Instant, scene: &PlanScene<'_>, name: &GroupId, plan: &mut Plan) {
+        let Some(group) = self.groups.get_mut(name) else { return };
+        let health = group.health(now, scene, &self.settings);
+        group.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
+        group.dissolving |= health == GroupHealth::Failed;
+        let group = group.clone();
+        if group.dissolving {
+            self.dissolve(now, scene, &group, plan);
             return;
         }
-        held.extend(group.members.iter().cloned());
+        plan.hold(&group);
+        let (name, epoch) = (name.clone(), group.record.epoch);
+        let head = &group.record.head().life;
         match health {
-            GroupHealth::Ready => {
-                let action = FleetAction::Open { group: name.clone(), epoch: group.epoch };
-                orders.push(FleetOrder { life: group.members[0].clone(), action });
+            GroupHealth::Ready if group.is_saved => {
+                plan.order(head, FleetAction::Open { group: name, epoch });
+            }
+            GroupHealth::Forming if group.is_saved => {
+                for life in group.untold_members(scene) {
+                    plan.order(life, join_action(&group.record));
+                }
             }
-            GroupHealth::Forming => self.repeat_joins(servers, name, &group, orders),
             GroupHealth::Shrinking => {
-                let action = FleetAction::Close { group: name.clone(), epoch: group.epoch };
-                orders.push(FleetOrder { life: group.members[0].clone(), action });
+                plan.order(head, FleetAction::Close { group: name, epoch });
                 return;
             }
-            GroupHealth::Serving | GroupHealth::Failed => {}
-        }
-        *active.entry(group.model.clone()).or_default() += 1;
-    }
-
-    fn health(
-        &self,
-        now: Instant,
-        view: &FleetView<'_>,
-        servers: &HashMap<&VmId, &FleetServer>,
-        name: &GroupId,
-        group: &PlannedGroup,
-    ) -> GroupHealth {
-        let size = pooled(view.engine, &group.model).map_or(0, |model| model.group_size as usize);
-        let age = now.saturating_duration_since(group.since);
-        if group.members.len() != size {
-            let waits = group.adopted && age < self.settings.adopt_patience;
-            return if waits { GroupHealth::Forming } else { GroupHealth::Failed };
-        }
-        let mut phases = Vec::with_capacity(size);
-        let mut leaving = false;
-        for (rank, life) in group.members.iter().enumerate() {
-            let server = servers.get(&life.vm).filter(|server| server.life == *life);
-            let Some(server) = server else { return GroupHealth::Failed };
-            let is_gone_head = rank == 0 && view.unlisted.contains(life);
-            if view.lost.contains(life) || is_gone_head {
-                return GroupHealth::Failed;
-            }
-            leaving |= server.leaving;
-            phases.push(place_phase(server, name, group.epoch));
-        }
-        if leaving {
-            let serves = matches!(phases[0], Some(MemberPhase::Open | MemberPhase::Closing));
-            return if serves { GroupHealth::Shrinking } else { GroupHealth::Failed };
-        }
-        self.settled_health(view, group, &phases, age)
-    }
-
-    /// The health of a group whose members are all there and mean to stay.
-    fn settled_health(
-        &self,
-        view: &FleetView<'_>,
-        group: &PlannedGroup,
-        phases: &[Option<MemberPhase>],
-        age: Duration,
-    ) -> GroupHealth {
-        let told = phases.iter().all(Option::is_some);
-        if !told {
-            let young = !group.adopted && !group.was_ready && age < self.settings.form_patience;
-            return if young { GroupHealth::Forming } else { GroupHealth::Failed };
-        }
-        if phases.contains(&Some(MemberPhase::Joining)) {
-            let late = age > load_limit(view.engine, &group.model);
-            return if late { GroupHealth::Failed } else { GroupHealth::Forming };
-        }
-        match phases[0] {
-            Some(MemberPhase::Open) => GroupHealth::Serving,
-            Some(MemberPhase::Ready) => GroupHealth::Ready,
-            Some(MemberPhase::Closing) => GroupHealth::Shrinking,
-            _ => GroupHealth::Failed,
-        }
-    }
-
-    /// Gives the join again to members that do not tell it.
-    fn repeat_joins(
-        &self,
-        servers: &HashMap<&VmId, &FleetServer>,
-        name: &GroupId,
-        group: &PlannedGroup,
-        orders: &mut Vec<FleetOrder>,
-    ) {
-        if group.adopted {
-            return;
-        }
-        let action = join_action(name, group);
-        for life in &group.members {
-            let server = servers.get(&life.vm);
-            let told = server.and_then(|server| place_phase(server, name, group.epoch));
-            if told.is_none() {
-                orders.push(FleetOrder { life: life.clone(), action: action.clone() });
-            }
+            _ => {}
         }
+        *plan.active.entry(group.record.model.clone()).or_default() += 1;
     }
 
     /// Ends a group. Its members are held until its head surely serves no more: a member that
     /// joins elsewhere before that would be in two groups.
-    #[expect(clippy::too_many_arguments, reason = "the parts of one plan under way")]
     fn dissolve(
         &mut self,
         now: Instant,
-        view: &FleetView<'_>,
-        servers: &HashMap<&VmId, &FleetServer>,
-        name: &GroupId,
+        scene: &PlanScene<'_>,
         group: &PlannedGroup,
-        orders: &mut Vec<FleetOrder>,
-        held: &mut HashSet<ServerLife>,
+        plan: &mut Plan,
     ) {
-        let head = &group.members[0];
-        let server = servers.get(&head.vm).filter(|server| server.life == *head);
-        let phase = server.and_then(|server| place_phase(server, name, group.epoch));
+        let FleetGroupRecord { group: name, epoch, .. } = &group.record;
+        let head = &group.record.head().life;
+        let phase = scene.find(head).and_then(|server| place_phase(server, name, *epoch));
         let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
         if serves && !group.head_left {
-            let action = FleetAction::Leave { group: name.clone(), epoch: group.epoch };
-            orders.push(FleetOrder { life: head.clone(), action });
+            plan.order(head, FleetAction::Leave { group: name.clone(), epoch: *epoch });
         }
-        let listed = server.is_some() && !view.unlisted.contains(head);
-        let answers = server.is_some() && !view.lost.contains(head);
         // A head that is listed and does not answer may be cut off from this node alone.
+        let listed = scene.is_listed(head);
         let safe = group.head_left
             || (listed && !serves)
-            || (!listed && !answers && self.is_gone(now, head));
+            || (!listed && !scene.is_reachable(head) && self.is_gone(now, head));
         if !safe {
-            held.extend(group.members.iter().cloned());
+            plan.hold(group);
         }
     }
 
@@ -438,47 +339,41 @@
     // ---------------------------------------------------------------------------------------
     // New groups
 
-    fn form_groups(
-        &mut self,
-        now: Instant,
-        view: &FleetView<'_>,
-        held: &mut HashSet<ServerLife>,
-        active: &mut HashMap<ModelName, u32>,
-        orders: &mut Vec<FleetOrder>,
-    ) {
-        let usable = view.servers.iter().filter(|server| is_usable(view, server)).count();
-        let targets = target_groups(view.engine, view.work, usable, self.settings.spare_share);
+    /// Decides on new groups. Their members are ordered in once their rows stand.
+    fn form_groups(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut Plan) {
+        let targets = self.targets(view);
         loop {
-            let pools = self.pools(view, held);
+            let pools = self.pools(view, &plan.held);
             let loading = self.loading(view);
-            let Some((model, members)) = self.next_group(view, &targets, active, &pools, loading)
-            else {
-                return;
-            };
-            let name = group_name(&model.name, self.next_epoch);
-            let group = PlannedGroup {
+            let next = self.next_group(view, &targets, &plan.active, &pools, loading);
+            let Some((model, members)) = next else { return };
+            let record = FleetGroupRecord {
+                group: group_name(&model.name, self.next_epoch),
+                service: view.service.clone(),
                 epoch: self.next_epoch,
                 model: model.name.clone(),
-                members: members.iter().map(|server| server.life.clone()).collect(),
-                since: now,
-                adopted: false,
-                was_ready: false,
-                dissolving: false,
-                head_left: false,
+                members: members.iter().map(|server| member_record(server)).collect(),
             };
             self.next_epoch += 1;
-            let action = join_action(&name, &group);
             for server in &members {
-                held.insert(server.life.clone());
                 if !server.staged.contains(&model.name) {
                     self.staging.insert(server.life.clone(), (model.name.clone(), now));
                     self.load_starts.push(now);
                 }
-                orders.push(FleetOrder { life: server.life.clone(), action: action.clone() });
             }
-            *active.entry(model.name.clone()).or_default() += 1;
-            self.groups.insert(name, group);
+            let group = PlannedGroup::new(record, now, false);
+            plan.hold(&group);
+            *plan.active.entry(model.name.clone()).or_default() += 1;
+            self.groups.insert(group.record.group.clone(), group);
+        }
+    }
+
+    fn targets(&self, view: &FleetView<'_>) -> HashMap<ModelName, u32> {
+        if !view.before_traffic {
+            return demanded_groups(view.engine, view.work, self.settings.utilization);
         }
+        let usable = view.servers.iter().filter(|server| is_usable(view, server)).count();
+        target_groups(view.engine, view.work, usable, self.settings.spare_share)
     }
 
     /// The model that lacks groups most and can have one now, with its members.
@@ -537,22 +432,15 @@
     // ---------------------------------------------------------------------------------------
     // Weights ahead of need
 
-    fn stage_weights(
-        &mut self,
-        now: Instant,
-        view: &FleetView<'_>,
-        held: &HashSet<ServerLife>,
-        active: &HashMap<ModelName, u32>,
-        orders: &mut Vec<FleetOrder>,
-    ) {
-        let usable = view.servers.iter().filter(|server| is_usable(view, server)).count();
-        let targets = target_groups(view.engine, view.work, usable, self.settings.spare_share);
+    fn stage_weights(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut Plan) {
+        let targets = self.targets(view);
+        let active = &plan.active;
         let lacks = |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
         if view.before_traffic && targets.iter().any(lacks) {
             return;
         }
-        for pool in self.pools(view, held) {
-            for (server, model) in pool.wanted_weights(view, &targets, active) {
+        for pool in self.pools(view, &plan.held) {
+            for (server, model) in pool.wanted_weights(view, &targets, &plan.active) {
                 let starts = self.load_starts.len() as f64;
                 let full = self.loading(view) >= view.engine.loads_at_once as usize;
                 let fast = starts + 1.0 > view.engine.loads_per_second;
@@ -561,8 +449,7 @@
                 }
                 self.staging.insert(server.life.clone(), (model.clone(), now));
                 self.load_starts.push(now);
-                let action = FleetAction::Stage { model };
-                orders.push(FleetOrder { life: server.life.clone(), action });
+                plan.order(&server.life, FleetAction::Stage { model });
             }
         }
     }
@@ -590,21 +477,32 @@
     models
 }
 
-fn join_action(name: &GroupId, group: &PlannedGroup) -> FleetAction {
+fn join_action(record: &FleetGroupRecord) -> FleetAction {
     FleetAction::Join {
-        group: name.clone(),
-        epoch: group.epoch,
-        model: group.model.clone(),
-        members: group.members.iter().map(|life| life.vm.clone()).collect(),
+        group: record.group.clone(),
+        epoch: record.epoch,
+        model: record.model.clone(),
+        members: record.members.iter().map(|member| member.life.vm.clone()).collect(),
     }
 }
 
-fn pooled<'a>(engine: &'a EngineSpec, model: &ModelName) -> Option<&'a PooledModel> {
-    engine.models.iter().find(|pooled| pooled.name == *model)
+fn member_record(server: &FleetServer) -> MemberRecord {
+    MemberRecord {
+        life: server.life.clone(),
+        address: server.address,
+        failure_domain: server.failure_domain.clone(),
+    }
 }
 
-fn load_limit(engine: &EngineSpec, model: &ModelName) -> Duration {
-    pooled(engine, model).map_or(Duration::ZERO, |model| model.load_time * LOAD_PATIENCE)
+/// The record of a group of which only its members tell.
+fn told_record(service: &ServiceName, told: &ToldGroup<'_>) -> FleetGroupRecord {
+    FleetGroupRecord {
+        group: told.group.clone(),
+        service: service.clone(),
+        epoch: told.epoch,
+        model: told.model.name.clone(),
+        members: told.members.iter().flatten().map(|server| member_record(server)).collect(),
+    }
 }
 
 fn is_usable(view: &FleetView<'_>, server: &FleetServer) -> bool {
@@ -614,14 +512,7 @@
         && !view.lost.contains(&server.life)
 }
 
-/// The phase of a server in exactly this group and epoch.
-fn place_phase(server: &FleetServer, group: &GroupId, epoch: u64) -> Option<MemberPhase> {
-    let membership = server.membership.as_ref()?;
-    let same = membership.group == *group && membership.epoch == epoch;
-    same.then_some(membership.phase)
-}
-
 fn group_of<'a>(view: &FleetView<'a>, server: &FleetServer) -> Option<&'a ModelName> {
     let membership = server.membership.as_ref()?;
-    crate::fleet_state::group_model(view.engine, &membership.group).map(|model| &model.name)
+    group_model(view.engine, &membership.group).map(|model| &model.name)
 }
--- a/crates/policy/src/fleet_target.rs
+++ b/crates/policy/src/fleet_target.rs
@@ -4,6 +4,30 @@
 
 use comfreyturn_types::{EngineSpec, ModelName, PooledModel};
 
+/// Groups that the work asks for: each with no more than `utilization` of its slots in use, and
+/// one at least for each model.
+///
+/// `work` is in requests under way. Servers beyond these groups are spares, to replace members
+/// that are lost.
+pub fn demanded_groups(
+    engine: &EngineSpec,
+    work: &HashMap<ModelName, f64>,
+    utilization: f64,
+) -> HashMap<ModelName, u32> {
+    let slots = f64::from(engine.slots.max(1)) * utilization;
+    let groups = |model: &PooledModel| {
+        let work = work.get(&model.name).copied().unwrap_or_default();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "requests under way are few and not negative"
+        )]
+        let groups = (work / slots).ceil() as u32;
+        (model.name.clone(), groups.max(1))
+    };
+    engine.models.iter().map(groups).collect()
+}
+
 /// Divides servers among models so that each group has about the same work.
 ///
 /// `work` is in requests under way, or any other measure that is the same for all models.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 mod limit_share;
 mod load_budget;
 mod load_router;
+mod planned_group;
 mod planner_costs;
 mod planner_memory;
 mod planner_view;
--- /dev/null
+++ b/crates/policy/tests/confirmed_config.rs
@@ -0,0 +1,92 @@
+//! How long a configuration may be used after it was proven to be the newest.
+
+use std::time::{Duration, Instant};
+
+use comfreyturn_policy::{ConfirmedConfig, StoreClock};
+
+const LIMIT: Duration = Duration::from_millis(4500);
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[test]
+fn nothing_is_usable_before_the_first_proof() {
+    assert!(!ConfirmedConfig::default().is_usable(Instant::now(), LIMIT));
+}
+
+#[test]
+fn proof_lapses_at_the_limit() {
+    let start = Instant::now();
+    let mut confirmed = ConfirmedConfig::default();
+    confirmed.confirm(start);
+    assert!(confirmed.is_usable(start + milliseconds(4499), LIMIT));
+    assert!(!confirmed.is_usable(start + LIMIT, LIMIT));
+}
+
+#[test]
+fn older_proof_that_comes_late_changes_nothing() {
+    let start = Instant::now();
+    let mut confirmed = ConfirmedConfig::default();
+    confirmed.confirm(start + milliseconds(1000));
+    confirmed.confirm(start);
+    assert_eq!(confirmed.age(start + milliseconds(1500)), Some(milliseconds(500)));
+}
+
+#[test]
+fn first_answer_is_dated_by_its_question() {
+    let start = Instant::now();
+    let mut clock = StoreClock::default();
+    let dated = clock.date_answer(start, start + milliseconds(900), milliseconds(50_000));
+    assert_eq!(dated, start);
+}
+
+#[test]
+fn long_poll_is_dated_by_the_store_clock() {
+    let start = Instant::now();
+    let mut clock = StoreClock::default();
+    // A quick answer: the store showed 50,000 no earlier than `start`.
+    clock.date_answer(start, start + milliseconds(4), milliseconds(50_000));
+    // Asked at 10 ms, held back by the store until its clock showed 51,000.
+    let dated = clock.date_answer(
+        start + milliseconds(10),
+        start + milliseconds(1010),
+        milliseconds(51_000),
+    );
+    assert_eq!(dated, start + milliseconds(1000));
+}
+
+#[test]
+fn answer_that_waited_in_a_socket_is_not_dated_by_its_arrival() {
+    let start = Instant::now();
+    let mut clock = StoreClock::default();
+    clock.date_answer(start, start + milliseconds(4), milliseconds(50_000));
+    // The process froze for 8 s before it read the answer.
+    let dated = clock.date_answer(
+        start + milliseconds(10),
+        start + milliseconds(9010),
+        milliseconds(51_000),
+    );
+    assert_eq!(dated, start + milliseconds(1000));
+}
+
+#[test]
+fn answer_is_never_dated_after_its_arrival() {
+    let start = Instant::now();
+    let mut clock = StoreClock::default();
+    clock.date_answer(start, start + milliseconds(4), milliseconds(50_000));
+    // The node's clock stood still while the store's went on.
+    let received_at = start + milliseconds(20);
+    let dated = clock.date_answer(start + milliseconds(10), received_at, milliseconds(58_000));
+    assert_eq!(dated, received_at);
+}
+
+#[test]
+fn store_clock_that_begins_anew_dates_by_the_question() {
+    let start = Instant::now();
+    let mut clock = StoreClock::default();
+    clock.date_answer(start, start + milliseconds(4), milliseconds(50_000));
+    let sent_at = start + milliseconds(10);
+    let dated = clock.date_answer(sent_at, start + milliseconds(20), milliseconds(7));
+    assert_eq!(dated, sent_at);
+}
--- /dev/null
+++ b/crates/policy/tests/fleet_planner.rs
@@ -0,0 +1,393 @@
+//! Forming, opening, mending and dissolving groups of model servers.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView};
+use comfreyturn_ports::{FleetAction, OrderOutcome};
+use comfreyturn_types::{
+    EngineSpec, FabricDomain, FailureDomain, FleetGroupRecord, FleetServer, GroupMembership,
+    MemberPhase, ModelName, PooledModel, ServerLife, ServiceName, VmId,
+};
+
+/// A fleet that carries out orders at once.
+struct TestFleet {
+    service: ServiceName,
+    engine: EngineSpec,
+    servers: Vec<FleetServer>,
+    unlisted: HashSet<ServerLife>,
+    lost: HashSet<ServerLife>,
+    work: HashMap<ModelName, f64>,
+    before_traffic: bool,
+    planner: FleetPlanner,
+    now: Instant,
+}
+
+fn model(name: &str, group_size: u32) -> PooledModel {
+    PooledModel {
+        name: ModelName::from(name),
+        group_size,
+        share: 0.5,
+        pace: 1.0,
+        load_time: Duration::from_secs(16),
+        warm_time: Duration::from_millis(1600),
+    }
+}
+
+fn server(index: usize, staged: &[&str]) -> FleetServer {
+    FleetServer {
+        life: ServerLife { vm: VmId::from(format!("vm-{index:02}")), born: 1 },
+        service: ServiceName::from("pool"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: FailureDomain::from("z"),
+        slots: 17,
+        leaving: false,
+        fabric_domain: Some(FabricDomain::from(format!("d{}", index / 10))),
+        model: None,
+        staged: staged.iter().map(|name| ModelName::from(*name)).collect(),
+        membership: None,
+    }
+}
+
+impl TestFleet {
+    fn new(servers: Vec<FleetServer>, models: Vec<PooledModel>) -> Self {
+        let work = models.iter().map(|model| (model.name.clone(), 1.0)).collect();
+        let engine = EngineSpec {
+            slots: 17,
+            models,
+            loads_per_second: 5.0,
+            loads_at_once: 7,
+            kept_models: 1,
+            open_time: Duration::from_millis(300),
+        };
+        Self {
+            service: ServiceName::from("pool"),
+            engine,
+            servers,
+            unlisted: HashSet::new(),
+            lost: HashSet::new(),
+            work,
+            before_traffic: false,
+            planner: FleetPlanner::new(1, FleetPlannerSettings::default()),
+            now: Instant::now(),
+        }
+    }
+
+    /// One look of the planner, with rows written at once; time moves on by a second.
+    fn orders(&mut self) -> Vec<FleetOrder> {
+        let mut orders = self.look();
+        let (written, removed) = self.planner.row_changes();
+        self.planner.note_rows(&written, &removed);
+        orders.extend(self.look());
+        self.now += Duration::from_secs(1);
+        orders
+    }
+
+    fn look(&mut self) -> Vec<FleetOrder> {
+        let view = FleetView {
+            service: &self.service,
+            engine: &self.engine,
+            servers: self.servers.iter().collect(),
+            unlisted: &self.unlisted,
+            lost: &self.lost,
+            work: &self.work,
+            before_traffic: self.before_traffic,
+        };
+        self.planner.plan(self.now, &view)
+    }
+
+    fn carry_out(&mut self, orders: &[FleetOrder]) {
+        for order in orders {
+            let life = &order.life;
+            let Some(server) = self.servers.iter_mut().find(|server| server.life == *life) else {
+                continue;
+            };
+            match &order.action {
+                FleetAction::Join { group, epoch, model, members } => {
+                    let rank = members.iter().position(|member| *member == life.vm).unwrap();
+                    server.model = Some(model.clone());
+                    server.staged = vec![model.clone()];
+                    server.membership = Some(GroupMembership {
+                        group: group.clone(),
+                        epoch: *epoch,
+                        rank: u32::try_from(rank).unwrap(),
+                        phase: MemberPhase::Ready,
+                    });
+                }
+                FleetAction::Open { .. } => set_phase(server, MemberPhase::Open),
+                FleetAction::Close { .. } => set_phase(server, MemberPhase::Ready),
+                FleetAction::Leave { .. } => server.membership = None,
+                FleetAction::Stage { model } => server.staged = vec![model.clone()],
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..6 {
+            let orders = self.orders();
+            self.carry_out(&orders);
+        }
+    }
+
+    /// Servers whose phase is this one.
+    fn in_phase(&self, phase: MemberPhase) -> Vec<ServerLife> {
+        let servers = self.servers.iter();
+        let matching = servers.filter(|server| {
+            server.membership.as_ref().is_some_and(|membership| membership.phase == phase)
+        });
+        matching.map(|server| server.life.clone()).collect()
+    }
+
+    fn records(&self) -> Vec<FleetGroupRecord> {
+        let mut groups: HashMap<_, Vec<&FleetServer>> = HashMap::new();
+        for server in &self.servers {
+            if let Some(membership) = &server.membership {
+                groups.entry(membership.group.clone()).or_default().push(server);
+            }
+        }
+        let record = |(group, mut members): (_, Vec<&FleetServer>)| {
+            members.sort_by_key(|server| server.membership.as_ref().unwrap().rank);
+            FleetGroupRecord {
+                group,
+                service: self.service.clone(),
+                epoch: members[0].membership.as_ref().unwrap().epoch,
+                model: members[0].model.clone().unwrap(),
+                members: members
+                    .iter()
+                    .map(|server| comfreyturn_types::MemberRecord {
+                        life: server.life.clone(),
+                        address: server.address,
+                        failure_domain: server.failure_domain.clone(),
+                    })
+                    .collect(),
+            }
+        };
+        groups.into_iter().map(record).collect()
+    }
+}
+
+fn set_phase(server: &mut FleetServer, phase: MemberPhase) {
+    if let Some(membership) = &mut server.membership {
+        membership.phase = phase;
+    }
+}
+
+fn joins(orders: &[FleetOrder]) -> Vec<&FleetOrder> {
+    let is_join = |order: &&FleetOrder| matches!(order.action, FleetAction::Join { .. });
+    orders.iter().filter(is_join).collect()
+}
+
+/// A fleet whose work asks for a group for each `4` of `grouped` servers; the others are spares.
+fn staged_fleet(count: usize, grouped: u32) -> TestFleet {
+    let servers = (0..count).map(|index| server(index, &["big"])).collect();
+    let mut fleet = TestFleet::new(servers, vec![model("big", 4)]);
+    fleet.work.insert(ModelName::from("big"), f64::from(grouped) / 4.0 * 10.0);
+    fleet
+}
+
+#[test]
+fn groups_stay_within_a_fabric_domain() {
+    let mut fleet = staged_fleet(20, 16);
+    fleet.settle();
+    assert_eq!(fleet.in_phase(MemberPhase::Open).len(), 4);
+    for server in &fleet.servers {
+        let Some(own) = &server.membership else { continue };
+        let mates = fleet.servers.iter().filter(|other| {
+            other.membership.as_ref().is_some_and(|membership| membership.group == own.group)
+        });
+        assert!(mates.into_iter().all(|other| other.fabric_domain == server.fabric_domain));
+    }
+}
+
+#[test]
+fn no_server_is_ordered_in_before_the_row_stands() {
+    let mut fleet = staged_fleet(10, 8);
+    let first = fleet.look();
+    assert!(joins(&first).is_empty());
+    let (written, removed) = fleet.planner.row_changes();
+    assert_eq!((written.len(), removed.len()), (2, 0), "two groups of ten servers");
+    assert!(joins(&fleet.look()).is_empty());
+    fleet.planner.note_rows(&written, &removed);
+    assert_eq!(joins(&fleet.look()).len(), 8);
+}
+
+#[test]
+fn head_opens_once_every_member_is_ready() {
+    let mut fleet = staged_fleet(10, 8);
+    let orders = fleet.orders();
+    fleet.carry_out(&orders);
+    for server in &mut fleet.servers[..] {
+        if server.life.vm.as_str() == "vm-01" {
+            set_phase(server, MemberPhase::Joining);
+        }
+    }
+    let opened: Vec<_> = fleet.orders().into_iter().map(|order| order.action).collect();
+    let open = |action: &&FleetAction| matches!(action, FleetAction::Open { .. });
+    assert_eq!(opened.iter().filter(open).count(), 1, "only the group without vm-01 opens");
+}
+
+#[test]
+fn lost_member_is_replaced_by_a_spare_after_the_head_left() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    let group = fleet.servers.iter().find(|server| server.life == head).unwrap();
+    let group = group.membership.clone().unwrap().group;
+    let member = fleet.servers.iter().find(|server| {
+        let membership = server.membership.as_ref();
+        membership.is_some_and(|own| own.group == group && own.rank == 2)
+    });
+    fleet.lost.insert(member.unwrap().life.clone());
+    let orders = fleet.orders();
+    let leave = |order: &FleetOrder| matches!(order.action, FleetAction::Leave { .. });
+    assert!(orders.iter().any(|order| order.life == head && leave(order)));
+    assert!(joins(&orders).is_empty(), "members wait until the head has left");
+    fleet.carry_out(&orders);
+    let orders = fleet.orders();
+    assert_eq!(joins(&orders).len(), 4, "survivors and a spare form a new group");
+    assert!(orders.iter().all(|order| !fleet.lost.contains(&order.life)));
+}
+
+#[test]
+fn silent_head_that_is_listed_keeps_its_members() {
+    let mut fleet = staged_fleet(8, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    fleet.lost.insert(head);
+    for _ in 0..20 {
+        assert!(joins(&fleet.orders()).is_empty(), "the head may serve others");
+    }
+}
+
+#[test]
+fn head_that_is_neither_listed_nor_answers_frees_its_members() {
+    let mut fleet = staged_fleet(8, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    fleet.lost.insert(head.clone());
+    fleet.unlisted.insert(head);
+    fleet.servers.extend((8..10).map(|index| server(index, &["big"])));
+    let mut orders = fleet.orders();
+    orders.extend(fleet.orders());
+    assert_eq!(joins(&orders).len(), 4);
+}
+
+#[test]
+fn unlisted_head_that_answers_keeps_its_members_until_it_has_left() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    fleet.unlisted.insert(head.clone());
+    let orders = fleet.orders();
+    let leave = orders.iter().find(|order| order.life == head).unwrap().clone();
+    assert!(matches!(leave.action, FleetAction::Leave { .. }));
+    assert!(joins(&fleet.orders()).is_empty());
+    fleet.planner.note_answer(&leave, OrderOutcome::Outdated);
+    assert!(joins(&fleet.orders()).is_empty(), "a refused order proves nothing");
+    fleet.planner.note_answer(&leave, OrderOutcome::Taken);
+    assert_eq!(joins(&fleet.orders()).len(), 4);
+}
+
+#[test]
+fn unlisted_member_that_answers_leaves_its_group_alone() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let member = fleet
+        .servers
+        .iter()
+        .find(|server| server.membership.as_ref().is_some_and(|membership| membership.rank == 1));
+    let member = member.unwrap().life.clone();
+    fleet.unlisted.insert(member);
+    assert!(fleet.orders().is_empty());
+}
+
+#[test]
+fn new_planner_keeps_groups_that_serve() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let records = fleet.records();
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    fleet.planner.restore(fleet.now, records);
+    assert!(fleet.orders().is_empty());
+}
+
+#[test]
+fn new_planner_holds_members_of_a_head_that_only_the_row_names() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let records = fleet.records();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    // The head is cut off from the platform; this node never saw it listed, only its row.
+    fleet.unlisted.insert(head);
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    fleet.planner.restore(fleet.now, records);
+    for _ in 0..5 {
+        assert!(joins(&fleet.orders()).is_empty());
+    }
+}
+
+#[test]
+fn server_that_was_reborn_belongs_to_no_group() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    let server = fleet.servers.iter_mut().find(|server| server.life == head).unwrap();
+    server.life.born = 2;
+    server.membership = None;
+    for _ in 0..3 {
+        let orders = fleet.orders();
+        fleet.carry_out(&orders);
+    }
+    assert_eq!(fleet.in_phase(MemberPhase::Open).len(), 2);
+}
+
+#[test]
+fn epochs_rise_from_planner_to_planner() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let epoch = |fleet: &TestFleet| {
+        let memberships = fleet.servers.iter().filter_map(|server| server.membership.as_ref());
+        memberships.map(|membership| membership.epoch).max().unwrap()
+    };
+    let before = epoch(&fleet);
+    for server in &mut fleet.servers {
+        server.membership = None;
+    }
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    fleet.settle();
+    assert!(epoch(&fleet) > before);
+}
+
+#[test]
+fn loads_stay_within_the_rate_of_the_weight_store() {
+    let servers = (0..60).map(|index| server(index, &[])).collect();
+    let mut fleet = TestFleet::new(servers, vec![model("big", 4), model("small", 2)]);
+    let mut stages = 0;
+    for _ in 0..4 {
+        let orders = fleet.orders();
+        let stage = |order: &&FleetOrder| matches!(order.action, FleetAction::Stage { .. });
+        let count = orders.iter().filter(stage).count();
+        assert!(count <= 5, "{count} loads in a second");
+        stages += count;
+    }
+    assert_eq!(stages, 7, "no more loads than run at full speed");
+}
+
+#[test]
+fn models_get_groups_by_their_work() {
+    let servers = (0..60).map(|index| server(index, &[])).collect();
+    let mut fleet = TestFleet::new(servers, vec![model("big", 4), model("small", 2)]);
+    fleet.before_traffic = true;
+    fleet.work.insert(ModelName::from("small"), 0.5);
+    fleet.settle();
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for life in fleet.in_phase(MemberPhase::Open) {
+        let server = fleet.servers.iter().find(|server| server.life == life).unwrap();
+        *counts.entry(server.model.clone().unwrap().to_string()).or_default() += 1;
+    }
+    let per_group = |name: &str, work: f64| work / counts[name] as f64;
+    let (big, small) = (per_group("big", 1.0), per_group("small", 0.5));
+    assert!(big / small < 1.5 && small / big < 1.5, "work of a group: {big}, {small}");
+}
--- a/crates/ports/src/gateway_feeds.rs
+++ b/crates/ports/src/gateway_feeds.rs
@@ -60,6 +60,6 @@
 /// The platform's list of servers.
 #[async_trait(?Send)]
 pub trait ServerFeed {
-    /// Reads what has changed since the last call.
-    async fn next(&self) -> FeedResult<ServerReading>;
+    /// Reads what has changed since the last call, or the whole list.
+    async fn next(&self, whole: bool) -> FeedResult<ServerReading>;
 }
--- /dev/null
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -0,0 +1,118 @@
+//! A platform whose news a test decides on, for a gateway.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use comfreyturn_ports::{
+    Clock, ConfigFeed, ConfigReading, DatagramLink, FeedError, FeedResult, FleetAction,
+    FleetControl, FleetError, FleetResult, NodeEntry, NodeRegistry, OrderOutcome, ServerFeed,
+    ServerReading, TableResult,
+};
+use comfreyturn_types::{FencingNumber, FleetServer, GatewayConfig, NodeId};
+
+/// Pause between two readings of an unchanged configuration.
+const READING_PAUSE: Duration = Duration::from_millis(500);
+
+/// A platform whose news a test decides on.
+#[derive(Clone)]
+pub struct FixedFeeds {
+    clock: Rc<dyn Clock>,
+    config: Rc<RefCell<Option<Rc<GatewayConfig>>>>,
+    readings: Rc<RefCell<VecDeque<ServerReading>>>,
+    cut_off: Rc<Cell<bool>>,
+}
+
+impl FixedFeeds {
+    /// A platform that knows nothing.
+    pub fn new(clock: Rc<dyn Clock>) -> Self {
+        Self { clock, config: Rc::default(), readings: Rc::default(), cut_off: Rc::default() }
+    }
+
+    /// Puts a configuration in force.
+    pub fn put_config(&self, config: GatewayConfig) {
+        *self.config.borrow_mut() = Some(Rc::new(config));
+    }
+
+    /// Adds a reading of the list of servers.
+    pub fn add_reading(&self, reading: ServerReading) {
+        self.readings.borrow_mut().push_back(reading);
+    }
+
+    /// Makes the platform unreachable, or reachable again.
+    pub fn cut_off(&self, is_cut_off: bool) {
+        self.cut_off.set(is_cut_off);
+    }
+}
+
+#[async_trait(?Send)]
+impl ConfigFeed for FixedFeeds {
+    async fn next(&self) -> FeedResult<ConfigReading> {
+        if self.cut_off.get() {
+            return Err(FeedError::Unreachable);
+        }
+        let config = self.config.borrow_mut().take();
+        if config.is_none() {
+            self.clock.sleep(READING_PAUSE).await;
+        }
+        if self.cut_off.get() {
+            return Err(FeedError::Unreachable);
+        }
+        Ok(ConfigReading { config, proven_at: self.clock.now() })
+    }
+}
+
+#[async_trait(?Send)]
+impl ServerFeed for FixedFeeds {
+    async fn next(&self, _whole: bool) -> FeedResult<ServerReading> {
+        if self.cut_off.get() {
+            return Err(FeedError::Unreachable);
+        }
+        Ok(self.readings.borrow_mut().pop_front().unwrap_or_default())
+    }
+}
+
+#[async_trait(?Send)]
+impl FleetControl for FixedFeeds {
+    async fn order(
+        &self,
+        _server: &FleetServer,
+        _action: &FleetAction,
+        _fencing: FencingNumber,
+    ) -> FleetResult<OrderOutcome> {
+        Ok(OrderOutcome::Taken)
+    }
+
+    async fn probe(&self, _server: &FleetServer) -> FleetResult<()> {
+        Err(FleetError)
+    }
+}
+
+#[async_trait(?Send)]
+impl NodeRegistry for FixedFeeds {
+    async fn announce(&self, _entry: &NodeEntry) -> TableResult<()> {
+        Ok(())
+    }
+
+    async fn withdraw(&self, _node: &NodeId) -> TableResult<()> {
+        Ok(())
+    }
+
+    async fn list(&self) -> TableResult<Vec<NodeEntry>> {
+        Ok(Vec::new())
+    }
+}
+
+#[async_trait(?Send)]
+impl DatagramLink for FixedFeeds {
+    async fn send(&self, _to: SocketAddr, _bytes: Vec<u8>) {}
+
+    async fn receive(&self) -> std::io::Result<Vec<u8>> {
+        std::future::pending().await
+    }
+}
--- a/crates/standin/src/fakes/mod.rs
+++ b/crates/standin/src/fakes/mod.rs
@@ -8,6 +8,7 @@
 mod call_fate;
 mod fault_plan;
 mod fault_rule;
+mod fixed_feeds;
 mod local_spawner;
 mod manual_clock;
 mod memory_backend;
@@ -19,10 +20,12 @@
 mod memory_table;
 mod node_backends;
 mod node_gate;
+mod scripted_servers;
 
 pub use call_fate::FaultEndpoint;
 pub use fault_plan::*;
 pub use fault_rule::*;
+pub use fixed_feeds::*;
 pub use futures_executor::LocalPool;
 pub use local_spawner::*;
 pub use manual_clock::*;
@@ -32,3 +35,4 @@
 pub use memory_engines::*;
 pub use memory_peers::*;
 pub use memory_table::*;
+pub use scripted_servers::*;
--- a/crates/types/src/fleet_server.rs
+++ b/crates/types/src/fleet_server.rs
@@ -2,11 +2,15 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{FabricDomain, FailureDomain, GroupId, ModelName, ServiceName, VmId};
 
 /// One life of a backend server. A server that starts again under its name has forgotten
 /// everything, so the name alone does not tell one life from the next.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
+)]
 #[display("{vm}@{born}")]
 pub struct ServerLife {
     /// The VM.
@@ -85,3 +89,45 @@
     /// Its place in a group, if it has one.
     pub membership: Option<GroupMembership>,
 }
+
+/// A member of a group, as its row keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The server.
+    pub life: ServerLife,
+
+    /// Where it listened when the group was formed.
+    pub address: SocketAddr,
+
+    /// The failure domain that it stands in.
+    pub failure_domain: FailureDomain,
+}
+
+/// A group that was ordered, as its row keeps it until the group is dissolved.
+///
+/// Servers tell their own place only. The row tells who the other members are, which matters
+/// when one of them is cut off from the platform and serves on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetGroupRecord {
+    /// The group.
+    pub group: GroupId,
+
+    /// The service of its servers.
+    pub service: ServiceName,
+
+    /// Its epoch.
+    pub epoch: u64,
+
+    /// Its model.
+    pub model: ModelName,
+
+    /// By rank, the head first. Invariant: not empty.
+    pub members: Vec<MemberRecord>,
+}
+
+impl FleetGroupRecord {
+    /// The member that takes the group's requests.
+    pub fn head(&self) -> &MemberRecord {
+        &self.members[0]
+    }
+}
