Divide servers by declared time, and load weights where a load completes a group

Change: declared shares are shares of the servers' time; loads are ranked by need of the model for each load until a group can form; a server is given other weights only if its own serve no group in its domain; loads under way count.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -11,7 +11,7 @@
 use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView, LeaseHold};
 use comfreyturn_ports::{OrderOutcome, TableResult};
 use comfreyturn_types::{
-    EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, ServiceName,
+    EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, PooledModel, ServiceName,
 };
 use futures_util::future::{Either, select};
 
@@ -20,11 +20,14 @@
 /// What the lease covers.
 const FLEET_SCOPE: &str = "fleet";
 
+/// Pause between two log lines on the state of the fleet.
+const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+
 /// Weight of a new look in the average of work.
 const WORK_WEIGHT: f64 = 0.05;
 
 /// Time that a refused request would have been under way.
-const REFUSED_WORK: f64 = 1.5;
+const REFUSED_WORK: f64 = 1.0;
 
 /// Forms groups, while this node holds the lease of the fleet.
 pub struct FleetLoop {
@@ -43,6 +46,9 @@
     /// Whether earlier planners left groups.
     restored: bool,
     planners: HashMap<ServiceName, FleetPlanner>,
+
+    /// When the state of the fleet was logged last.
+    summary_at: Option<Instant>,
     work: HashMap<ModelName, f64>,
 
     /// Whether `work` was measured, or only declared.
@@ -239,7 +245,12 @@
             work: &work,
             before_traffic: !state.has_traffic.get(),
         };
-        for order in planner.plan(now, &view) {
+        let orders = planner.plan(now, &view);
+        if parts.summary_at.is_none_or(|at| now.saturating_duration_since(at) >= SUMMARY_PERIOD) {
+            parts.summary_at = Some(now);
+            log::info!("fleet: {}", parts.planners[name].summary());
+        }
+        for order in orders {
             let dropped = || remembered.get(&order.life).map(|(_, server)| server);
             if let Some(server) = servers.get(&order.life).or_else(dropped) {
                 let task = self.clone().give_order(server.clone(), order, fencing);
@@ -253,8 +264,10 @@
         let state = &self.gateway.state;
         let FleetParts { work, was_measured, .. } = parts;
         if !state.has_traffic.get() {
+            // Declared shares are shares of the servers' time.
+            let share = |model: &PooledModel| model.share / f64::from(model.group_size);
             let declared = engine.models.iter();
-            *work = declared.map(|model| (model.name.clone(), model.share * model.pace)).collect();
+            *work = declared.map(|model| (model.name.clone(), share(model))).collect();
             return;
         }
         let mut measured: HashMap<&ModelName, f64> = HashMap::new();
--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -1,4 +1,4 @@
-//! Which free servers go together.
+//! Which free servers go together, and which weights they should load ahead.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -7,24 +7,47 @@
 
 use comfreyturn_types::{FabricDomain, FleetServer, ModelName, PooledModel};
 
-use crate::{FleetView, fleet_planner::by_need};
+use crate::FleetView;
+
+/// A free server, with the model whose weights it loads.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolServer<'a> {
+    pub(crate) server: &'a FleetServer,
+    pub(crate) loading: Option<ModelName>,
+}
+
+impl PoolServer<'_> {
+    /// Whether the weights of the model are on its host, or will be.
+    fn has(&self, model: &ModelName) -> bool {
+        match &self.loading {
+            Some(loading) => loading == model,
+            None => self.server.staged.contains(model),
+        }
+    }
+
+    fn is_blank(&self) -> bool {
+        self.loading.is_none() && self.server.staged.is_empty()
+    }
+}
 
 /// The free servers of one fabric domain.
 #[derive(Clone, Debug)]
 pub(crate) struct DomainPool<'a> {
-    servers: Vec<&'a FleetServer>,
+    servers: Vec<PoolServer<'a>>,
 }
 
 /// Sorts free servers by fabric domain. Servers without one are alone.
-pub(crate) fn pool_servers<'a>(free: impl Iterator<Item = &'a FleetServer>) -> Vec<DomainPool<'a>> {
-    let mut domains: BTreeMap<Option<&FabricDomain>, Vec<&'a FleetServer>> = BTreeMap::new();
+pub(crate) fn pool_servers<'a>(
+    free: impl Iterator<Item = PoolServer<'a>>,
+) -> Vec<DomainPool<'a>> {
+    let mut domains: BTreeMap<Option<&FabricDomain>, Vec<PoolServer<'a>>> = BTreeMap::new();
     for server in free {
-        domains.entry(server.fabric_domain.as_ref()).or_default().push(server);
+        domains.entry(server.server.fabric_domain.as_ref()).or_default().push(server);
     }
     domains
         .into_values()
         .map(|mut servers| {
-            servers.sort_by(|a, b| a.life.cmp(&b.life));
+            servers.sort_by(|a, b| a.server.life.cmp(&b.server.life));
             DomainPool { servers }
         })
         .collect()
@@ -60,57 +83,105 @@
     }
 }
 
+/// How much models lack groups.
+pub(crate) struct GroupLack<'a> {
+    pub(crate) view: &'a FleetView<'a>,
+    pub(crate) targets: &'a HashMap<ModelName, u32>,
+    pub(crate) active: &'a HashMap<ModelName, u32>,
+}
+
+/// Groups that a model without any is taken to have, so that its need stays finite.
+const FIRST_GROUP_PART: f64 = 0.5;
+
+impl GroupLack<'_> {
+    fn lacks(&self, model: &ModelName) -> bool {
+        self.active.get(model).unwrap_or(&0) < self.targets.get(model).unwrap_or(&0)
+    }
+
+    /// Work for each group.
+    pub(crate) fn need(&self, model: &ModelName) -> f64 {
+        let work = self.view.work.get(model).copied().unwrap_or_default();
+        let groups = f64::from(self.active.get(model).copied().unwrap_or_default());
+        work / groups.max(FIRST_GROUP_PART)
+    }
+}
+
+/// Weights that a server should load.
+pub(crate) struct LoadChoice<'a> {
+    pub(crate) server: &'a FleetServer,
+    pub(crate) model: ModelName,
+
+    /// Need of the model for each load until a group can form; zero for a spare.
+    pub(crate) score: f64,
+}
+
 impl<'a> DomainPool<'a> {
     fn soonest(&self, model: &PooledModel, size: usize) -> Option<Vec<&'a FleetServer>> {
-        if size == 0 || self.servers.len() < size {
+        let settled = self.servers.iter().filter(|server| server.loading.is_none());
+        let mut servers: Vec<&FleetServer> = settled.map(|server| server.server).collect();
+        if size == 0 || servers.len() < size {
             return None;
         }
-        let mut servers = self.servers.clone();
         servers.sort_by_key(|server| join_time(server, model));
         servers.truncate(size);
         Some(servers)
     }
 
-    /// Servers of the domain that should load weights, with the model.
+    /// The load that helps most here.
     ///
-    /// First comes a model that lacks groups and could have one here. Else a server without any
-    /// weights gets those of the largest model that the domain has no spare for, since the loss
-    /// of one member strands the most servers there.
-    pub(crate) fn wanted_weights(
-        &self,
-        view: &FleetView<'a>,
-        targets: &HashMap<ModelName, u32>,
-        active: &HashMap<ModelName, u32>,
-    ) -> Vec<(&'a FleetServer, ModelName)> {
-        let lacking = by_need(view, active).into_iter().find(|model| {
-            let wanted = targets.get(&model.name).copied().unwrap_or_default();
-            let there = active.get(&model.name).copied().unwrap_or_default();
-            there < wanted && self.servers.len() >= model.group_size as usize
-        });
-        if let Some(model) = lacking {
-            let members = self.soonest(model, model.group_size as usize).unwrap_or_default();
-            let unstaged =
-                members.into_iter().filter(|server| !server.staged.contains(&model.name));
-            return unstaged.map(|server| (server, model.name.clone())).collect();
+    /// Loads are rare: a model that lacks groups gets one where the fewest loads complete a
+    /// group. Else a server without weights becomes a spare.
+    pub(crate) fn best_load(&self, lack: &GroupLack<'_>) -> Option<LoadChoice<'a>> {
+        let models = lack.view.engine.models.iter();
+        let lacking = models.filter(|model| lack.lacks(&model.name));
+        let choices = lacking.filter_map(|model| self.completing_load(lack, model));
+        let best = choices.max_by(|a, b| a.score.total_cmp(&b.score));
+        best.or_else(|| self.spare_load(lack))
+    }
+
+    /// The next load towards a group of the model.
+    fn completing_load(&self, lack: &GroupLack<'_>, model: &PooledModel) -> Option<LoadChoice<'a>> {
+        let size = model.group_size as usize;
+        let ready = self.servers.iter().filter(|server| server.has(&model.name)).count();
+        let missing = size - ready % size;
+        let mut candidates: Vec<&PoolServer<'_>> = self
+            .servers
+            .iter()
+            .filter(|server| server.loading.is_none() && !server.has(&model.name))
+            .filter(|server| server.is_blank() || self.is_surplus(lack, server))
+            .collect();
+        if candidates.len() < missing {
+            return None;
         }
-        self.wanted_spares(view)
+        candidates.sort_by_key(|server| !server.is_blank());
+        let server = candidates.first()?.server;
+        #[expect(clippy::cast_precision_loss, reason = "a group has few members")]
+        let score = lack.need(&model.name) / missing as f64;
+        Some(LoadChoice { server, model: model.name.clone(), score })
     }
 
-    fn wanted_spares(&self, view: &FleetView<'a>) -> Vec<(&'a FleetServer, ModelName)> {
-        let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
+    /// Whether the weights of a server serve no group here: their model lacks none, or the domain
+    /// is too small for one.
+    fn is_surplus(&self, lack: &GroupLack<'_>, server: &PoolServer<'_>) -> bool {
+        let models = &lack.view.engine.models;
+        server.server.staged.iter().all(|staged| {
+            let model = models.iter().find(|model| model.name == *staged);
+            model.is_none_or(|model| {
+                !lack.lacks(staged) || self.servers.len() < model.group_size as usize
+            })
+        })
+    }
+
+    /// A spare for the largest model that the domain has the fewest spares of, since the loss of
+    /// one member strands the most servers there.
+    fn spare_load(&self, lack: &GroupLack<'_>) -> Option<LoadChoice<'a>> {
+        let blank = self.servers.iter().find(|server| server.is_blank())?;
+        let mut models: Vec<&PooledModel> = lack.view.engine.models.iter().collect();
         models.sort_by_key(|model| std::cmp::Reverse(model.group_size));
-        let mut spares: HashMap<&ModelName, usize> = HashMap::new();
-        for model in self.servers.iter().flat_map(|server| &server.staged) {
-            *spares.entry(model).or_default() += 1;
-        }
-        let mut wanted = Vec::new();
-        for server in self.servers.iter().filter(|server| server.staged.is_empty()) {
-            let count =
-                |model: &&&PooledModel| spares.get(&model.name).copied().unwrap_or_default();
-            let Some(model) = models.iter().min_by_key(count) else { break };
-            *spares.entry(&model.name).or_default() += 1;
-            wanted.push((*server, model.name.clone()));
-        }
-        wanted
+        let spares = |model: &&&PooledModel| {
+            self.servers.iter().filter(|server| server.has(&model.name)).count()
+        };
+        let model = models.iter().min_by_key(spares)?;
+        Some(LoadChoice { server: blank.server, model: model.name.clone(), score: 0.0 })
     }
 }
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    fleet_match::{DomainPool, best_pool, pool_servers},
+    fleet_match::{DomainPool, GroupLack, LoadChoice, PoolServer, best_pool, pool_servers},
     fleet_state::{ToldGroup, group_model, group_name, phase_of, told_groups},
     fleet_target::{demanded_groups, target_groups},
     planned_group::{GroupHealth, PlanScene, PlannedGroup, load_limit, place_phase},
@@ -51,7 +51,7 @@
     fn default() -> Self {
         Self {
             spare_share: 0.2,
-            utilization: 0.6,
+            utilization: 0.5,
             order_patience: Duration::from_millis(500),
             form_patience: Duration::from_millis(2500),
             gone_head_wait: Duration::from_millis(300),
@@ -143,6 +143,9 @@
 
     /// Starts of loads within the last second.
     load_starts: Vec<Instant>,
+
+    /// What the last plan came to.
+    summary: String,
 }
 
 /// Epochs that one holder of the lease can use.
@@ -160,6 +163,7 @@
             sent: HashMap::new(),
             missing_heads: HashMap::new(),
             load_starts: Vec::new(),
+            summary: String::new(),
         }
     }
 
@@ -175,6 +179,7 @@
         }
         self.form_groups(now, view, &mut plan);
         self.stage_weights(now, view, &mut plan);
+        self.summary = self.summarize(view, &plan);
         let mut orders = plan.orders;
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
@@ -193,6 +198,29 @@
         }
     }
 
+    /// What the last plan came to, for logs: servers by what they do, and groups by model.
+    pub fn summary(&self) -> &str {
+        &self.summary
+    }
+
+    fn summarize(&self, view: &FleetView<'_>, plan: &Plan) -> String {
+        let usable = view.servers.iter().filter(|server| is_usable(view, server));
+        let (bound, free): (Vec<&&FleetServer>, Vec<&&FleetServer>) =
+            usable.partition(|server| plan.held.contains(&server.life));
+        let staged = free.iter().filter(|server| !server.staged.is_empty()).count();
+        let targets = self.targets(view);
+        let models = view.engine.models.iter().map(|model| {
+            let count = |counts: &HashMap<_, _>| counts.get(&model.name).copied().unwrap_or(0);
+            let work = view.work.get(&model.name).copied().unwrap_or_default();
+            let (active, wanted) = (count(&plan.active), count(&targets));
+            format!(" {} has {active} of {wanted} groups for work {work:.1};", model.name)
+        });
+        let models: String = models.collect();
+        let (bound, free, lost) = (bound.len(), free.len(), view.lost.len());
+        let loading = self.loading(view);
+        format!("{bound} bound, {free} free, {staged} of these staged, {loading} load, {lost} lost;{models}")
+    }
+
     // ---------------------------------------------------------------------------------------
     // Rows
 
@@ -393,7 +421,10 @@
         let limit =
             (f64::from(view.engine.loads_at_once) * self.settings.first_load_factor) as usize;
         let room = limit.saturating_sub(loading);
-        for model in by_need(view, active) {
+        let lack = GroupLack { view, targets, active };
+        let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
+        models.sort_by(|a, b| lack.need(&b.name).total_cmp(&lack.need(&a.name)));
+        for model in models {
             let wanted = targets.get(&model.name).copied().unwrap_or_default();
             if active.get(&model.name).copied().unwrap_or_default() >= wanted {
                 continue;
@@ -409,13 +440,18 @@
     }
 
     /// Free servers by fabric domain.
-    fn pools<'a>(&self, view: &FleetView<'a>, held: &HashSet<ServerLife>) -> Vec<DomainPool<'a>> {
+    fn pools<'a>(
+        &self,
+        view: &FleetView<'a>,
+        held: &HashSet<ServerLife>,
+    ) -> Vec<DomainPool<'a>> {
         let free = view.servers.iter().copied().filter(|server| {
-            is_usable(view, server)
-                && !held.contains(&server.life)
-                && !self.staging.contains_key(&server.life)
+            is_usable(view, server) && !held.contains(&server.life)
         });
-        pool_servers(free)
+        pool_servers(free.map(|server| PoolServer {
+            server,
+            loading: self.staging.get(&server.life).map(|(model, _)| model.clone()),
+        }))
     }
 
     /// Servers that load weights now.
@@ -439,21 +475,25 @@
         if view.before_traffic && targets.iter().any(lacks) {
             return;
         }
-        for pool in self.pools(view, &plan.held) {
-            for (server, model) in pool.wanted_weights(view, &targets, &plan.active) {
-                let starts = self.load_starts.len() as f64;
-                let full = self.loading(view) >= view.engine.loads_at_once as usize;
-                let fast = starts + 1.0 > view.engine.loads_per_second;
-                if !view.before_traffic && (full || fast) {
-                    return;
-                }
-                self.staging.insert(server.life.clone(), (model.clone(), now));
-                self.load_starts.push(now);
-                plan.order(&server.life, FleetAction::Stage { model });
-            }
+        while view.before_traffic || self.may_load(view) {
+            let lack = GroupLack { view, targets: &targets, active: &plan.active };
+            let pools = self.pools(view, &plan.held);
+            let choices = pools.iter().filter_map(|pool| pool.best_load(&lack));
+            let best = choices.max_by(|a, b| a.score.total_cmp(&b.score));
+            let Some(LoadChoice { server, model, .. }) = best else { return };
+            self.staging.insert(server.life.clone(), (model.clone(), now));
+            self.load_starts.push(now);
+            plan.order(&server.life, FleetAction::Stage { model });
         }
     }
 
+    /// Whether one more load keeps to the rates of the weight store.
+    fn may_load(&self, view: &FleetView<'_>) -> bool {
+        let starts = self.load_starts.len() as f64 + 1.0;
+        let has_place = self.loading(view) < view.engine.loads_at_once as usize;
+        has_place && starts <= view.engine.loads_per_second
+    }
+
     fn is_due(&self, now: Instant, order: &FleetOrder) -> bool {
         let sent = self.sent.get(&(order.life.clone(), order.action.clone()));
         sent.is_none_or(|at| now.saturating_duration_since(*at) >= self.settings.order_patience)
@@ -462,21 +502,6 @@
 
 // -------------------------------------------------------------------------------------------
 
-/// Models, the one with the most work for each of its groups first.
-pub(crate) fn by_need<'a>(
-    view: &FleetView<'a>,
-    active: &HashMap<ModelName, u32>,
-) -> Vec<&'a PooledModel> {
-    let need = |model: &PooledModel| {
-        let work = view.work.get(&model.name).copied().unwrap_or_default();
-        let groups = active.get(&model.name).copied().unwrap_or_default();
-        if groups == 0 { f64::INFINITY } else { work / f64::from(groups) }
-    };
-    let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
-    models.sort_by(|a, b| need(b).total_cmp(&need(a)));
-    models
-}
-
 fn join_action(record: &FleetGroupRecord) -> FleetAction {
     FleetAction::Join {
         group: record.group.clone(),
