Keep spares for what a loss strands, and let odd servers yield to a model in greater need

Servers that are added stand in the old domains, two at a time, and went to the small model.

Change: spares go to the model whose loss strands most servers; a server one too many for whole groups may load the weights of a model whose need is twice as great.

--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -106,6 +106,12 @@
     }
 }
 
+/// How many times the need of another model must be greater for it to take a server over.
+const GREATER_NEED: f64 = 2.0;
+
+/// Servers that the loss of a group of one is taken to strand.
+const LEAST_STRANDED: f64 = 0.5;
+
 /// Weights that a server should load.
 pub(crate) struct LoadChoice<'a> {
     pub(crate) server: &'a FleetServer,
@@ -148,7 +154,7 @@
             .servers
             .iter()
             .filter(|server| server.loading.is_none() && !server.has(&model.name))
-            .filter(|server| server.is_blank() || self.is_surplus(lack, server))
+            .filter(|server| server.is_blank() || self.is_surplus(lack, server, model))
             .collect();
         if candidates.len() < missing {
             return None;
@@ -160,28 +166,40 @@
         Some(LoadChoice { server, model: model.name.clone(), score })
     }
 
-    /// Whether the weights of a server serve no group here: their model lacks none, or the domain
-    /// is too small for one.
-    fn is_surplus(&self, lack: &GroupLack<'_>, server: &PoolServer<'_>) -> bool {
+    /// Whether the weights of a server may give way to those of another model: their own model
+    /// lacks no group, or the domain is too small for one, or the server is one too many for whole
+    /// groups and the other model is in much greater need.
+    fn is_surplus(
+        &self,
+        lack: &GroupLack<'_>,
+        server: &PoolServer<'_>,
+        other: &PooledModel,
+    ) -> bool {
         let models = &lack.view.engine.models;
         server.server.staged.iter().all(|staged| {
-            let model = models.iter().find(|model| model.name == *staged);
-            model.is_none_or(|model| {
-                !lack.lacks(staged) || self.servers.len() < model.group_size as usize
-            })
+            let Some(model) = models.iter().find(|model| model.name == *staged) else {
+                return true;
+            };
+            let size = model.group_size as usize;
+            let odd = self.servers.iter().filter(|server| server.has(staged)).count() % size != 0;
+            let yields = lack.need(&other.name) > lack.need(staged) * GREATER_NEED;
+            !lack.lacks(staged) || self.servers.len() < size || (odd && yields)
         })
     }
 
-    /// A spare for the largest model that the domain has the fewest spares of, since the loss of
-    /// one member strands the most servers there.
+    /// A spare for the model whose spares are fewest for the servers that the loss of a member
+    /// strands.
     fn spare_load(&self, lack: &GroupLack<'_>) -> Option<LoadChoice<'a>> {
         let blank = self.servers.iter().find(|server| server.is_blank())?;
         let mut models: Vec<&PooledModel> = lack.view.engine.models.iter().collect();
         models.sort_by_key(|model| std::cmp::Reverse(model.group_size));
-        let spares = |model: &&&PooledModel| {
-            self.servers.iter().filter(|server| server.has(&model.name)).count()
+        let cover = |model: &PooledModel| {
+            let spares = self.servers.iter().filter(|server| server.has(&model.name)).count();
+            #[expect(clippy::cast_precision_loss, reason = "a domain has few servers")]
+            let spares = spares as f64 + 1.0;
+            spares / (f64::from(model.group_size) - 1.0).max(LEAST_STRANDED)
         };
-        let model = models.iter().min_by_key(spares)?;
+        let model = models.iter().min_by(|a, b| cover(a).total_cmp(&cover(b)))?;
         Some(LoadChoice { server: blank.server, model: model.name.clone(), score: 0.0 })
     }
 }
