--- a/crates/control/src/lease_keeper.rs
+++ b/crates/control/src/lease_keeper.rs
@@ -107,21 +107,21 @@
     pub async fn keep(&self) -> TableResult<()> {
         match self.hold.get() {
             Some(hold) => self.renew(hold).await,
-            None => self.look(false).await,
+            None => self.look(None).await,
         }
     }
 
-    /// Takes the lease although it has not lapsed, because its holder seems to be dead. Only for
-    /// leases whose fencing number is checked by everybody who takes orders: a holder that lives
-    /// after all then finds itself refused.
+    /// Takes the lease although it has not lapsed, if it is still held by a run that seems to be
+    /// dead. Only for leases whose fencing number is checked by everybody who takes orders: a
+    /// holder that lives after all then finds itself refused.
     ///
     /// # Errors
     ///
     /// As [`LeaseKeeper::keep`].
-    pub async fn take_over(&self) -> TableResult<()> {
+    pub async fn take_over(&self, dead: &(NodeId, Incarnation)) -> TableResult<()> {
         match self.hold.get() {
             Some(hold) => self.renew(hold).await,
-            None => self.look(true).await,
+            None => self.look(Some(dead)).await,
         }
     }
 
@@ -163,7 +163,7 @@
         Ok(())
     }
 
-    async fn look(&self, holder_is_dead: bool) -> TableResult<()> {
+    async fn look(&self, dead: Option<&(NodeId, Incarnation)>) -> TableResult<()> {
         let view = self.read().await?;
         let now = self.table.clock().now();
         let sight = LeaseSight::update(self.sight.get(), now, view.versions);
@@ -173,6 +173,7 @@
         if own && view.row.fencing > self.fencing_floor.get() {
             return self.resume(&view).await;
         }
+        let holder_is_dead = dead.is_some() && view.row.holder.as_ref() == dead;
         if own || free || holder_is_dead || self.term.has_lapsed(now, &sight) {
             return self.acquire(&view).await;
         }
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -11,7 +11,8 @@
 use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView, LeaseHold};
 use comfreyturn_ports::{OrderOutcome, TableResult};
 use comfreyturn_types::{
-    EngineSpec, FencingNumber, FleetServer, LeaseScope, ModelName, PooledModel, ServiceName,
+    EngineSpec, FencingNumber, FleetServer, Incarnation, LeaseScope, ModelName, NodeId,
+    PooledModel, ServiceName,
 };
 use futures_util::future::{Either, select};
 
@@ -96,13 +97,11 @@
         let Gateway { ports, state, .. } = &*self.gateway;
         loop {
             let now = ports.clock.now();
-            let holder_is_dead = state.settings.fencing_checked && self.holder_is_silent(now);
-            let result = if state.leaving.get() {
-                self.lease.release().await
-            } else if holder_is_dead {
-                self.lease.take_over().await
-            } else {
-                self.lease.keep().await
+            let dead = self.silent_holder(now).filter(|_| state.settings.fencing_checked);
+            let result = match dead {
+                _ if state.leaving.get() => self.lease.release().await,
+                Some(dead) => self.lease.take_over(&dead).await,
+                None => self.lease.keep().await,
             };
             if let Err(error) = result {
                 log::warn!("lease: not kept: {error}.");
@@ -111,19 +110,20 @@
         }
     }
 
-    /// Whether the run that held the lease is not heard of any more. Only the first of the nodes
+    /// The run that held the lease, if it is not heard of any more. Only the first of the nodes
     /// that are heard of acts on it, so that they do not take the lease from each other.
-    fn holder_is_silent(&self, now: Instant) -> bool {
+    fn silent_holder(&self, now: Instant) -> Option<(NodeId, Incarnation)> {
         let Gateway { identity, state, .. } = &*self.gateway;
-        let Some((holder, run)) = self.lease.holder() else { return false };
+        let (holder, run) = self.lease.holder()?;
         if holder == identity.node {
-            return run != identity.incarnation;
+            return (run != identity.incarnation).then_some((holder, run));
         }
         let peers = state.peers.borrow();
         let alive: Vec<_> = peers.alive(now, state.settings.holder_silence).collect();
         let heard = alive.iter().any(|(node, peer)| **node == holder && peer.incarnation == run);
         let first = alive.iter().all(|(node, _)| identity.node <= **node);
-        !heard && first && !alive.is_empty()
+        let is_dead = !heard && first && !alive.is_empty();
+        is_dead.then_some((holder, run))
     }
 
     fn lease_pause(&self) -> Duration {
--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -37,9 +37,7 @@
 }
 
 /// Sorts free servers by fabric domain. Servers without one are alone.
-pub(crate) fn pool_servers<'a>(
-    free: impl Iterator<Item = PoolServer<'a>>,
-) -> Vec<DomainPool<'a>> {
+pub(crate) fn pool_servers<'a>(free: impl Iterator<Item = PoolServer<'a>>) -> Vec<DomainPool<'a>> {
     let mut domains: BTreeMap<Option<&FabricDomain>, Vec<PoolServer<'a>>> = BTreeMap::new();
     for server in free {
         domains.entry(server.server.fabric_domain.as_ref()).or_default().push(server);
@@ -109,9 +107,6 @@
 /// How many times the need of another model must be greater for it to take a server over.
 const GREATER_NEED: f64 = 2.0;
 
-/// Servers that the loss of a group of one is taken to strand.
-const LEAST_STRANDED: f64 = 0.5;
-
 /// Weights that a server should load.
 pub(crate) struct LoadChoice<'a> {
     pub(crate) server: &'a FleetServer,
@@ -133,6 +128,20 @@
         Some(servers)
     }
 
+    /// Servers that have the weights of a model, or will.
+    fn ready(&self, model: &ModelName) -> usize {
+        self.servers.iter().filter(|server| server.has(model)).count()
+    }
+
+    /// Free servers by the weights that they have, for logs.
+    pub(crate) fn summary(&self, models: &[PooledModel]) -> String {
+        let counts = models.iter().map(|model| self.ready(&model.name).to_string());
+        let blank = self.servers.iter().filter(|server| server.is_blank()).count();
+        let domain = self.servers.first().and_then(|server| server.server.fabric_domain.as_ref());
+        let domain = domain.map_or("none", |domain| domain.as_str());
+        format!(" {domain} {}+{blank}", counts.collect::<Vec<_>>().join("/"))
+    }
+
     /// The load that helps most here.
     ///
     /// Loads are rare: a model that lacks groups gets one where the fewest loads complete a
@@ -148,7 +157,7 @@
     /// The next load towards a group of the model.
     fn completing_load(&self, lack: &GroupLack<'_>, model: &PooledModel) -> Option<LoadChoice<'a>> {
         let size = model.group_size as usize;
-        let ready = self.servers.iter().filter(|server| server.has(&model.name)).count();
+        let ready = self.ready(&model.name);
         let missing = size - ready % size;
         let mut candidates: Vec<&PoolServer<'_>> = self
             .servers
@@ -181,25 +190,20 @@
                 return true;
             };
             let size = model.group_size as usize;
-            let odd = self.servers.iter().filter(|server| server.has(staged)).count() % size != 0;
+            let odd = self.ready(staged) % size != 0;
             let yields = lack.need(&other.name) > lack.need(staged) * GREATER_NEED;
             !lack.lacks(staged) || self.servers.len() < size || (odd && yields)
         })
     }
 
-    /// A spare for the model whose spares are fewest for the servers that the loss of a member
-    /// strands.
+    /// A spare for the model that the domain has the fewest spares of, and of the largest one
+    /// among equals, since the loss of one member strands the most servers there.
     fn spare_load(&self, lack: &GroupLack<'_>) -> Option<LoadChoice<'a>> {
         let blank = self.servers.iter().find(|server| server.is_blank())?;
         let mut models: Vec<&PooledModel> = lack.view.engine.models.iter().collect();
         models.sort_by_key(|model| std::cmp::Reverse(model.group_size));
-        let cover = |model: &PooledModel| {
-            let spares = self.servers.iter().filter(|server| server.has(&model.name)).count();
-            #[expect(clippy::cast_precision_loss, reason = "a domain has few servers")]
-            let spares = spares as f64 + 1.0;
-            spares / (f64::from(model.group_size) - 1.0).max(LEAST_STRANDED)
-        };
-        let model = models.iter().min_by(|a, b| cover(a).total_cmp(&cover(b)))?;
+        let spares = |model: &&&PooledModel| self.ready(&model.name);
+        let model = models.iter().min_by_key(spares)?;
         Some(LoadChoice { server: blank.server, model: model.name.clone(), score: 0.0 })
     }
 }
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -218,7 +218,12 @@
         let models: String = models.collect();
         let (bound, free, lost) = (bound.len(), free.len(), view.lost.len());
         let loading = self.loading(view);
-        format!("{bound} bound, {free} free, {staged} of these staged, {loading} load, {lost} lost;{models}")
+        let pools = self.pools(view, &plan.held);
+        let pools: String = pools.iter().map(|pool| pool.summary(&view.engine.models)).collect();
+        format!(
+            "{bound} bound, {free} free, {staged} of these staged, {loading} load, {lost} lost;\
+             {models} free by domain, weights and none:{pools}"
+        )
     }
 
     // ---------------------------------------------------------------------------------------
@@ -440,14 +445,12 @@
     }
 
     /// Free servers by fabric domain.
-    fn pools<'a>(
-        &self,
-        view: &FleetView<'a>,
-        held: &HashSet<ServerLife>,
-    ) -> Vec<DomainPool<'a>> {
-        let free = view.servers.iter().copied().filter(|server| {
-            is_usable(view, server) && !held.contains(&server.life)
-        });
+    fn pools<'a>(&self, view: &FleetView<'a>, held: &HashSet<ServerLife>) -> Vec<DomainPool<'a>> {
+        let free = view
+            .servers
+            .iter()
+            .copied()
+            .filter(|server| is_usable(view, server) && !held.contains(&server.life));
         pool_servers(free.map(|server| PoolServer {
             server,
             loading: self.staging.get(&server.life).map(|(model, _)| model.clone()),
