Read the list of servers when something changed, and spread the return of refused callers

Callers who were refused together came back together after 0.3 s and met the same full groups.

Change: beats tell the version at which a node last saw news in the list; other nodes read it then, and else every 0.9 s. Looks at the lease of a holder that is heard of: every 4 s; rows of nodes: every 15 s. Retry-After is drawn from 0.6 to 1.8 s.

--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -90,6 +90,7 @@
             leaving: state.leaving.get(),
             lease: state.lease.get(),
             has_traffic: state.has_traffic.get(),
+            list_news: state.list_news.get(),
             loads: own
                 .map(|(life, running)| peer::ServerLoad {
                     server: Some(name(&life)),
@@ -133,6 +134,7 @@
         if !state.peers.borrow_mut().hear(node.clone(), record) {
             return;
         }
+        state.hear_news(beat.list_news);
         if beat.has_traffic {
             state.has_traffic.set(true);
         }
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -50,10 +50,12 @@
                 Ok(reading) => {
                     let now = ports.clock.now();
                     let keeps = return_wait.note_reading(now, reading.is_whole);
-                    let dropped = state.servers.borrow_mut().apply(reading, keeps);
-                    state.note_dropped(now, dropped);
+                    let version = reading.version;
+                    let applied = state.servers.borrow_mut().apply(reading, keeps);
+                    state.note_reading(version, applied.has_news);
+                    state.note_dropped(now, applied.dropped);
                     state.note_list(now);
-                    ports.clock.sleep(self.server_pause()).await;
+                    self.await_server_news().await;
                 }
                 Err(error) => {
                     return_wait.note_failure(ports.clock.now(), error);
@@ -63,9 +65,19 @@
         }
     }
 
-    fn server_pause(&self) -> Duration {
-        let settings = &self.state.settings;
-        if self.state.plans.get() { settings.planner_period } else { settings.server_period }
+    /// Waits for the next reading of the list: for the usual pause, or until another node tells
+    /// that something changed. The holder of the lease reads often, for all.
+    async fn await_server_news(&self) {
+        let Self { ports, state, .. } = self;
+        let settings = &state.settings;
+        let until = ports.clock.now() + settings.server_period;
+        loop {
+            let step = settings.planner_period;
+            ports.clock.sleep(step).await;
+            if state.plans.get() || state.has_missed_news() || ports.clock.now() >= until {
+                return;
+            }
+        }
     }
 }
 
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -400,7 +400,7 @@
             self.state.note_refusal(self.request.model.as_ref());
         }
         log::info!("forward: {} not run: {reason}.", self.request.id);
-        ForwardAnswer::NotRun { reason, retry_after: self.state.settings.retry_after }
+        ForwardAnswer::NotRun { reason, retry_after: self.state.retry_after() }
     }
 
     /// Drops a call that takes longer than `limit`.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -147,7 +147,7 @@
 
     fn not_run(&self, request: &ForwardRequest, reason: NotRunReason) -> ForwardAnswer {
         log::info!("forward: {} not run: {reason}.", request.id);
-        ForwardAnswer::NotRun { reason, retry_after: self.state.settings.retry_after }
+        ForwardAnswer::NotRun { reason, retry_after: self.state.retry_after() }
     }
 
     // ---------------------------------------------------------------------------------------
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -85,8 +85,9 @@
     /// A stalled server takes no new requests for this time, unless it is heard of again.
     pub stall_memory: Duration,
 
-    /// Time after which callers without a better hint may come back.
-    pub retry_after: Duration,
+    /// Callers that are refused may come back after a time between these two. Groups are mended
+    /// within it, and callers who were refused together do not return together.
+    pub retry_after: (Duration, Duration),
 
     /// Bytes of an answer that is kept back until it is whole.
     pub whole_answer_limit: usize,
@@ -102,7 +103,7 @@
     fn default() -> Self {
         Self {
             config_limit: Duration::from_millis(4500),
-            server_period: Duration::from_millis(400),
+            server_period: Duration::from_millis(900),
             planner_period: Duration::from_millis(150),
             return_wait: Duration::from_millis(2200),
             feed_pause: Duration::from_millis(200),
@@ -110,13 +111,13 @@
             peer_silence: Duration::from_millis(1000),
             holder_silence: Duration::from_millis(600),
             lease_period: Duration::from_millis(500),
-            lease_look_period: Duration::from_millis(2000),
+            lease_look_period: Duration::from_millis(4000),
             lease_term: LeaseTerm {
                 term: Duration::from_millis(2500),
                 guard: Duration::from_millis(700),
             },
             fencing_checked: false,
-            node_period: Duration::from_secs(5),
+            node_period: Duration::from_secs(15),
             order_timeout: Duration::from_millis(600),
             probe_timeout: Duration::from_millis(300),
             lost_probes: 2,
@@ -129,7 +130,7 @@
             first_event_floor: Duration::from_millis(900),
             answer_factor: 3.0,
             stall_memory: Duration::from_secs(2),
-            retry_after: Duration::from_millis(300),
+            retry_after: (Duration::from_millis(600), Duration::from_millis(1800)),
             whole_answer_limit: 1024 * 1024,
             picker: HeadPickerSettings::default(),
             planner: FleetPlannerSettings::default(),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -73,6 +73,15 @@
 
     /// When the list of servers was read first and last.
     list_read: Cell<Option<(Instant, Instant)>>,
+
+    /// The platform's version up to which the list was read.
+    list_version: Cell<u64>,
+
+    /// The version at which this node last saw something change in the list.
+    pub(crate) list_news: Cell<u64>,
+
+    /// The same, at any other node.
+    news_elsewhere: Cell<u64>,
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) refusing: Cell<bool>,
@@ -110,6 +119,9 @@
             refused: RefCell::default(),
             refusal_rates: RefCell::default(),
             list_read: Cell::new(None),
+            list_version: Cell::new(0),
+            list_news: Cell::new(0),
+            news_elsewhere: Cell::new(0),
             has_traffic: Cell::new(false),
             leaving: Cell::new(false),
             refusing: Cell::new(false),
@@ -200,6 +212,24 @@
         head.ok_or(NotRunReason::NoRoom)
     }
 
+    /// Notes up to which version the list of servers was read, and whether something changed.
+    pub(crate) fn note_reading(&self, version: u64, has_news: bool) {
+        self.list_version.set(version);
+        if has_news {
+            self.list_news.set(version);
+        }
+    }
+
+    /// Takes in that another node saw news in the list at a version.
+    pub(crate) fn hear_news(&self, version: u64) {
+        self.news_elsewhere.set(self.news_elsewhere.get().max(version));
+    }
+
+    /// Whether another node saw news in the list that this one has not read.
+    pub(crate) fn has_missed_news(&self) -> bool {
+        self.news_elsewhere.get() > self.list_version.get()
+    }
+
     /// Notes that the list of servers was read.
     pub(crate) fn note_list(&self, now: Instant) {
         let (first, _) = self.list_read.get().unwrap_or((now, now));
@@ -252,6 +282,12 @@
         members.any(|member| lost.contains(&member.life))
     }
 
+    /// When a caller that is refused now may come back.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let (least, most) = self.settings.retry_after;
+        least + most.saturating_sub(least).mul_f64(rand::random())
+    }
+
     /// Notes that a request for a model was refused for want of room.
     pub(crate) fn note_refusal(&self, model: Option<&ModelName>) {
         if let Some(model) = model {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,5 +38,5 @@
 pub use load_book::LoadBook;
 pub use peer_book::{PeerBook, PeerRecord};
 pub use relay_stream::{RelayStream, StreamBroken};
-pub use server_book::ServerBook;
+pub use server_book::{AppliedReading, ServerBook};
 pub use stall_book::StallBook;
--- a/crates/gateway/src/server_book.rs
+++ b/crates/gateway/src/server_book.rs
@@ -6,6 +6,16 @@
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{EngineSpec, FleetServer, GroupId, ServerLife, ServiceName, VmId};
 
+/// What a reading changed.
+#[derive(Debug, Default)]
+pub struct AppliedReading {
+    /// Servers that are in the list no more.
+    pub dropped: Vec<FleetServer>,
+
+    /// Whether a server came, went, or changed its place in a group.
+    pub has_news: bool,
+}
+
 /// The servers in the platform's list, as they were last read.
 #[derive(Debug, Default)]
 pub struct ServerBook {
@@ -17,9 +27,8 @@
 }
 
 impl ServerBook {
-    /// Takes in a reading, and returns the servers that were dropped by it. With `keeps`, servers
-    /// that it lacks stay.
-    pub fn apply(&mut self, reading: ServerReading, keeps: bool) -> Vec<FleetServer> {
+    /// Takes in a reading. With `keeps`, servers that it lacks stay.
+    pub fn apply(&mut self, reading: ServerReading, keeps: bool) -> AppliedReading {
         let before = self.servers.clone();
         if reading.is_whole && !keeps {
             self.servers.clear();
@@ -44,7 +53,11 @@
             members.into_iter().any(|membership| membership.group == *name)
         };
         self.whole.retain(|(name, _)| told(name));
-        before.into_values().filter(|server| self.get(&server.life).is_none()).collect()
+        let place = |server: &FleetServer| (server.membership.clone(), server.leaving);
+        let same = |old: &FleetServer| self.get(&old.life).map(place) == Some(place(old));
+        let has_news = before.len() != self.servers.len() || !before.values().all(same);
+        let dropped = before.into_values().filter(|server| self.get(&server.life).is_none());
+        AppliedReading { dropped: dropped.collect(), has_news }
     }
 
     /// All servers.
--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -190,7 +190,7 @@
                 return true;
             };
             let size = model.group_size as usize;
-            let odd = self.ready(staged) % size != 0;
+            let odd = !self.ready(staged).is_multiple_of(size);
             let yields = lack.need(&other.name) > lack.need(staged) * GREATER_NEED;
             !lack.lacks(staged) || self.servers.len() < size || (odd && yields)
         })
--- a/crates/ports/src/gateway_feeds.rs
+++ b/crates/ports/src/gateway_feeds.rs
@@ -53,6 +53,10 @@
     /// The changes are the whole list, and replace everything known.
     pub is_whole: bool,
 
+    /// The platform's version up to which changes are known. Rises from reading to reading, and
+    /// means the same at all nodes.
+    pub version: u64,
+
     /// The changes, in order.
     pub changes: Vec<ServerChange>,
 }
