Keep the last spare of each model in a domain, and spread groups over domains

Change: a spare gives way only if its domain has another one, or its model is in half the need; new groups go to the domain with the fewest servers in groups.

--- /dev/null
+++ b/crates/control/tests/lease_takeover.rs
@@ -0,0 +1,84 @@
+//! Taking the lease of a run that seems to be dead.
+
+use std::{rc::Rc, time::Duration};
+
+use comfreyturn_control::{LeaseKeeper, RowKeys, TimedTable};
+use comfreyturn_policy::LeaseTerm;
+use comfreyturn_ports::Clock;
+use comfreyturn_standin::fakes::{
+    FaultPlan, FaultSettings, LocalPool, ManualClock, MemoryTable, run_until,
+};
+use comfreyturn_types::{CellName, Incarnation, LeaseScope, NodeId};
+
+type LeaseRun = (NodeId, Incarnation);
+
+/// Runs of nodes that want the same lease.
+struct LeaseSite {
+    clock: ManualClock,
+    pool: LocalPool,
+    table: MemoryTable,
+}
+
+impl LeaseSite {
+    fn new() -> Self {
+        let clock = ManualClock::new();
+        let pool = LocalPool::new();
+        let plan = FaultPlan::new(&clock, &pool, FaultSettings::default());
+        Self { table: MemoryTable::new(&plan), clock, pool }
+    }
+
+    fn keeper(&self, run: &LeaseRun) -> LeaseKeeper {
+        let clock: Rc<dyn Clock> = Rc::new(self.clock.clone());
+        let table = TimedTable::new(self.table.for_node(&run.0), clock, Duration::from_secs(1));
+        let keys = RowKeys::new(CellName::from("cell"));
+        let scope = LeaseScope::from("fleet");
+        LeaseKeeper::new(table, LeaseTerm::default(), &keys, &scope, run.clone())
+    }
+
+    fn keep(&mut self, keeper: &LeaseKeeper) {
+        run_until(&self.clock, &mut self.pool, keeper.keep()).unwrap().unwrap();
+    }
+
+    fn take_over(&mut self, keeper: &LeaseKeeper, dead: &LeaseRun) {
+        run_until(&self.clock, &mut self.pool, keeper.take_over(dead)).unwrap().unwrap();
+    }
+
+    fn fencing(&self, keeper: &LeaseKeeper) -> Option<u64> {
+        keeper.held(self.clock.now()).map(|hold| hold.fencing.0)
+    }
+}
+
+fn run(node: &str, incarnation: u64) -> LeaseRun {
+    (NodeId::from(node), Incarnation(incarnation))
+}
+
+#[test]
+fn lease_of_a_dead_run_is_taken_before_it_lapses() {
+    let mut site = LeaseSite::new();
+    let (first, second) = (run("a", 1), run("b", 1));
+    let (old, new) = (site.keeper(&first), site.keeper(&second));
+    site.keep(&old);
+    site.keep(&new);
+    assert_eq!(site.fencing(&new), None, "the holder's term is not over");
+    site.take_over(&new, &first);
+    assert_eq!(site.fencing(&new), Some(2));
+    site.keep(&old);
+    assert_eq!(site.fencing(&old), None, "the old holder finds itself fenced at its next renewal");
+}
+
+#[test]
+fn lease_is_not_taken_from_a_run_that_came_after_the_dead_one() {
+    let mut site = LeaseSite::new();
+    let (dead, reborn, other) = (run("a", 1), run("a", 2), run("b", 1));
+    let (first, second, third) = (site.keeper(&dead), site.keeper(&reborn), site.keeper(&other));
+    site.keep(&first);
+    // The third one saw the dead run as the holder; then the node came back and took the lease.
+    site.keep(&third);
+    assert_eq!(third.holder(), Some(dead.clone()));
+    site.take_over(&second, &dead);
+    assert_eq!(site.fencing(&second), Some(2));
+    site.take_over(&third, &dead);
+    assert_eq!(site.fencing(&third), None);
+    site.keep(&second);
+    assert_eq!(site.fencing(&second), Some(2), "the living holder keeps the lease");
+}
--- /dev/null
+++ b/crates/gateway/src/forward_attempt.rs
@@ -0,0 +1,67 @@
+//! One attempt of a request at one server.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use comfreyturn_ports::{LinkError, ServerAnswer};
+use comfreyturn_types::ServerLife;
+use http::{HeaderMap, StatusCode};
+
+use crate::{ForwardAnswer, NotRunReason, gateway_state::GatewayState, load_book::LoadTicket};
+
+/// A server's answer to one attempt.
+pub(crate) struct Attempt {
+    pub(crate) life: ServerLife,
+    pub(crate) answer: Box<dyn ServerAnswer>,
+    pub(crate) _ticket: LoadTicket,
+}
+
+/// Why an attempt brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum AttemptError {
+    /// It was not made.
+    #[display("not sent: {_0}")]
+    NotMade(NotRunReason),
+
+    /// The server failed.
+    #[display("{_0}")]
+    Link(LinkError),
+
+    /// The server was silent for too long, and another one may try.
+    #[display("server silent")]
+    Silent,
+
+    /// The caller's time is over.
+    #[display("out of time")]
+    OutOfTime,
+}
+
+/// A whole answer of a server.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl WholeAnswer {
+    pub(crate) fn into_answer(self) -> ForwardAnswer {
+        let Self { status, headers, body } = self;
+        ForwardAnswer::Whole { status, headers, body }
+    }
+}
+
+/// Counts a request of a caller while it lives.
+pub(crate) struct InFlight(Rc<GatewayState>);
+
+impl InFlight {
+    pub(crate) fn start(state: &Rc<GatewayState>) -> Self {
+        state.in_flight.set(state.in_flight.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -5,17 +5,17 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
-use comfreyturn_ports::{LinkError, ServerAnswer, ServerCall};
+use comfreyturn_ports::{LinkError, ServerCall};
 use comfreyturn_types::{CustomerName, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, select};
-use http::{HeaderMap, StatusCode};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream, UnknownReason,
-    gateway_state::GatewayState, load_book::LoadTicket,
+    forward_attempt::{Attempt, AttemptError, InFlight, WholeAnswer},
+    gateway_state::GatewayState,
 };
 
 /// Servers that may be tried in a row without one of them being reached.
@@ -27,63 +27,6 @@
 /// What is taken off the time that a server is given, for the way of the answer.
 const WAY_TIME: Duration = Duration::from_millis(10);
 
-/// A server's answer to one attempt.
-pub(crate) struct Attempt {
-    pub(crate) life: ServerLife,
-    pub(crate) answer: Box<dyn ServerAnswer>,
-    _ticket: LoadTicket,
-}
-
-/// Why an attempt brought nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub(crate) enum AttemptError {
-    /// It was not made.
-    #[display("not sent: {_0}")]
-    NotMade(NotRunReason),
-
-    /// The server failed.
-    #[display("{_0}")]
-    Link(LinkError),
-
-    /// The server was silent for too long, and another one may try.
-    #[display("server silent")]
-    Silent,
-
-    /// The caller's time is over.
-    #[display("out of time")]
-    OutOfTime,
-}
-
-/// A whole answer of a server.
-struct WholeAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-impl WholeAnswer {
-    fn into_answer(self) -> ForwardAnswer {
-        let Self { status, headers, body } = self;
-        ForwardAnswer::Whole { status, headers, body }
-    }
-}
-
-/// Counts a request of a caller while it lives.
-pub(crate) struct InFlight(Rc<GatewayState>);
-
-impl InFlight {
-    pub(crate) fn start(state: &Rc<GatewayState>) -> Self {
-        state.in_flight.set(state.in_flight.get() + 1);
-        Self(state.clone())
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// One request on its way through servers.
 pub(crate) struct ForwardRun {
     pub(crate) state: Rc<GatewayState>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,9 +12,7 @@
 
 use crate::{
     BeatLoop, DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings,
-    NotRunReason,
-    forward_run::{ForwardRun, InFlight},
-    gateway_state::GatewayState,
+    NotRunReason, forward_attempt::InFlight, forward_run::ForwardRun, gateway_state::GatewayState,
 };
 
 /// Everything outside of a gateway.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod feed_loops;
 mod fleet_loop;
 mod forward_answer;
+mod forward_attempt;
 mod forward_request;
 mod forward_run;
 mod gateway;
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     EventCutter, ForwardAnswer, NotRunReason,
-    forward_run::{Attempt, AttemptError, ForwardRun},
+    forward_attempt::{Attempt, AttemptError},
+    forward_run::ForwardRun,
 };
 
 /// Pause before a stream that found no server to go on at looks again.
--- a/crates/gateway/src/server_book.rs
+++ b/crates/gateway/src/server_book.rs
@@ -36,7 +36,7 @@
         for change in reading.changes {
             match change {
                 ServerChange::Listed(server) => {
-                    if !before.get(&server.life.vm).is_some_and(|old| old.life == server.life) {
+                    if before.get(&server.life.vm).is_none_or(|old| old.life != server.life) {
                         let place = server.fabric_domain.as_ref().map_or("none", |d| d.as_str());
                         log::debug!("servers: {} listed, fabric domain {place}.", server.life);
                     }
--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -31,28 +31,36 @@
 }
 
 /// The free servers of one fabric domain.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct DomainPool<'a> {
     servers: Vec<PoolServer<'a>>,
+
+    /// Servers of the domain that are in groups.
+    bound: usize,
 }
 
-/// Sorts free servers by fabric domain. Servers without one are alone.
-pub(crate) fn pool_servers<'a>(free: impl Iterator<Item = PoolServer<'a>>) -> Vec<DomainPool<'a>> {
-    let mut domains: BTreeMap<Option<&FabricDomain>, Vec<PoolServer<'a>>> = BTreeMap::new();
+/// Sorts servers by fabric domain. Servers without one are alone.
+pub(crate) fn pool_servers<'a>(
+    free: impl Iterator<Item = PoolServer<'a>>,
+    bound: impl Iterator<Item = &'a FleetServer>,
+) -> Vec<DomainPool<'a>> {
+    let mut domains: BTreeMap<Option<&FabricDomain>, DomainPool<'a>> = BTreeMap::new();
     for server in free {
-        domains.entry(server.server.fabric_domain.as_ref()).or_default().push(server);
+        let domain = domains.entry(server.server.fabric_domain.as_ref()).or_default();
+        domain.servers.push(server);
     }
-    domains
-        .into_values()
-        .map(|mut servers| {
-            servers.sort_by(|a, b| a.server.life.cmp(&b.server.life));
-            DomainPool { servers }
-        })
-        .collect()
+    for server in bound {
+        domains.entry(server.fabric_domain.as_ref()).or_default().bound += 1;
+    }
+    let mut pools: Vec<DomainPool<'a>> = domains.into_values().collect();
+    for pool in &mut pools {
+        pool.servers.sort_by(|a, b| a.server.life.cmp(&b.server.life));
+    }
+    pools
 }
 
 /// The members of a new group of a model: from the domain where they are ready soonest, and among
-/// equals from the one with the most servers free.
+/// equals from the one with the fewest servers in groups, so that spares stay everywhere.
 pub(crate) fn best_pool<'a>(
     pools: &[DomainPool<'a>],
     model: &PooledModel,
@@ -61,7 +69,7 @@
     let candidates = pools.iter().filter_map(|pool| Some((pool, pool.soonest(model, size)?)));
     let best = candidates.min_by_key(|(pool, members)| {
         let ready = members.iter().map(|server| join_time(server, model)).max();
-        (ready, std::cmp::Reverse(pool.servers.len()))
+        (ready, pool.bound, std::cmp::Reverse(pool.servers.len()))
     });
     best.map(|(_, members)| members)
 }
@@ -104,6 +112,9 @@
     }
 }
 
+/// Spares of each model that a domain keeps though the model lacks no group.
+const KEPT_SPARES: usize = 1;
+
 /// How many times the need of another model must be greater for it to take a server over.
 const GREATER_NEED: f64 = 2.0;
 
@@ -175,9 +186,9 @@
         Some(LoadChoice { server, model: model.name.clone(), score })
     }
 
-    /// Whether the weights of a server may give way to those of another model: their own model
-    /// lacks no group, or the domain is too small for one, or the server is one too many for whole
-    /// groups and the other model is in much greater need.
+    /// Whether the weights of a server may give way to those of another model: its own model lacks
+    /// no group and has another spare here, or the server is one too many for whole groups and the
+    /// other model is in much greater need.
     fn is_surplus(
         &self,
         lack: &GroupLack<'_>,
@@ -189,10 +200,10 @@
             let Some(model) = models.iter().find(|model| model.name == *staged) else {
                 return true;
             };
-            let size = model.group_size as usize;
-            let odd = !self.ready(staged).is_multiple_of(size);
+            let ready = self.ready(staged);
+            let is_odd = !ready.is_multiple_of(model.group_size as usize);
             let yields = lack.need(&other.name) > lack.need(staged) * GREATER_NEED;
-            !lack.lacks(staged) || self.servers.len() < size || (odd && yields)
+            (!lack.lacks(staged) && ready > KEPT_SPARES) || (is_odd && yields)
         })
     }
 
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -12,113 +12,19 @@
 
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
-    EngineSpec, FleetGroupRecord, FleetServer, GroupId, MemberPhase, MemberRecord, ModelName,
-    PooledModel, ServerLife, ServiceName,
+    FleetGroupRecord, FleetServer, GroupId, MemberPhase, MemberRecord, ModelName, PooledModel,
+    ServerLife, ServiceName,
 };
 
 use crate::{
+    FleetOrder, FleetPlannerSettings, FleetView,
     fleet_match::{DomainPool, GroupLack, LoadChoice, PoolServer, best_pool, pool_servers},
+    fleet_plan::FleetPlan,
     fleet_state::{ToldGroup, group_model, group_name, phase_of, told_groups},
     fleet_target::{demanded_groups, target_groups},
     planned_group::{GroupHealth, PlanScene, PlannedGroup, load_limit, place_phase},
 };
 
-/// Settings of a [`FleetPlanner`].
-#[derive(Clone, Copy, Debug)]
-pub struct FleetPlannerSettings {
-    /// Part of the servers that is kept out of groups before the first request, to replace members
-    /// that are lost.
-    pub spare_share: f64,
-
-    /// Part of a group's slots that may be in use before its model gets another group.
-    pub utilization: f64,
-
-    /// An order that shows no effect is given again after this time.
-    pub order_patience: Duration,
-
-    /// A group that is not told whole by then, counted from its first order, is given up.
-    pub form_patience: Duration,
-
-    /// A head that neither answers nor is listed is taken to be gone after this time.
-    pub gone_head_wait: Duration,
-
-    /// Loads that are under way at once before the first request, as a multiple of what runs at
-    /// full speed. More keep the weight store busy without a pause.
-    pub first_load_factor: f64,
-}
-
-impl Default for FleetPlannerSettings {
-    fn default() -> Self {
-        Self {
-            spare_share: 0.2,
-            utilization: 0.5,
-            order_patience: Duration::from_millis(500),
-            form_patience: Duration::from_millis(2500),
-            gone_head_wait: Duration::from_millis(300),
-            first_load_factor: 2.0,
-        }
-    }
-}
-
-/// What the planner decides over.
-#[derive(Clone, Debug)]
-pub struct FleetView<'a> {
-    /// The service.
-    pub service: &'a ServiceName,
-
-    /// How its servers run models.
-    pub engine: &'a EngineSpec,
-
-    /// All servers in the platform's list, and those that were dropped from it a short time ago,
-    /// as they were last listed.
-    pub servers: Vec<&'a FleetServer>,
-
-    /// Servers that were dropped from the list. They take no new work; their groups live on as
-    /// long as they answer.
-    pub unlisted: &'a HashSet<ServerLife>,
-
-    /// Servers that do not answer.
-    pub lost: &'a HashSet<ServerLife>,
-
-    /// Work of each model, in requests under way; before the first one, in any unit.
-    pub work: &'a HashMap<ModelName, f64>,
-
-    /// Whether no request has come yet. Weights load fast then, and nobody waits for a group.
-    pub before_traffic: bool,
-}
-
-/// An order to one server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FleetOrder {
-    /// The server.
-    pub life: ServerLife,
-
-    /// What it is to do.
-    pub action: FleetAction,
-}
-
-/// A plan in the making.
-#[derive(Default)]
-struct Plan {
-    orders: Vec<FleetOrder>,
-
-    /// Servers that are bound to a group.
-    held: HashSet<ServerLife>,
-
-    /// Groups that serve or will.
-    active: HashMap<ModelName, u32>,
-}
-
-impl Plan {
-    fn order(&mut self, life: &ServerLife, action: FleetAction) {
-        self.orders.push(FleetOrder { life: life.clone(), action });
-    }
-
-    fn hold(&mut self, group: &PlannedGroup) {
-        self.held.extend(group.record.members.iter().map(|member| member.life.clone()));
-    }
-}
-
 /// Plans the groups of one service.
 #[derive(Debug)]
 pub struct FleetPlanner {
@@ -172,7 +78,7 @@
         let scene = PlanScene::new(view);
         self.forget_old(now, &scene);
         self.match_told_groups(now, &scene);
-        let mut plan = Plan::default();
+        let mut plan = FleetPlan::default();
         let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
         for group in groups {
             self.tend_group(now, &scene, &group, &mut plan);
@@ -203,7 +109,7 @@
         &self.summary
     }
 
-    fn summarize(&self, view: &FleetView<'_>, plan: &Plan) -> String {
+    fn summarize(&self, view: &FleetView<'_>, plan: &FleetPlan) -> String {
         let usable = view.servers.iter().filter(|server| is_usable(view, server));
         let (bound, free): (Vec<&&FleetServer>, Vec<&&FleetServer>) =
             usable.partition(|server| plan.held.contains(&server.life));
@@ -306,7 +212,13 @@
     // Groups that are there
 
     /// Does what a group needs next, and notes which servers are bound to it.
-    fn tend_group(&mut self, now: Instant, scene: &PlanScene<'_>, name: &GroupId, plan: &mut Plan) {
+    fn tend_group(
+        &mut self,
+        now: Instant,
+        scene: &PlanScene<'_>,
+        name: &GroupId,
+        plan: &mut FleetPlan,
+    ) {
         let Some(group) = self.groups.get_mut(name) else { return };
         let health = group.health(now, scene, &self.settings);
         group.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
@@ -344,7 +256,7 @@
         now: Instant,
         scene: &PlanScene<'_>,
         group: &PlannedGroup,
-        plan: &mut Plan,
+        plan: &mut FleetPlan,
     ) {
         let FleetGroupRecord { group: name, epoch, .. } = &group.record;
         let head = &group.record.head().life;
@@ -373,7 +285,7 @@
     // New groups
 
     /// Decides on new groups. Their members are ordered in once their rows stand.
-    fn form_groups(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut Plan) {
+    fn form_groups(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut FleetPlan) {
         let targets = self.targets(view);
         loop {
             let pools = self.pools(view, &plan.held);
@@ -446,15 +358,14 @@
 
     /// Free servers by fabric domain.
     fn pools<'a>(&self, view: &FleetView<'a>, held: &HashSet<ServerLife>) -> Vec<DomainPool<'a>> {
-        let free = view
-            .servers
-            .iter()
-            .copied()
-            .filter(|server| is_usable(view, server) && !held.contains(&server.life));
-        pool_servers(free.map(|server| PoolServer {
+        let usable = view.servers.iter().copied().filter(|server| is_usable(view, server));
+        let (bound, free): (Vec<_>, Vec<_>) =
+            usable.partition(|server| held.contains(&server.life));
+        let free = free.into_iter().map(|server| PoolServer {
             server,
             loading: self.staging.get(&server.life).map(|(model, _)| model.clone()),
-        }))
+        });
+        pool_servers(free, bound.into_iter())
     }
 
     /// Servers that load weights now.
@@ -471,7 +382,7 @@
     // ---------------------------------------------------------------------------------------
     // Weights ahead of need
 
-    fn stage_weights(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut Plan) {
+    fn stage_weights(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut FleetPlan) {
         let targets = self.targets(view);
         let active = &plan.active;
         let lacks = |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -391,3 +391,22 @@
     let (big, small) = (per_group("big", 1.0), per_group("small", 0.5));
     assert!(big / small < 1.5 && small / big < 1.5, "work of a group: {big}, {small}");
 }
+
+#[test]
+fn last_spare_of_a_model_that_lacks_nothing_is_not_given_other_weights() {
+    let mut servers: Vec<FleetServer> = (0..4).map(|index| server(index, &["big"])).collect();
+    servers.push(server(4, &["big"]));
+    servers.extend((5..7).map(|index| server(index, &["small"])));
+    servers.push(server(7, &["small"]));
+    let mut fleet = TestFleet::new(servers, vec![model("big", 4), model("small", 2)]);
+    // The large model has all that it needs; the small one would like a second group.
+    fleet.work.insert(ModelName::from("big"), 8.0);
+    fleet.work.insert(ModelName::from("small"), 12.0);
+    for _ in 0..8 {
+        let orders = fleet.orders();
+        let stages = orders.iter().any(|order| matches!(order.action, FleetAction::Stage { .. }));
+        assert!(!stages, "the spare of the large model serves to mend its group");
+        fleet.carry_out(&orders);
+    }
+    assert_eq!(fleet.in_phase(MemberPhase::Open).len(), 2);
+}
