--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -116,7 +116,7 @@
 const KEPT_SPARES: usize = 1;
 
 /// How many times the need of another model must be greater for it to take a server over.
-const GREATER_NEED: f64 = 2.0;
+const GREATER_NEED: f64 = 1.5;
 
 /// Weights that a server should load.
 pub(crate) struct LoadChoice<'a> {
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             spare_share: 0.2,
-            utilization: 0.65,
+            utilization: 0.7,
             order_patience: Duration::from_millis(500),
             form_patience: Duration::from_millis(2500),
             gone_head_wait: Duration::from_millis(300),
