--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -49,7 +49,8 @@
                 ports.datagrams.send(address, beat.clone()).await;
             }
             self.forget(now);
-            ports.clock.sleep(self.gateway.state.settings.beat_period).await;
+            let state = &self.gateway.state;
+            ports.clock.sleep(state.stretched(state.settings.beat_period)).await;
         }
     }
 
@@ -72,7 +73,8 @@
         self.sequence.set(self.sequence.get() + 1);
         let own = state.loads.own().into_iter();
         let stalls = state.stalls.borrow().own_stalls(now, state.settings.stall_memory);
-        let refusals = state.update_refusals(state.settings.beat_period).into_iter();
+        let period = state.stretched(state.settings.beat_period);
+        let refusals = state.update_refusals(period).into_iter();
         let deaths = state.deaths.borrow();
         #[expect(
             clippy::cast_possible_truncation,
@@ -159,8 +161,9 @@
 
     fn forget(&self, now: Instant) {
         let state = &self.gateway.state;
-        state.loads.forget_silent(now, LOAD_MEMORY);
-        state.peers.borrow_mut().forget_silent(now, FORGET_TIME);
+        state.loads.forget_silent(now, state.stretched(LOAD_MEMORY));
+        let limit = state.stretched(FORGET_TIME);
+        state.peers.borrow_mut().forget_silent(now, limit);
         let recent = |at: &Instant| now.saturating_duration_since(*at) < DEATH_REPEAT_TIME;
         state.deaths.borrow_mut().retain(|(at, _, _)| recent(at));
     }
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -118,8 +118,9 @@
         if holder == identity.node {
             return (run != identity.incarnation).then_some((holder, run));
         }
+        let silence = state.stretched(state.settings.holder_silence);
         let peers = state.peers.borrow();
-        let alive: Vec<_> = peers.alive(now, state.settings.holder_silence).collect();
+        let alive: Vec<_> = peers.alive(now, silence).collect();
         let heard = alive.iter().any(|(node, peer)| **node == holder && peer.incarnation == run);
         let first = alive.iter().all(|(node, _)| identity.node <= **node);
         let is_dead = !heard && first && !alive.is_empty();
@@ -132,8 +133,9 @@
         if self.lease.held(now).is_some() {
             return state.settings.lease_period;
         }
+        let silence = state.stretched(state.settings.holder_silence);
         let peers = state.peers.borrow();
-        let held = peers.alive(now, state.settings.holder_silence).any(|(_, peer)| peer.lease > 0);
+        let held = peers.alive(now, silence).any(|(_, peer)| peer.lease > 0);
         if !held {
             return state.settings.lease_period / 2;
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -162,8 +162,9 @@
     /// The addresses of all nodes that callers should use.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let now = self.ports.clock.now();
+        let silence = self.state.stretched(self.state.settings.peer_silence);
         let peers = self.state.peers.borrow();
-        let alive = peers.alive(now, self.state.settings.peer_silence);
+        let alive = peers.alive(now, silence);
         let ready = alive.filter(|(_, peer)| peer.ready);
         let mut addresses: Vec<_> = ready.filter_map(|(_, peer)| peer.caller_address).collect();
         if self.is_ready() {
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -40,6 +40,9 @@
 /// How long a server that was dropped from the list is remembered.
 const UNLISTED_MEMORY: Duration = Duration::from_secs(20);
 
+/// Other nodes that are told at the usual rate.
+const PEERS_AT_FULL_RATE: u32 = 16;
+
 /// A list of servers that was not read for this time is no ground for plans.
 const LIST_MEMORY: Duration = Duration::from_secs(2);
 
@@ -282,6 +285,13 @@
         members.any(|member| lost.contains(&member.life))
     }
 
+    /// A period of beats, or a time of silence, stretched for the number of nodes: each node sends
+    /// to every other one, and may spend only so much on it.
+    pub(crate) fn stretched(&self, period: Duration) -> Duration {
+        let peers = u32::try_from(self.peers.borrow().len()).unwrap_or(u32::MAX);
+        period * (peers / PEERS_AT_FULL_RATE).max(1)
+    }
+
     /// When a caller that is refused now may come back.
     pub(crate) fn retry_after(&self) -> Duration {
         let (least, most) = self.settings.retry_after;
--- a/crates/gateway/src/peer_book.rs
+++ b/crates/gateway/src/peer_book.rs
@@ -78,6 +78,16 @@
         true
     }
 
+    /// How many other nodes are known.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no other node is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// All other nodes, heard of or not.
     pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
         self.peers.values()
