Look at the lease as soon as its holder falls silent

Cause: a follower chose its pause of 4 s before it slept, so a holder that died right after was replaced up to 4 s later.

Change: it looks four times a second whether the holder is heard of, without a call of the store, and calls at once when it is not.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -106,7 +106,27 @@
             if let Err(error) = result {
                 log::warn!("lease: not kept: {error}.");
             }
-            ports.clock.sleep(self.lease_pause()).await;
+            self.await_lease_call().await;
+        }
+    }
+
+    /// Waits until the lease is to be renewed or looked at. A look at another node's lease can
+    /// wait for long, unless that node falls silent or gives the lease back.
+    async fn await_lease_call(&self) {
+        let Gateway { ports, state, .. } = &*self.gateway;
+        let settings = &state.settings;
+        let called_at = ports.clock.now();
+        loop {
+            ports.clock.sleep(settings.lease_period / 2).await;
+            let now = ports.clock.now();
+            let pause = match self.lease.held(now) {
+                Some(_) => settings.lease_period,
+                None if self.holder_is_heard(now) => settings.lease_look_period,
+                None => Duration::ZERO,
+            };
+            if now.saturating_duration_since(called_at) >= pause {
+                return;
+            }
         }
     }
 
@@ -127,19 +147,11 @@
         is_dead.then_some((holder, run))
     }
 
-    fn lease_pause(&self) -> Duration {
-        let Gateway { ports, state, .. } = &*self.gateway;
-        let now = ports.clock.now();
-        if self.lease.held(now).is_some() {
-            return state.settings.lease_period;
-        }
+    /// Whether any node that is heard of holds the lease.
+    fn holder_is_heard(&self, now: Instant) -> bool {
+        let state = &self.gateway.state;
         let silence = state.stretched(state.settings.holder_silence);
-        let peers = state.peers.borrow();
-        let held = peers.alive(now, silence).any(|(_, peer)| peer.lease > 0);
-        if !held {
-            return state.settings.lease_period / 2;
-        }
-        state.settings.lease_look_period
+        state.peers.borrow().alive(now, silence).any(|(_, peer)| peer.lease > 0)
     }
 
     // ---------------------------------------------------------------------------------------
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,6 +173,11 @@
         addresses
     }
 
+    /// Whether this node holds the fleet's lease and orders servers into groups.
+    pub fn forms_groups(&self) -> bool {
+        self.state.plans.get()
+    }
+
     /// Requests of callers that are under way.
     pub fn in_flight(&self) -> usize {
         self.state.in_flight.get()
