--- a/crates/ctl/tests/support/http.rs
+++ b/crates/ctl/tests/support/http.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 over plain sockets, so that tests can also send what no client library would.
 
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Longest that any answer may take.
@@ -49,10 +49,23 @@
 /// Sends raw bytes on a connection of its own and reads the answer; `None` if the connection ended
 /// without one.
 pub fn send_raw(address: SocketAddr, bytes: &[u8]) -> Option<HttpAnswer> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
-    let _ = stream.write_all(bytes);
-    read_answer(stream)
+    let started_at = Instant::now();
+    let answer = exchange(address, bytes);
+    if let Err(error) = &answer {
+        eprintln!("test: no answer from {address} after {:?}: {error}", started_at.elapsed());
+    }
+    answer.ok()
+}
+
+fn exchange(address: SocketAddr, bytes: &[u8]) -> io::Result<HttpAnswer> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    // The node may answer and close before it has read everything.
+    let written = stream.write_all(bytes);
+    read_answer(stream).map_err(|error| match written {
+        Ok(()) => error,
+        Err(written) => io::Error::new(error.kind(), format!("{error}, after writing: {written}")),
+    })
 }
 
 /// Sends one request with a JSON or other text body.
@@ -80,15 +93,16 @@
     text
 }
 
-fn read_answer(stream: TcpStream) -> Option<HttpAnswer> {
+fn read_answer(stream: TcpStream) -> io::Result<HttpAnswer> {
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
-    reader.read_line(&mut line).ok()?;
-    let status = line.split(' ').nth(1)?.parse().ok()?;
+    reader.read_line(&mut line)?;
+    let status = line.split(' ').nth(1).and_then(|word| word.parse().ok());
+    let status = status.ok_or_else(|| io::Error::other(format!("no status line: {line:?}")))?;
     let mut answer = HttpAnswer { status, ..HttpAnswer::default() };
     loop {
         let mut line = String::new();
-        reader.read_line(&mut line).ok()?;
+        reader.read_line(&mut line)?;
         let Some((name, value)) = line.trim_end().split_once(':') else { break };
         answer.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
@@ -96,7 +110,7 @@
         Some("chunked") => read_chunks(&mut reader),
         _ => read_rest(&mut reader),
     };
-    Some(answer)
+    Ok(answer)
 }
 
 fn read_rest(reader: &mut impl Read) -> String {
--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -61,7 +61,7 @@
             match ports.datagrams.receive().await {
                 Ok(bytes) => self.take(ports.clock.now(), &bytes),
                 Err(error) => {
-                    log::warn!("beats: nothing received: {error}.");
+                    log::warn!(cause:% = error; "beats: nothing received.");
                     ports.clock.sleep(self.gateway.state.settings.beat_period).await;
                 }
             }
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -7,7 +7,11 @@
 
 use comfreyturn_ports::FeedError;
 
-use crate::{Gateway, gateway_state::ConfigView};
+use crate::{
+    Gateway,
+    gateway_state::ConfigView,
+    node_belief::{age_ms, whole_ms},
+};
 
 impl Gateway {
     /// Follows the operators' configuration for ever.
@@ -17,23 +21,30 @@
             match self.ports.config_feed.next().await {
                 Ok(reading) => {
                     if !std::mem::replace(&mut is_connected, true) {
-                        log::info!("config: platform reached again.");
+                        log::info!("config: store reached again.");
                     }
                     let mut confirmed = self.state.confirmed.get();
                     confirmed.confirm(reading.proven_at);
                     self.state.confirmed.set(confirmed);
                     if let Some(config) = reading.config {
                         log::info!(
-                            "config: version {} with {} routes in force.",
-                            config.version,
-                            config.routes.len()
+                            config_version = config.version,
+                            routes = config.routes.len(),
+                            customers = config.customers.as_ref().map(Vec::len);
+                            "config: version in force."
                         );
                         *self.state.config.borrow_mut() = Some(Rc::new(ConfigView::new(config)));
                     }
                 }
                 Err(error) => {
                     if std::mem::replace(&mut is_connected, false) {
-                        log::warn!("config: no news: {error}.");
+                        let belief = self.state.belief(self.ports.clock.now());
+                        log::warn!(
+                            cause:% = error,
+                            config_version = belief.config_version,
+                            config_age_ms = age_ms(belief.config_age);
+                            "config: store not reached."
+                        );
                     }
                     self.ports.clock.sleep(self.state.settings.feed_pause).await;
                 }
@@ -104,7 +115,7 @@
 
     fn note_failure(&mut self, now: Instant, error: FeedError) {
         if self.away_since.is_none() {
-            log::warn!("servers: no news: {error}.");
+            log::warn!(cause:% = error; "servers: list not reached.");
             self.away_since = Some(now);
         }
     }
@@ -113,7 +124,7 @@
     fn note_reading(&mut self, now: Instant, is_whole: bool) -> bool {
         if let Some(since) = self.away_since.take() {
             let outage = now.saturating_duration_since(since);
-            log::info!("servers: list reached again after {} ms.", outage.as_millis());
+            log::info!(outage_ms = whole_ms(outage); "servers: list reached again.");
             if outage >= SHORT_OUTAGE {
                 self.until = Some(now + self.wait);
             }
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -16,7 +16,10 @@
 };
 use futures_util::future::{Either, select};
 
-use crate::{Gateway, group_rows::GroupRows, server_watch::ServerWatch};
+use crate::{
+    Gateway, gateway_metrics::count_order, group_rows::GroupRows, node_belief::age_ms,
+    server_watch::ServerWatch,
+};
 
 /// What the lease covers.
 const FLEET_SCOPE: &str = "fleet";
@@ -104,7 +107,7 @@
                 None => self.lease.keep().await,
             };
             if let Err(error) = result {
-                log::warn!("lease: not kept: {error}.");
+                log::warn!(cause:% = error; "lease: not kept.");
             }
             self.await_lease_call().await;
         }
@@ -160,7 +163,7 @@
     /// Plans each service, writes rows first, then gives orders.
     async fn plan(self: &Rc<Self>, hold: LeaseHold) {
         if let Err(error) = self.restore(hold.fencing).await {
-            log::warn!("fleet: groups not read: {error}.");
+            log::warn!(cause:% = error; "fleet: groups not read.");
             return;
         }
         let restored = self.parts.borrow().restored;
@@ -181,7 +184,7 @@
         let records = self.rows.load().await?;
         let now = self.gateway.ports.clock.now();
         let state = &self.gateway.state;
-        log::info!("fleet: takes over {} groups.", records.len());
+        log::info!(groups = records.len(), fencing = fencing.0; "fleet: takes over groups.");
         for record in &records {
             state.remember_members(now, record);
         }
@@ -211,7 +214,7 @@
             return false;
         }
         if let Err(error) = self.rows.save(hold, &written, &removed).await {
-            log::warn!("fleet: rows of {} groups not written: {error}.", written.len());
+            log::warn!(groups = written.len(), cause:% = error; "fleet: rows of groups not written.");
             return false;
         }
         for planner in self.parts.borrow_mut().planners.values_mut() {
@@ -262,7 +265,15 @@
         let orders = planner.plan(now, &view);
         if parts.summary_at.is_none_or(|at| now.saturating_duration_since(at) >= SUMMARY_PERIOD) {
             parts.summary_at = Some(now);
-            log::info!("fleet: {}", parts.planners[name].summary());
+            let belief = state.belief(now);
+            log::info!(
+                service:% = name,
+                fencing = fencing.0,
+                plan = parts.planners[name].summary(),
+                list_version = belief.list_version,
+                list_age_ms = age_ms(belief.list_age);
+                "fleet: state."
+            );
         }
         for order in orders {
             let dropped = || remembered.get(&order.life).map(|(_, server)| server);
@@ -335,16 +346,25 @@
             self.note_answer(&server.service, &order, *outcome);
         }
         let FleetOrder { life, action } = &order;
-        match answer {
-            Either::Left((Ok(OrderOutcome::Taken), _)) => {
-                log::info!("fleet: {life} takes {action:?}.");
-            }
-            Either::Left((Ok(outcome), _)) => {
-                log::warn!("fleet: {life} answers {outcome} to {action:?}.");
-            }
-            Either::Left((Err(_), _)) | Either::Right(_) => {
-                log::warn!("fleet: {life} gives no answer to {action:?}.");
-            }
-        }
+        let outcome = match answer {
+            Either::Left((Ok(outcome), _)) => Some(outcome),
+            Either::Left((Err(_), _)) | Either::Right(_) => None,
+        };
+        count_order(action, outcome);
+        let level = match outcome {
+            Some(OrderOutcome::Taken) => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        let answer: &str = outcome.map_or("no-answer", Into::into);
+        log::log!(
+            level,
+            server:% = life,
+            order:% = action,
+            group = action.group().map(|(group, _)| group.as_str()),
+            epoch = action.group().map(|(_, epoch)| epoch),
+            outcome = answer,
+            fencing = fencing.0;
+            "fleet: order answered."
+        );
     }
 }
--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -36,6 +36,17 @@
     OutOfTime,
 }
 
+impl From<AttemptError> for &'static str {
+    fn from(error: AttemptError) -> Self {
+        match error {
+            AttemptError::NotMade(reason) => reason.into(),
+            AttemptError::Link(error) => error.into(),
+            AttemptError::Silent => "silent",
+            AttemptError::OutOfTime => "out-of-time",
+        }
+    }
+}
+
 /// A whole answer of a server.
 pub(crate) struct WholeAnswer {
     pub(crate) status: StatusCode,
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -16,6 +16,7 @@
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream, UnknownReason,
     forward_attempt::{Attempt, AttemptError, InFlight, WholeAnswer},
     gateway_state::GatewayState,
+    request_story::RequestStory,
 };
 
 /// Servers that may be tried in a row without one of them being reached.
@@ -50,6 +51,7 @@
     pub(crate) may_have_run: bool,
 
     pub(crate) _in_flight: InFlight,
+    pub(crate) story: RequestStory,
 }
 
 impl ForwardRun {
@@ -75,7 +77,7 @@
         loop {
             let error = match self.attempt(self.answer_limit(), None, false).await {
                 Ok(attempt) => match self.collect(attempt).await {
-                    Ok(whole) if !self.is_worth_repeating(&whole) => return whole.into_answer(),
+                    Ok(whole) if !self.is_worth_repeating(&whole) => return self.served(whole),
                     Ok(whole) => {
                         failure = Some(whole);
                         if self.take_retry() {
@@ -88,7 +90,7 @@
                 Err(error) => error,
             };
             if let Some(whole) = failure {
-                return whole.into_answer();
+                return self.served(whole);
             }
             if !self.goes_on(error) {
                 return self.give_up(error);
@@ -144,7 +146,7 @@
                             if self.is_worth_repeating(&whole) && self.take_retry() {
                                 continue;
                             }
-                            return whole.into_answer();
+                            return self.served(whole);
                         }
                         Err(error) => error,
                     }
@@ -190,6 +192,7 @@
             let server = self.state.pick(now, &self.service, model, &self.tried, urgent);
             let server = server.map_err(AttemptError::NotMade)?;
             self.tried.push(server.life.clone());
+            self.story.asked(&server.life);
             let ticket = self.state.loads.start(&server.life);
             let call = ServerCall {
                 request: self.request.id.clone(),
@@ -209,11 +212,10 @@
                 Ok(Ok(answer)) => {
                     self.sent += 1;
                     self.may_have_run = true;
+                    self.story.answered(self.sent);
                     return Ok(Attempt { life: server.life, answer, _ticket: ticket });
                 }
-                Ok(Err(LinkError::NotSent)) => {
-                    log::info!("forward: {} server {} not reached.", self.request.id, server.life);
-                }
+                Ok(Err(LinkError::NotSent)) => self.story.not_reached(),
                 Ok(Err(error)) => {
                     self.sent += 1;
                     self.may_have_run |= error != LinkError::NotRun;
@@ -282,14 +284,14 @@
     }
 
     pub(crate) fn note_stall(&self, life: &ServerLife) {
-        log::info!("forward: {} server {life} fell silent.", self.request.id);
+        self.story.failed(self.sent, AttemptError::Silent);
         self.state.stalls.borrow_mut().stall(self.now(), life);
     }
 
     /// Remembers a connection that broke while the request may have run: its request may have
     /// killed the server.
     pub(crate) fn note_failure(&self, life: &ServerLife, error: LinkError) {
-        log::info!("forward: {} server {life} failed: {error}.", self.request.id);
+        self.story.failed(self.sent, AttemptError::Link(error));
         if error != LinkError::Broken {
             return;
         }
@@ -324,7 +326,6 @@
 
     fn give_up(&self, error: AttemptError) -> ForwardAnswer {
         let ran = self.may_have_run;
-        log::info!("forward: {} given up after {} attempts: {error}.", self.request.id, self.sent);
         match error {
             AttemptError::NotMade(reason) if !ran => self.not_run(reason),
             AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
@@ -332,18 +333,29 @@
             }
             AttemptError::OutOfTime if !ran => self.not_run(NotRunReason::TooLate),
             AttemptError::OutOfTime | AttemptError::Silent => {
-                ForwardAnswer::Unknown(UnknownReason::Timeout)
+                self.unknown(UnknownReason::Timeout, error)
             }
-            _ => ForwardAnswer::Unknown(UnknownReason::AnswerLost),
+            _ => self.unknown(UnknownReason::AnswerLost, error),
         }
     }
 
+    fn unknown(&self, reason: UnknownReason, cause: AttemptError) -> ForwardAnswer {
+        self.story.unknown(reason, cause);
+        ForwardAnswer::Unknown(reason)
+    }
+
+    fn served(&self, whole: WholeAnswer) -> ForwardAnswer {
+        self.story.served(whole.status);
+        whole.into_answer()
+    }
+
     pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
         if matches!(reason, NotRunReason::NoRoom | NotRunReason::NoServer) {
             self.state.note_refusal(self.request.model.as_ref());
         }
-        log::info!("forward: {} not run: {reason}.", self.request.id);
-        ForwardAnswer::NotRun { reason, retry_after: self.state.retry_after() }
+        let retry_after = self.state.retry_after();
+        self.story.not_run(reason, retry_after);
+        ForwardAnswer::NotRun { reason, retry_after }
     }
 
     /// Drops a call that takes longer than `limit`.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::{
     BeatLoop, DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings,
     NotRunReason, forward_attempt::InFlight, forward_run::ForwardRun, gateway_state::GatewayState,
+    request_story::RequestStory,
 };
 
 /// Everything outside of a gateway.
@@ -92,29 +93,31 @@
         spawn(Box::pin(beats.clone().send()));
         spawn(Box::pin(beats.receive()));
         spawn(Box::pin(FleetLoop::new(self.clone()).run()));
+        spawn(Box::pin(self.clone().keep_gauges()));
     }
 
     /// Answers a request.
     pub async fn forward(&self, request: ForwardRequest) -> ForwardAnswer {
         let state = &self.state;
         state.has_traffic.set(true);
+        let mut story = RequestStory::new(state, &self.ports.clock, &request);
         if state.refusing.get() {
-            return self.not_run(&request, NotRunReason::Leaving);
+            return self.not_run(&story, NotRunReason::Leaving);
         }
         let view = state.config.borrow().clone();
-        let Some(view) = view else { return self.not_run(&request, NotRunReason::NoConfig) };
+        let Some(view) = view else { return self.not_run(&story, NotRunReason::NoConfig) };
         let Some(route) = view.routes.find(&request.host, request.path()) else {
-            return denied(&request, DeniedReason::NoRoute);
+            return denied(&story, DeniedReason::NoRoute);
         };
         let needs_key = view.keys.is_some() && !route.public;
         if needs_key && !state.config_is_usable(self.ports.clock.now()) {
-            return self.not_run(&request, NotRunReason::StaleConfig);
+            return self.not_run(&story, NotRunReason::StaleConfig);
         }
         let customer = match &view.keys {
             Some(keys) if needs_key => {
                 let Some(customer) = request.key.as_deref().and_then(|key| keys.customer(key))
                 else {
-                    return denied(&request, DeniedReason::UnknownKey);
+                    return denied(&story, DeniedReason::UnknownKey);
                 };
                 Some(customer)
             }
@@ -123,8 +126,10 @@
         let target = choose_target(route, rand::random());
         let service = target.and_then(|target| view.config.services.get(&target.service));
         let Some(service) = service else {
-            return self.not_run(&request, NotRunReason::NoServer);
+            return self.not_run(&story, NotRunReason::NoServer);
         };
+        let label = view.customer_label(customer.map(|customer| &customer.name));
+        story.routed(&service.name, label, customer.and_then(|customer| customer.priority));
         let limit = request.deadline.map_or(route.timeout, |limit| limit.min(route.timeout));
         let run = ForwardRun {
             state: state.clone(),
@@ -138,14 +143,16 @@
             sent: 0,
             may_have_run: false,
             _in_flight: InFlight::start(state),
+            story,
             request,
         };
         run.run().await
     }
 
-    fn not_run(&self, request: &ForwardRequest, reason: NotRunReason) -> ForwardAnswer {
-        log::info!("forward: {} not run: {reason}.", request.id);
-        ForwardAnswer::NotRun { reason, retry_after: self.state.retry_after() }
+    fn not_run(&self, story: &RequestStory, reason: NotRunReason) -> ForwardAnswer {
+        let retry_after = self.state.retry_after();
+        story.not_run(reason, retry_after);
+        ForwardAnswer::NotRun { reason, retry_after }
     }
 
     // ---------------------------------------------------------------------------------------
@@ -186,13 +193,13 @@
     /// Tells everybody that callers should go elsewhere. Requests are still answered.
     pub fn announce_leaving(&self) {
         self.state.leaving.set(true);
-        log::info!("gateway: leaving, {} requests under way.", self.in_flight());
+        log::info!(in_flight = self.in_flight(); "gateway: leaving.");
     }
 
     /// Refuses requests that come from now on.
     pub fn refuse_new(&self) {
         self.state.refusing.set(true);
-        log::info!("gateway: refuses new requests, {} under way.", self.in_flight());
+        log::info!(in_flight = self.in_flight(); "gateway: refuses new requests.");
     }
 
     /// The table service, for the lease.
@@ -201,7 +208,7 @@
     }
 }
 
-fn denied(request: &ForwardRequest, reason: DeniedReason) -> ForwardAnswer {
-    log::info!("forward: {} denied: {reason}.", request.id);
+fn denied(story: &RequestStory, reason: DeniedReason) -> ForwardAnswer {
+    story.denied(reason);
     ForwardAnswer::Denied(reason)
 }
--- /dev/null
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -0,0 +1,77 @@
+//! Counters and histograms of a gateway. Labels are names of the configuration and bounded enums.
+
+use std::time::Duration;
+
+use comfreyturn_ports::{FleetAction, OrderOutcome};
+use comfreyturn_types::ServiceName;
+use metrics::{counter, histogram};
+
+const REQUESTS: &str = "comfreyturn_requests_total";
+const ATTEMPTS: &str = "comfreyturn_attempts_total";
+const RESUMES: &str = "comfreyturn_resumes_total";
+const ORDERS: &str = "comfreyturn_orders_total";
+const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
+const WHOLE_ANSWER: &str = "comfreyturn_whole_answer_seconds";
+
+/// Customers that are told apart; the others are counted together.
+pub(crate) const LABELLED_CUSTOMERS: usize = 50;
+
+/// Stands for all that has no label of its own.
+pub(crate) const OTHER_LABEL: &str = "other";
+
+/// By what answers are told apart.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerLabels {
+    pub(crate) service: String,
+    pub(crate) customer: String,
+    pub(crate) class: String,
+}
+
+impl AnswerLabels {
+    /// Counts the end of a request.
+    pub(crate) fn count_end(&self, outcome: &'static str, reason: &'static str) {
+        let Self { service, customer, class } = self.clone();
+        counter!(
+            REQUESTS,
+            "service" => service,
+            "customer" => customer,
+            "class" => class,
+            "outcome" => outcome,
+            "reason" => reason
+        )
+        .increment(1);
+    }
+
+    /// Measures the time to the first piece of an answer.
+    pub(crate) fn measure_first(&self, elapsed: Duration) {
+        self.measure(FIRST_PIECE, elapsed);
+    }
+
+    /// Measures the time to the end of an answer.
+    pub(crate) fn measure_whole(&self, elapsed: Duration) {
+        self.measure(WHOLE_ANSWER, elapsed);
+    }
+
+    fn measure(&self, name: &'static str, elapsed: Duration) {
+        let Self { service, customer, class } = self.clone();
+        histogram!(name, "service" => service, "customer" => customer, "class" => class)
+            .record(elapsed.as_secs_f64());
+    }
+}
+
+/// Counts the end of an attempt.
+pub(crate) fn count_attempt(service: &ServiceName, end: &'static str) {
+    counter!(ATTEMPTS, "service" => service.to_string(), "end" => end).increment(1);
+}
+
+/// Counts a stream that goes on at another server.
+pub(crate) fn count_resume(service: &ServiceName) {
+    counter!(RESUMES, "service" => service.to_string()).increment(1);
+}
+
+/// Counts an order; no outcome stands for no answer.
+pub(crate) fn count_order(action: &FleetAction, outcome: Option<OrderOutcome>) {
+    let action: &'static str = action.into();
+    let outcome: &'static str = outcome.map_or("no-answer", Into::into);
+    counter!(ORDERS, "action" => action, "outcome" => outcome).increment(1);
+}
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -12,11 +12,14 @@
     RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
 };
 use comfreyturn_types::{
-    FleetGroupRecord, FleetServer, GatewayConfig, GroupMembership, MemberPhase, MemberRecord,
-    ModelName, ServerLife, ServiceName, ServiceSpec,
+    CustomerName, FleetGroupRecord, FleetServer, GatewayConfig, GroupMembership, MemberPhase,
+    MemberRecord, ModelName, ServerLife, ServiceName, ServiceSpec,
 };
 
-use crate::{GatewaySettings, LoadBook, NotRunReason, PeerBook, ServerBook, StallBook};
+use crate::{
+    GatewaySettings, LoadBook, NotRunReason, PeerBook, ServerBook, StallBook,
+    gateway_metrics::{LABELLED_CUSTOMERS, OTHER_LABEL},
+};
 
 /// A configuration with its tables.
 #[derive(Debug)]
@@ -24,13 +27,27 @@
     pub(crate) config: Rc<GatewayConfig>,
     pub(crate) routes: RouteTable,
     pub(crate) keys: Option<KeyTable>,
+
+    /// Customers that metrics tell apart.
+    labelled: HashSet<CustomerName>,
 }
 
 impl ConfigView {
     pub(crate) fn new(config: Rc<GatewayConfig>) -> Self {
         let routes = RouteTable::new(&config.routes);
         let keys = config.customers.as_deref().map(KeyTable::new);
-        Self { config, routes, keys }
+        let customers = config.customers.iter().flatten().take(LABELLED_CUSTOMERS);
+        let labelled = customers.map(|customer| customer.name.clone()).collect();
+        Self { config, routes, keys, labelled }
+    }
+
+    /// How metrics name a customer.
+    pub(crate) fn customer_label(&self, customer: Option<&CustomerName>) -> String {
+        match customer {
+            None => String::new(),
+            Some(name) if self.labelled.contains(name) => name.to_string(),
+            Some(_) => OTHER_LABEL.to_owned(),
+        }
     }
 }
 
@@ -176,45 +193,45 @@
         tried: &[ServerLife],
         urgent: bool,
     ) -> Result<FleetServer, NotRunReason> {
-        let mut servers = self.servers.borrow_mut();
-        let mut heads: Vec<(FleetServer, u32)> = Vec::new();
-        match &service.engine {
-            Some(engine) => {
-                let groups = servers.serving_groups(&service.name, engine);
-                let serving = groups.iter().filter(|group| {
-                    model.is_none_or(|model| group.model.name == *model)
-                        && !self.has_lost(group.members.iter().flatten().copied())
-                });
-                heads.extend(
-                    serving.filter_map(|group| Some((group.head()?.clone(), engine.slots))),
-                );
-            }
-            None => {
-                heads.extend(servers.plain(&service.name).map(|head| (head.clone(), head.slots)))
-            }
-        }
+        let mut candidates = self.candidates(service, model);
         let memory = self.settings.stall_memory;
         let stalls = self.stalls.borrow();
-        heads.retain(|(head, _)| {
+        candidates.retain(|head| {
             !tried.contains(&head.life) && !stalls.is_stalled(now, &head.life, memory)
         });
-        let candidates: Vec<HeadCandidate> = heads
-            .iter()
-            .map(|(head, slots)| HeadCandidate {
-                life: head.life.clone(),
-                running: self.loads.running(&head.life),
-                slots: (*slots).max(1),
-                distance: Duration::ZERO,
-            })
-            .collect();
         if candidates.is_empty() {
             return Err(NotRunReason::NoServer);
         }
         let picked = self.picker.pick(&candidates, rand::random(), urgent);
+        let servers = self.servers.borrow();
         let head = picked.and_then(|picked| servers.get(&picked.life)).cloned();
         head.ok_or(NotRunReason::NoRoom)
     }
 
+    /// The servers of a plain service, or the heads of the groups that serve a model.
+    pub(crate) fn candidates(
+        &self,
+        service: &ServiceSpec,
+        model: Option<&ModelName>,
+    ) -> Vec<HeadCandidate> {
+        let mut servers = self.servers.borrow_mut();
+        let candidate = |head: &FleetServer, slots: u32| HeadCandidate {
+            life: head.life.clone(),
+            running: self.loads.running(&head.life),
+            slots: slots.max(1),
+            distance: Duration::ZERO,
+        };
+        let Some(engine) = &service.engine else {
+            return servers.plain(&service.name).map(|head| candidate(head, head.slots)).collect();
+        };
+        let groups = servers.serving_groups(&service.name, engine);
+        let serving = groups.iter().filter(|group| {
+            model.is_none_or(|model| group.model.name == *model)
+                && !self.has_lost(group.members.iter().flatten().copied())
+        });
+        serving.filter_map(|group| Some(candidate(group.head()?, engine.slots))).collect()
+    }
+
     /// Notes up to which version the list of servers was read, and whether something changed.
     pub(crate) fn note_reading(&self, version: u64, has_news: bool) {
         self.list_version.set(version);
@@ -233,6 +250,16 @@
         self.news_elsewhere.get() > self.list_version.get()
     }
 
+    /// The version of the list of servers up to which it was read.
+    pub(crate) fn list_version(&self) -> u64 {
+        self.list_version.get()
+    }
+
+    /// How long ago the list of servers was read.
+    pub(crate) fn list_age(&self, now: Instant) -> Option<Duration> {
+        self.list_read.get().map(|(_, last)| now.saturating_duration_since(last))
+    }
+
     /// Notes that the list of servers was read.
     pub(crate) fn note_list(&self, now: Instant) {
         let (first, _) = self.list_read.get().unwrap_or((now, now));
@@ -254,7 +281,11 @@
         let mut unlisted = self.unlisted.borrow_mut();
         let members = dropped.into_iter().filter(|server| server.membership.is_some());
         for server in members {
-            log::info!("servers: {} is in the list no more.", server.life);
+            let group = server.membership.as_ref().map(|membership| membership.group.to_string());
+            log::info!(
+                server:% = server.life, group = group, list_version = self.list_version();
+                "servers: member of a group left the list."
+            );
             unlisted.insert(server.life.clone(), (now, server));
         }
         let servers = self.servers.borrow();
--- /dev/null
+++ b/crates/gateway/src/gauge_loop.rs
@@ -0,0 +1,75 @@
+//! Gauges of what a node believes, and how old that is.
+
+use std::{rc::Rc, time::Duration};
+
+use metrics::gauge;
+
+use crate::{Gateway, node_belief::NodeBelief};
+
+/// Time between two settings of the gauges.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    /// Sets the gauges for ever.
+    pub(crate) async fn keep_gauges(self: Rc<Self>) {
+        loop {
+            self.ports.clock.sleep(GAUGE_PERIOD).await;
+            self.set_beliefs();
+            self.set_peers();
+            self.set_groups();
+        }
+    }
+
+    fn set_beliefs(&self) {
+        let state = &self.state;
+        let belief = state.belief(self.ports.clock.now());
+        let NodeBelief { config_version, config_age, list_version, list_age, peers } = belief;
+        gauge!("comfreyturn_requests_in_flight").set(count(state.in_flight.get()));
+        gauge!("comfreyturn_fleet_lease_fencing_number").set(float(state.lease.get()));
+        gauge!("comfreyturn_config_version").set(config_version.map_or(f64::NAN, float));
+        gauge!("comfreyturn_config_age_seconds").set(seconds(config_age));
+        gauge!("comfreyturn_server_list_version").set(float(list_version));
+        gauge!("comfreyturn_server_list_age_seconds").set(seconds(list_age));
+        gauge!("comfreyturn_servers_listed").set(count(state.servers.borrow().all().count()));
+        gauge!("comfreyturn_servers_unlisted").set(count(state.unlisted.borrow().len()));
+        gauge!("comfreyturn_servers_lost").set(count(state.lost.borrow().len()));
+        gauge!("comfreyturn_peers_heard").set(count(peers));
+    }
+
+    fn set_peers(&self) {
+        let now = self.ports.clock.now();
+        for (node, peer) in self.state.peers.borrow().named() {
+            let age = peer.heard_at.map(|at| now.saturating_duration_since(at));
+            gauge!("comfreyturn_peer_age_seconds", "node" => node.to_string()).set(seconds(age));
+        }
+    }
+
+    fn set_groups(&self) {
+        let view = self.state.config.borrow().clone();
+        let Some(view) = view else { return };
+        let now = self.ports.clock.now();
+        for (name, service) in &view.config.services {
+            for model in service.engine.iter().flat_map(|engine| &engine.models) {
+                let room = self.state.room(now, name, Some(&model.name));
+                let labels = [("service", name.to_string()), ("model", model.name.to_string())];
+                gauge!("comfreyturn_groups_serving", &labels).set(count(room.heads));
+                gauge!("comfreyturn_group_requests", &labels).set(f64::from(room.running));
+                gauge!("comfreyturn_group_slots", &labels).set(f64::from(room.slots));
+            }
+        }
+    }
+}
+
+/// What is not known is no number.
+fn seconds(age: Option<Duration>) -> f64 {
+    age.map_or(f64::NAN, |age| age.as_secs_f64())
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts and versions are far below 2^52")]
+fn float(number: u64) -> f64 {
+    number as f64
+}
+
+fn count(number: usize) -> f64 {
+    float(u64::try_from(number).unwrap_or(u64::MAX))
+}
--- a/crates/gateway/src/group_rows.rs
+++ b/crates/gateway/src/group_rows.rs
@@ -26,8 +26,10 @@
         for (key, row) in rows {
             match serde_json::from_str::<FleetGroupRecord>(&row.value) {
                 Ok(record) if !record.members.is_empty() => records.push(record),
-                Ok(_) => log::warn!("fleet: row {key} names no members."),
-                Err(error) => log::warn!("fleet: row {key} names no group: {error}."),
+                Ok(_) => log::warn!(row:% = key; "fleet: row names no members."),
+                Err(error) => {
+                    log::warn!(row:% = key, cause:% = error; "fleet: row names no group.")
+                }
             }
         }
         Ok(records)
--- /dev/null
+++ b/crates/gateway/src/node_belief.rs
@@ -0,0 +1,90 @@
+//! What a node believes when it decides, for logs and gauges.
+
+use std::time::{Duration, Instant};
+
+use comfreyturn_policy::HeadCandidate;
+use comfreyturn_types::{ModelName, ServiceName};
+
+use crate::gateway_state::GatewayState;
+
+/// What a node believes of the system, and how old that is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct NodeBelief {
+    /// The version of the configuration.
+    pub(crate) config_version: Option<u64>,
+
+    /// How long ago the configuration was known to be the newest.
+    pub(crate) config_age: Option<Duration>,
+
+    /// The version up to which the list of servers was read.
+    pub(crate) list_version: u64,
+
+    /// How long ago the list of servers was read.
+    pub(crate) list_age: Option<Duration>,
+
+    /// Other nodes that are heard of.
+    pub(crate) peers: usize,
+}
+
+/// The room that a node sees at the servers of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct ServiceRoom {
+    /// Servers, or heads of groups, that take requests.
+    pub(crate) heads: usize,
+
+    /// Those of them that fell silent a moment ago.
+    pub(crate) stalled: usize,
+
+    /// Requests under way there, from all nodes.
+    pub(crate) running: u32,
+
+    /// Requests that they run at once.
+    pub(crate) slots: u32,
+}
+
+impl GatewayState {
+    /// What this node believes.
+    pub(crate) fn belief(&self, now: Instant) -> NodeBelief {
+        let silence = self.stretched(self.settings.peer_silence);
+        NodeBelief {
+            config_version: self.config.borrow().as_ref().map(|view| view.config.version),
+            config_age: self.confirmed.get().age(now),
+            list_version: self.list_version(),
+            list_age: self.list_age(now),
+            peers: self.peers.borrow().alive(now, silence).count(),
+        }
+    }
+
+    /// The room at the servers of a service, as far as this node knows.
+    pub(crate) fn room(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        model: Option<&ModelName>,
+    ) -> ServiceRoom {
+        let view = self.config.borrow().clone();
+        let spec = view.as_ref().and_then(|view| view.config.services.get(service));
+        let Some(spec) = spec else { return ServiceRoom::default() };
+        let candidates = self.candidates(spec, model);
+        let stalls = self.stalls.borrow();
+        let memory = self.settings.stall_memory;
+        let is_stalled =
+            |candidate: &&HeadCandidate| stalls.is_stalled(now, &candidate.life, memory);
+        ServiceRoom {
+            heads: candidates.len(),
+            stalled: candidates.iter().filter(is_stalled).count(),
+            running: candidates.iter().map(|candidate| candidate.running).sum(),
+            slots: candidates.iter().map(|candidate| candidate.slots).sum(),
+        }
+    }
+}
+
+/// Milliseconds for a log line; none if nothing is known.
+pub(crate) fn age_ms(age: Option<Duration>) -> Option<u64> {
+    age.map(whole_ms)
+}
+
+/// Milliseconds for a log line.
+pub(crate) fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/node_rows.rs
+++ b/crates/gateway/src/node_rows.rs
@@ -17,13 +17,13 @@
             peer_address: self.identity.peer_address,
         };
         while let Err(error) = self.ports.nodes.announce(&entry).await {
-            log::warn!("nodes: not entered: {error}.");
+            log::warn!(cause:% = error; "nodes: not entered.");
             self.ports.clock.sleep(settings.feed_pause).await;
         }
         loop {
             match self.ports.nodes.list().await {
                 Ok(entries) => self.take_entries(entries),
-                Err(error) => log::warn!("nodes: list not read: {error}."),
+                Err(error) => log::warn!(cause:% = error; "nodes: list not read."),
             }
             self.ports.clock.sleep(settings.node_period).await;
         }
--- a/crates/gateway/src/peer_book.rs
+++ b/crates/gateway/src/peer_book.rs
@@ -88,6 +88,11 @@
         self.peers.is_empty()
     }
 
+    /// All other nodes with their names, heard of or not.
+    pub fn named(&self) -> impl Iterator<Item = (&NodeId, &PeerRecord)> {
+        self.peers.iter()
+    }
+
     /// All other nodes, heard of or not.
     pub fn all(&self) -> impl Iterator<Item = &PeerRecord> {
         self.peers.values()
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use comfreyturn_ports::LinkError;
+use http::StatusCode;
 
 use crate::{
     EventCutter, ForwardAnswer, NotRunReason,
@@ -33,6 +34,9 @@
 
     /// The stream came to its proper end.
     ended: bool,
+
+    /// The status that the caller has.
+    status: StatusCode,
 }
 
 impl RelayStream {
@@ -44,11 +48,21 @@
     ) -> Result<ForwardAnswer, (ForwardRun, AttemptError)> {
         let status = attempt.answer.status();
         let headers = attempt.answer.headers().clone();
-        let mut stream =
-            Self { run, attempt, cutter: EventCutter::default(), ready: None, ended: false };
+        let mut stream = Self {
+            run,
+            attempt,
+            cutter: EventCutter::default(),
+            ready: None,
+            ended: false,
+            status,
+        };
         match stream.read_events(limit).await {
             Ok(events) => {
                 stream.ended = events.is_none();
+                stream.run.story.first_piece();
+                if stream.ended {
+                    stream.run.story.served(status);
+                }
                 stream.ready = events;
                 Ok(ForwardAnswer::Stream { status, headers, body: Box::new(stream) })
             }
@@ -73,6 +87,11 @@
         }
         loop {
             let error = match self.read_events(self.pause_limit()).await {
+                Ok(None) => {
+                    self.ended = true;
+                    self.run.story.served(self.status);
+                    return Ok(None);
+                }
                 Ok(events) => return Ok(events),
                 Err(error) => error,
             };
@@ -135,11 +154,7 @@
         loop {
             match self.run.attempt(None, after.clone(), true).await {
                 Ok(attempt) if attempt.answer.status().is_success() => {
-                    log::info!(
-                        "forward: {} goes on at {} after {after:?}.",
-                        self.run.request.id,
-                        attempt.life
-                    );
+                    self.run.story.resumed(after.as_deref());
                     self.attempt = attempt;
                     return Ok(());
                 }
@@ -154,11 +169,7 @@
     }
 
     fn broken(&self, cause: AttemptError) -> StreamBroken {
-        log::warn!(
-            "forward: {} stream broken after {} attempts: {cause}.",
-            self.run.request.id,
-            self.run.sent
-        );
+        self.run.story.broken(cause);
         StreamBroken
     }
 }
--- /dev/null
+++ b/crates/gateway/src/request_story.rs
@@ -0,0 +1,275 @@
+//! What became of one request, for logs and metrics.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_ports::Clock;
+use comfreyturn_types::{ModelName, RequestId, ServerLife, ServiceName};
+use http::StatusCode;
+
+use crate::{
+    DeniedReason, ForwardRequest, NotRunReason, UnknownReason,
+    forward_attempt::AttemptError,
+    gateway_metrics::{AnswerLabels, count_attempt, count_resume},
+    gateway_state::GatewayState,
+    node_belief::{age_ms, whole_ms},
+};
+
+/// What became of one request. Each end is one log line and one count; a request that is dropped
+/// without an end was left by its caller.
+pub(crate) struct RequestStory {
+    state: Rc<GatewayState>,
+    clock: Rc<dyn Clock>,
+    request: RequestId,
+    model: Option<ModelName>,
+    service: Option<ServiceName>,
+    labels: AnswerLabels,
+    received_at: Instant,
+    first_at: Cell<Option<Instant>>,
+
+    /// Attempts that reached a server.
+    sent: Cell<u32>,
+
+    /// The server that was asked last.
+    server: RefCell<Option<ServerLife>>,
+    is_told: Cell<bool>,
+}
+
+impl RequestStory {
+    pub(crate) fn new(
+        state: &Rc<GatewayState>,
+        clock: &Rc<dyn Clock>,
+        request: &ForwardRequest,
+    ) -> Self {
+        Self {
+            state: state.clone(),
+            clock: clock.clone(),
+            request: request.id.clone(),
+            model: request.model.clone(),
+            service: None,
+            labels: AnswerLabels::default(),
+            received_at: request.received_at,
+            first_at: Cell::new(None),
+            sent: Cell::new(0),
+            server: RefCell::default(),
+            is_told: Cell::new(false),
+        }
+    }
+
+    /// The request was found to be for a service.
+    pub(crate) fn routed(&mut self, service: &ServiceName, customer: String, class: Option<u8>) {
+        self.service = Some(service.clone());
+        let class = class.map_or_else(String::new, |class| class.to_string());
+        self.labels = AnswerLabels { service: service.to_string(), customer, class };
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // On the way
+
+    /// A server is asked.
+    pub(crate) fn asked(&self, life: &ServerLife) {
+        *self.server.borrow_mut() = Some(life.clone());
+    }
+
+    /// The server that is asked was not reached.
+    pub(crate) fn not_reached(&self) {
+        self.count_attempt("not-sent");
+        log::info!(
+            request:% = self.request,
+            server:% = self.server_text(),
+            list_age_ms = age_ms(self.belief().list_age);
+            "forward: server not reached."
+        );
+    }
+
+    /// The server that is asked, or one that was asked before, answers.
+    pub(crate) fn answered(&self, sent: u32) {
+        self.sent.set(sent);
+        self.count_attempt("answered");
+    }
+
+    /// The server that was asked did not answer, or broke its answer off.
+    pub(crate) fn failed(&self, sent: u32, error: AttemptError) {
+        self.sent.set(sent);
+        self.count_attempt(error.into());
+        let now = self.clock.now();
+        let server = self.server.borrow().clone();
+        let heard = server.and_then(|life| self.state.stalls.borrow().heard_age(now, &life));
+        log::info!(
+            request:% = self.request,
+            server:% = self.server_text(),
+            attempt = sent,
+            cause:% = error,
+            heard_age_ms = age_ms(heard),
+            elapsed_ms = self.elapsed_ms();
+            "forward: server failed."
+        );
+    }
+
+    /// The stream goes on at the server that was asked last, after an event.
+    pub(crate) fn resumed(&self, after: Option<&str>) {
+        if let Some(service) = &self.service {
+            count_resume(service);
+        }
+        log::info!(
+            request:% = self.request,
+            server:% = self.server_text(),
+            attempt = self.sent.get(),
+            after = after,
+            elapsed_ms = self.elapsed_ms();
+            "forward: stream goes on."
+        );
+    }
+
+    /// The first piece of the answer is there.
+    pub(crate) fn first_piece(&self) {
+        if self.first_at.get().is_none() {
+            let now = self.clock.now();
+            self.first_at.set(Some(now));
+            self.labels.measure_first(now.saturating_duration_since(self.received_at));
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // Ends
+
+    /// The caller has a server's whole answer.
+    pub(crate) fn served(&self, status: StatusCode) {
+        self.first_piece();
+        self.labels.measure_whole(self.elapsed());
+        self.end("served", "");
+        let first = self.first_at.get().map(|at| at.saturating_duration_since(self.received_at));
+        log::info!(
+            request:% = self.request,
+            service = self.labels.service,
+            customer = self.labels.customer,
+            server:% = self.server_text(),
+            status = status.as_u16(),
+            attempts = self.sent.get(),
+            first_ms = age_ms(first),
+            elapsed_ms = self.elapsed_ms();
+            "forward: request served."
+        );
+    }
+
+    /// The request was not run, and will not be.
+    pub(crate) fn not_run(&self, reason: NotRunReason, retry_after: Duration) {
+        self.end("not-run", reason.into());
+        let belief = self.belief();
+        let now = self.clock.now();
+        let room = self.service.as_ref();
+        let room = room.map(|service| self.state.room(now, service, self.model.as_ref()));
+        let room = room.unwrap_or_default();
+        log::info!(
+            request:% = self.request,
+            reason:% = reason,
+            service = self.labels.service,
+            customer = self.labels.customer,
+            model = self.model.as_ref().map(ModelName::as_str),
+            attempts = self.sent.get(),
+            elapsed_ms = self.elapsed_ms(),
+            retry_after_ms = whole_ms(retry_after),
+            heads = room.heads,
+            stalled = room.stalled,
+            running = room.running,
+            slots = room.slots,
+            list_version = belief.list_version,
+            list_age_ms = age_ms(belief.list_age),
+            config_version = belief.config_version,
+            config_age_ms = age_ms(belief.config_age),
+            peers = belief.peers;
+            "forward: request not run."
+        );
+    }
+
+    /// The request is not allowed.
+    pub(crate) fn denied(&self, reason: DeniedReason) {
+        self.end("denied", reason.into());
+        let belief = self.belief();
+        log::info!(
+            request:% = self.request,
+            reason:% = reason,
+            config_version = belief.config_version,
+            config_age_ms = age_ms(belief.config_age);
+            "forward: request denied."
+        );
+    }
+
+    /// Nobody knows whether the request ran.
+    pub(crate) fn unknown(&self, reason: UnknownReason, cause: AttemptError) {
+        self.end("unknown", reason.into());
+        log::warn!(
+            request:% = self.request,
+            reason:% = reason,
+            cause:% = cause,
+            service = self.labels.service,
+            customer = self.labels.customer,
+            server:% = self.server_text(),
+            attempts = self.sent.get(),
+            elapsed_ms = self.elapsed_ms();
+            "forward: outcome unknown."
+        );
+    }
+
+    /// The stream broke, and the caller has a part of it.
+    pub(crate) fn broken(&self, cause: AttemptError) {
+        self.end("broken", cause.into());
+        log::warn!(
+            request:% = self.request,
+            cause:% = cause,
+            service = self.labels.service,
+            customer = self.labels.customer,
+            server:% = self.server_text(),
+            attempts = self.sent.get(),
+            elapsed_ms = self.elapsed_ms();
+            "forward: stream broken."
+        );
+    }
+
+    fn end(&self, outcome: &'static str, reason: &'static str) {
+        self.is_told.set(true);
+        self.labels.count_end(outcome, reason);
+    }
+
+    fn count_attempt(&self, end: &'static str) {
+        if let Some(service) = &self.service {
+            count_attempt(service, end);
+        }
+    }
+
+    fn belief(&self) -> crate::node_belief::NodeBelief {
+        self.state.belief(self.clock.now())
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.clock.now().saturating_duration_since(self.received_at)
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        whole_ms(self.elapsed())
+    }
+
+    fn server_text(&self) -> String {
+        self.server.borrow().as_ref().map_or_else(String::new, ServerLife::to_string)
+    }
+}
+
+impl Drop for RequestStory {
+    fn drop(&mut self) {
+        if self.is_told.get() {
+            return;
+        }
+        self.end("caller-left", "");
+        log::info!(
+            request:% = self.request,
+            service = self.labels.service,
+            server:% = self.server_text(),
+            attempts = self.sent.get(),
+            elapsed_ms = self.elapsed_ms();
+            "forward: caller left."
+        );
+    }
+}
--- a/crates/gateway/src/server_watch.rs
+++ b/crates/gateway/src/server_watch.rs
@@ -10,7 +10,7 @@
 use comfreyturn_types::{FleetServer, ServerLife};
 use futures_util::future::{Either, join_all, select};
 
-use crate::Gateway;
+use crate::{Gateway, node_belief::age_ms};
 
 /// A server that any node heard of within this time lives, whatever it answers to this node.
 const HEARD_TIME: Duration = Duration::from_millis(500);
@@ -85,14 +85,15 @@
         if lives {
             silent.remove(&life);
             if state.lost.borrow_mut().remove(&life) {
-                log::info!("fleet: {life} answers again.");
+                log::info!(server:% = life; "fleet: lost server answers again.");
             }
             return;
         }
         let count = silent.entry(life.clone()).or_default();
         *count += 1;
         if *count >= state.settings.lost_probes && state.lost.borrow_mut().insert(life.clone()) {
-            log::warn!("fleet: {life} does not answer and counts as lost.");
+            let heard = state.stalls.borrow().heard_age(self.gateway.ports.clock.now(), &life);
+            log::warn!(server:% = life, probes = *count, heard_age_ms = age_ms(heard); "fleet: server counts as lost.");
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,6 @@
 mod caller;
 mod node_error;
 mod node_gauges;
-mod node_metrics;
 mod node_view;
 mod operator;
 mod run_node;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_node::{NodeSettings, StopSignal, run_node};
 use comfreyturn_platform::{PlatformSettings, PlatformSignal, run_platform};
-use flexi_logger::{Logger, LoggerHandle, opt_format};
+use comfreyturn_telemetry::{LogSettings, start_logging};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
@@ -20,13 +20,15 @@
             default cmd run {
                 /// The settings file.
                 required --settings file: PathBuf
-                /// Which log lines are written to standard error: error, warn, info, debug.
+                /// Which log lines are written to standard output: error, warn, info, debug.
                 optional --log level: String
             }
             /// Runs a node on the users' platform, whose settings file the environment names.
             cmd platform {
                 /// Which log lines are written to standard output: error, warn, info, debug.
                 optional --log level: String
+                /// The port at the node's address where metrics are read; none by default.
+                optional --metrics port: u16
             }
             /// Checks a settings file and ends.
             cmd check {
@@ -44,7 +46,7 @@
     let flags = flags::Comfreyturn::from_env_or_exit();
     match flags.subcommand {
         flags::ComfreyturnCmd::Check(check) => check_settings(&check.settings),
-        flags::ComfreyturnCmd::Platform(platform) => run_on_platform(platform.log.as_deref()),
+        flags::ComfreyturnCmd::Platform(platform) => run_on_platform(&platform),
         flags::ComfreyturnCmd::Run(run) => run_process(&run.settings, run.log.as_deref()),
     }
 }
@@ -64,7 +66,7 @@
         Ok(settings) => settings,
         Err(error) => return usage_error(&error),
     };
-    let _logger = match start_logging(level.unwrap_or("info")) {
+    let _log = match start_logging(&log_settings(settings.node.as_str(), level)) {
         Ok(logger) => logger,
         Err(error) => return usage_error(&error),
     };
@@ -82,15 +84,14 @@
     }
 }
 
-fn run_on_platform(level: Option<&str>) -> ExitCode {
+fn run_on_platform(flags: &flags::Platform) -> ExitCode {
     let settings = match PlatformSettings::from_environment() {
         Ok(settings) => settings,
         Err(error) => return usage_error(&error),
     };
-    let logger = Logger::try_with_str(level.unwrap_or("info"));
-    let logger = logger.and_then(|logger| logger.format(opt_format).log_to_stdout().start());
-    let _logger = match logger {
-        Ok(logger) => logger,
+    let settings = PlatformSettings { metrics_port: flags.metrics, ..settings };
+    let _log = match start_logging(&log_settings(&settings.node, flags.log.as_deref())) {
+        Ok(log) => log,
         Err(error) => return usage_error(&error),
     };
     let signals = match platform_signals() {
@@ -122,8 +123,10 @@
     Ok(receiver)
 }
 
-fn start_logging(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
-    Logger::try_with_str(level)?.format(opt_format).log_to_stderr().start()
+fn log_settings(node: &str, level: Option<&str>) -> LogSettings {
+    let defaults = LogSettings::default();
+    let level = level.map_or(defaults.level, str::to_owned);
+    LogSettings { node: node.to_owned(), level, ..defaults }
 }
 
 /// Turns each SIGTERM and SIGINT into a signal to the node.
--- a/crates/node/src/node_gauges.rs
+++ b/crates/node/src/node_gauges.rs
@@ -8,6 +8,7 @@
 use comfreyturn_serving::RequestService;
 use comfreyturn_types::{ServiceBackend, VmRole};
 use metrics::{counter, gauge};
+use metrics_exporter_prometheus::PrometheusHandle;
 
 /// Time between two settings of the gauges.
 const GAUGE_PERIOD: Duration = Duration::from_secs(1);
@@ -18,6 +19,7 @@
     service: Rc<RequestService>,
     clock: Rc<dyn Clock>,
     meter: ByteMeter,
+    metrics: PrometheusHandle,
 }
 
 impl NodeGauges {
@@ -27,8 +29,9 @@
         service: Rc<RequestService>,
         clock: Rc<dyn Clock>,
         meter: ByteMeter,
+        metrics: PrometheusHandle,
     ) -> Self {
-        Self { control, service, clock, meter }
+        Self { control, service, clock, meter, metrics }
     }
 
     /// Sets them for ever.
@@ -38,6 +41,7 @@
             self.clock.sleep(GAUGE_PERIOD).await;
             let now = self.clock.now();
             self.set(now.saturating_duration_since(last));
+            self.metrics.run_upkeep();
             last = now;
         }
     }
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -13,6 +13,7 @@
 };
 use comfreyturn_ports::{Clock, PeerIdentity, PeerLink, Spawner};
 use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
+use comfreyturn_telemetry::node_recorder;
 use comfreyturn_types::RosterMember;
 use compio::net::TcpListener;
 use futures_util::{FutureExt, pin_mut, select_biased};
@@ -21,7 +22,6 @@
     NodeError, NodeSettings, Result, StopSignal,
     caller::{CallerEdge, CallerServer},
     node_gauges::NodeGauges,
-    node_metrics::node_recorder,
     node_view::{HOME_NODES, NodeView},
     operator::{OperatorServer, OperatorService},
 };
@@ -153,6 +153,7 @@
             self.service.clone(),
             self.clock.clone(),
             self.meter.clone(),
+            metrics.clone(),
         );
         self.spawner.spawn(Box::pin(gauges.run()));
         let peers = PeerServer::new(
--- a/crates/ports/src/fleet_control.rs
+++ b/crates/ports/src/fleet_control.rs
@@ -4,7 +4,7 @@
 use comfreyturn_types::{FencingNumber, FleetServer, GroupId, ModelName, VmId};
 
 /// What became of an order that was answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum OrderOutcome {
     /// It has begun, or holds already.
@@ -75,6 +75,19 @@
     },
 }
 
+impl FleetAction {
+    /// The group that the order is about, and its epoch.
+    pub fn group(&self) -> Option<(&GroupId, u64)> {
+        match self {
+            Self::Join { group, epoch, .. }
+            | Self::Open { group, epoch }
+            | Self::Close { group, epoch }
+            | Self::Leave { group, epoch } => Some((group, *epoch)),
+            Self::Stage { .. } => None,
+        }
+    }
+}
+
 /// Orders to servers that form groups, and questions whether they live.
 #[async_trait(?Send)]
 pub trait FleetControl {
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -8,7 +8,17 @@
 use http::{HeaderMap, Method, StatusCode};
 
 /// Why a request has no answer of the backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    derive_more::Display,
+    derive_more::Error,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
 pub enum LinkError {
     /// No byte of the request was written.
     #[display("server not reached")]
