Tell what became of a request from the logs of several nodes

Cause: getting from a request's id to its cause took several searches by hand over all nodes' logs.

Change: `comfreyturnctl explain` reads files or standard input and prints the story of one request (its own lines, what its nodes came to believe, what befell its servers and their groups, the state of the fleet before its end) or of a time span, or a summary of requests that were not served by cause and second, also as SVG. Torn and foreign lines are counted and passed over, lines that nodes left out are counted.

Tests: three stories (refused, broken, unknown), foreign lines, collector's time, summary and plot.

--- a/crates/ctl/src/command_line.rs
+++ b/crates/ctl/src/command_line.rs
@@ -203,6 +203,20 @@
             /// End after this time.
             optional --seconds seconds: u64
         }
+        /// Tell what became of requests, from the log lines of nodes: of one request, of a time
+        /// span, or a summary of all that were not served.
+        cmd explain {
+            /// Files with log lines of one node or several; without one, standard input.
+            repeated files: PathBuf
+            /// The request.
+            optional --request id: String
+            /// Lines from here on, in seconds as printed.
+            optional --from seconds: f64
+            /// Lines up to here, in seconds as printed.
+            optional --to seconds: f64
+            /// Draws the summary into this file.
+            optional --svg file: PathBuf
+        }
         /// Send completions and report how they were answered.
         cmd load {
             /// The service.
--- a/crates/ctl/src/dispatch.rs
+++ b/crates/ctl/src/dispatch.rs
@@ -12,6 +12,7 @@
     CtlError, DrainKind, EntityFields, IntentFile, Result, UsageError,
     command_line::{Apply, Comfreyturnctl, ComfreyturnctlCmd, Create, Drain, Set},
     create_change, delete_change,
+    explain::run_explain,
     lab::run_lab,
     load_verb::send_load,
     operator::{
@@ -79,6 +80,7 @@
                 self.submit_one(RequestedChange::ConfirmNodeGone(gone.node.into())).await
             }
             ComfreyturnctlCmd::Standin(standin) => run_standin(standin.subcommand).await,
+            ComfreyturnctlCmd::Explain(explain) => run_explain(&explain),
             ComfreyturnctlCmd::Lab(lab) => run_lab(lab).await,
             ComfreyturnctlCmd::Load(load) => send_load(self.to()?, self.json, load).await,
         }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod entity_change;
 mod entity_fields;
+mod explain;
 mod intent_file;
 mod lab;
 mod load_verb;
@@ -26,5 +27,9 @@
 pub use dispatch::run_command_line;
 pub use entity_change::*;
 pub use entity_fields::*;
+pub use explain::{
+    LogEntry, LogRecord, ReadCounts, RefusalCause, RefusalSummary, StoryQuery, draw_refusals,
+    parse_line, read_lines, story_text,
+};
 pub use intent_file::*;
 pub use text_table::*;
