Let nodes vouch for each other's configuration, and read less

Ruled out: dating a word by its arrival (a word that waited in the socket of a node that stood still would count as new; the model finds the break).

Change: each beat tells the version held and the age of its proof, and echoes the receiver's newest beat. A word proves something from when that beat was sent, less the age, to those who hold its version or a newer one. Polls of the configuration wait 2 s and, like readings of the list on others' news (at least 300 ms apart), are stretched with the number of nodes, up to half the limit of a configuration.

--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -1,19 +1,25 @@
 //! What nodes tell each other several times a second.
 
 use std::{
-    cell::Cell,
-    collections::HashMap,
+    cell::{Cell, RefCell},
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::SuspectLedger;
+use comfreyturn_policy::{ConfigVouch, SuspectLedger};
 use comfreyturn_proto::peer;
 use comfreyturn_types::{Incarnation, NodeId, ServerLife, VmId};
 use prost::Message;
 
 use crate::{Gateway, PeerRecord};
 
+/// Datagrams that are remembered by their number, so that others' words can be dated.
+const SENT_MEMORY: usize = 32;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
 /// Deaths are told for this time, so that lost datagrams do not matter.
 const DEATH_REPEAT_TIME: Duration = Duration::from_secs(2);
 
@@ -30,12 +36,15 @@
 pub struct BeatLoop {
     gateway: Rc<Gateway>,
     sequence: Cell<u64>,
+
+    /// The latest datagrams that were sent: numbers, and when their content was put together.
+    sent: RefCell<VecDeque<(u64, Instant)>>,
 }
 
 impl BeatLoop {
     /// A loop of a gateway.
     pub fn new(gateway: Rc<Gateway>) -> Self {
-        Self { gateway, sequence: Cell::new(0) }
+        Self { gateway, sequence: Cell::new(0), sent: RefCell::default() }
     }
 
     /// Tells for ever.
@@ -44,9 +53,10 @@
         loop {
             let now = ports.clock.now();
             let beat = self.beat(now).encode_to_vec();
-            let addresses = self.gateway.state.peers.borrow().peer_addresses();
-            for address in addresses {
-                ports.datagrams.send(address, beat.clone()).await;
+            self.note_sent(now);
+            for (address, echo) in self.receivers() {
+                // Messages one after the other are one message with the fields of both.
+                ports.datagrams.send(address, [&beat[..], &echo].concat()).await;
             }
             self.forget(now);
             let state = &self.gateway.state;
@@ -68,6 +78,41 @@
         }
     }
 
+    fn note_sent(&self, now: Instant) {
+        let mut sent = self.sent.borrow_mut();
+        sent.push_back((self.sequence.get(), now));
+        if sent.len() > SENT_MEMORY {
+            sent.pop_front();
+        }
+    }
+
+    /// Where datagrams go, each with the echo of the receiver's newest one.
+    fn receivers(&self) -> Vec<(SocketAddr, Vec<u8>)> {
+        let peers = self.gateway.state.peers.borrow();
+        let receiver = |peer: &PeerRecord| {
+            let echo = peer.heard_at.map(|_| peer::BeatEcho {
+                incarnation: peer.incarnation.0,
+                sequence: peer.sequence,
+            });
+            let echo = peer::GatewayBeat { echo, ..peer::GatewayBeat::default() };
+            (peer.peer_address, echo.encode_to_vec())
+        };
+        peers.all().map(receiver).collect()
+    }
+
+    /// What another node's word on the configuration is worth; nothing if it had not heard of this
+    /// run lately.
+    fn vouch(&self, beat: &peer::GatewayBeat) -> Option<ConfigVouch> {
+        let echo = beat.echo?;
+        if echo.incarnation != self.gateway.identity.incarnation.0 {
+            return None;
+        }
+        let sent = self.sent.borrow();
+        let (_, asked_at) = *sent.iter().find(|(sequence, _)| *sequence == echo.sequence)?;
+        let age = Duration::from_millis(beat.config_age_ms.checked_sub(1)?);
+        Some(ConfigVouch { version: beat.config_version, age, asked_at })
+    }
+
     fn beat(&self, now: Instant) -> peer::GatewayBeat {
         let Gateway { identity, state, .. } = &*self.gateway;
         self.sequence.set(self.sequence.get() + 1);
@@ -76,6 +121,7 @@
         let period = state.stretched(state.settings.beat_period);
         let refusals = state.update_refusals(period).into_iter();
         let deaths = state.deaths.borrow();
+        let belief = state.belief(now);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -93,6 +139,10 @@
             lease: state.lease.get(),
             has_traffic: state.has_traffic.get(),
             list_news: state.list_news.get(),
+            config_version: belief.config_version.unwrap_or_default(),
+            // Rounded up: the proof must not look younger than it is.
+            config_age_ms: age_code(belief.config_age.map(|age| age + MILLISECOND)),
+            echo: None,
             loads: own
                 .map(|(life, running)| peer::ServerLoad {
                     server: Some(name(&life)),
@@ -137,6 +187,9 @@
             return;
         }
         state.hear_news(beat.list_news);
+        if let Some(vouch) = self.vouch(&beat) {
+            state.take_vouch(&vouch);
+        }
         if beat.has_traffic {
             state.has_traffic.set(true);
         }
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -18,7 +18,7 @@
     pub(crate) async fn follow_config(self: Rc<Self>) {
         let mut is_connected = true;
         loop {
-            match self.ports.config_feed.next().await {
+            match self.ports.config_feed.next(self.config_wait()).await {
                 Ok(reading) => {
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
@@ -52,6 +52,13 @@
         }
     }
 
+    /// How long the store may hold back its answer if nothing changes. The more nodes there are,
+    /// the more vouch for each other; a node that hears none must still learn in time.
+    fn config_wait(&self) -> Duration {
+        let settings = &self.state.settings;
+        self.state.stretched(settings.config_wait).min(settings.config_limit / 2)
+    }
+
     /// Follows the list of servers for ever.
     pub(crate) async fn follow_servers(self: Rc<Self>) {
         let Self { ports, state, .. } = &*self;
@@ -81,11 +88,13 @@
     async fn await_server_news(&self) {
         let Self { ports, state, .. } = self;
         let settings = &state.settings;
-        let until = ports.clock.now() + settings.server_period;
+        let read_at = ports.clock.now();
         loop {
-            let step = settings.planner_period;
-            ports.clock.sleep(step).await;
-            if state.plans.get() || state.has_missed_news() || ports.clock.now() >= until {
+            ports.clock.sleep(settings.planner_period).await;
+            let elapsed = ports.clock.now().saturating_duration_since(read_at);
+            let is_due = |pause: Duration| elapsed >= state.stretched(pause);
+            let has_news = state.has_missed_news() && is_due(settings.news_pause);
+            if state.plans.get() || has_news || is_due(settings.server_period) {
                 return;
             }
         }
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -11,6 +11,13 @@
     /// needs a key.
     pub config_limit: Duration,
 
+    /// How long the store may hold back the answer that no configuration is newer.
+    pub config_wait: Duration,
+
+    /// Least pause between two readings of the list of servers after another node told that it
+    /// changed.
+    pub news_pause: Duration,
+
     /// Pause between two readings of the list of servers.
     pub server_period: Duration,
 
@@ -103,6 +110,8 @@
     fn default() -> Self {
         Self {
             config_limit: Duration::from_millis(4500),
+            config_wait: Duration::from_millis(2000),
+            news_pause: Duration::from_millis(300),
             server_period: Duration::from_millis(900),
             planner_period: Duration::from_millis(150),
             return_wait: Duration::from_millis(2200),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,8 +8,8 @@
 };
 
 use comfreyturn_policy::{
-    ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadCandidate, HeadPicker, KeyTable,
-    RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
+    ConfigVouch, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadCandidate, HeadPicker,
+    KeyTable, RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
 };
 use comfreyturn_types::{
     CustomerName, FleetGroupRecord, FleetServer, GatewayConfig, GroupMembership, MemberPhase,
@@ -156,6 +156,16 @@
         self.confirmed.get().is_usable(now, self.settings.config_limit)
     }
 
+    /// Takes in another node's word on the configuration.
+    pub(crate) fn take_vouch(&self, vouch: &ConfigVouch) {
+        let Some(own) = self.config.borrow().as_ref().map(|view| view.config.version) else {
+            return;
+        };
+        let mut confirmed = self.confirmed.get();
+        confirmed.take_vouch(own, vouch);
+        self.confirmed.set(confirmed);
+    }
+
     /// Counts a request of a service for its retry budget.
     pub(crate) fn note_request(&self, now: Instant, service: &ServiceName) {
         self.with_budget(service, |budget| budget.record_request(now));
--- a/crates/gateway/src/peer_book.rs
+++ b/crates/gateway/src/peer_book.rs
@@ -98,11 +98,6 @@
         self.peers.values()
     }
 
-    /// Where all other nodes take datagrams, heard of or not.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.peer_address).collect()
-    }
-
     /// Nodes that were heard of within `silence`.
     pub fn alive(
         &self,
--- a/crates/gateway/tests/gateway_books.rs
+++ b/crates/gateway/tests/gateway_books.rs
@@ -190,7 +190,8 @@
     let node = NodeId::from("n");
     book.hear(node.clone(), record(2, 1, now));
     book.found(node.clone(), Incarnation(1), "127.0.0.1:9".parse().unwrap());
-    assert_eq!(book.peer_addresses(), ["127.0.0.1:2".parse().unwrap()]);
+    let addresses: Vec<_> = book.all().map(|peer| peer.peer_address).collect();
+    assert_eq!(addresses, ["127.0.0.1:2".parse().unwrap()]);
     assert_eq!(book.alive(now, MEMORY).count(), 1);
     assert_eq!(book.alive(now + MEMORY, MEMORY).count(), 0);
 }
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! What tests of gateways share.
+
+mod test_nodes;
+
+pub use test_nodes::*;
--- /dev/null
+++ b/crates/gateway/tests/support/test_nodes.rs
@@ -0,0 +1,165 @@
+//! Three nodes of one deployment that talk over datagrams.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use comfreyturn_gateway::{Gateway, GatewayIdentity, GatewayPorts, GatewaySettings};
+use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, TableResult};
+use comfreyturn_standin::fakes::{
+    FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable, ScriptedServers,
+    run_for,
+};
+use comfreyturn_types::{CellName, Incarnation, NodeId};
+
+/// Looks at the datagrams that wait.
+const MAIL_PERIOD: Duration = Duration::from_millis(1);
+
+/// Datagrams that wait at each address, and the nodes that were entered.
+#[derive(Clone, Default)]
+pub struct TestNet {
+    mail: Rc<RefCell<HashMap<SocketAddr, VecDeque<Vec<u8>>>>>,
+    entries: Rc<RefCell<Vec<NodeEntry>>>,
+
+    /// Addresses whose datagrams wait.
+    pub held: Rc<RefCell<HashSet<SocketAddr>>>,
+}
+
+impl TestNet {
+    fn take(&self, address: SocketAddr) -> Option<Vec<u8>> {
+        if self.held.borrow().contains(&address) {
+            return None;
+        }
+        self.mail.borrow_mut().entry(address).or_default().pop_front()
+    }
+}
+
+/// One node's end of the net.
+struct NetEnd {
+    net: TestNet,
+    address: SocketAddr,
+    clock: Rc<dyn Clock>,
+}
+
+#[async_trait(?Send)]
+impl DatagramLink for NetEnd {
+    async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
+        self.net.mail.borrow_mut().entry(to).or_default().push_back(bytes);
+    }
+
+    async fn receive(&self) -> std::io::Result<Vec<u8>> {
+        loop {
+            match self.net.take(self.address) {
+                Some(bytes) => return Ok(bytes),
+                None => self.clock.sleep(MAIL_PERIOD).await,
+            }
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl NodeRegistry for TestNet {
+    async fn announce(&self, entry: &NodeEntry) -> TableResult<()> {
+        self.entries.borrow_mut().push(entry.clone());
+        Ok(())
+    }
+
+    async fn withdraw(&self, node: &NodeId) -> TableResult<()> {
+        self.entries.borrow_mut().retain(|entry| entry.node != *node);
+        Ok(())
+    }
+
+    async fn list(&self) -> TableResult<Vec<NodeEntry>> {
+        Ok(self.entries.borrow().clone())
+    }
+}
+
+/// Three nodes of one deployment.
+pub struct TestNodes {
+    clock: ManualClock,
+    pool: LocalPool,
+    pub plan: FaultPlan,
+    table: MemoryTable,
+    pub net: TestNet,
+
+    /// What each node learns of the platform.
+    pub feeds: HashMap<u16, FixedFeeds>,
+    pub gateways: HashMap<u16, Rc<Gateway>>,
+    runs: u64,
+}
+
+impl TestNodes {
+    pub fn started() -> Self {
+        let clock = ManualClock::new();
+        let pool = LocalPool::new();
+        let plan = FaultPlan::new(&clock, &pool, FaultSettings::default());
+        let table = MemoryTable::new(&plan);
+        let mut nodes = Self {
+            clock,
+            pool,
+            plan,
+            table,
+            net: TestNet::default(),
+            feeds: HashMap::new(),
+            gateways: HashMap::new(),
+            runs: 0,
+        };
+        for number in 1..=3 {
+            nodes.start(number);
+        }
+        nodes.run(3000);
+        nodes
+    }
+
+    pub fn start(&mut self, number: u16) {
+        let node = name(number);
+        self.plan.restart(&node);
+        let feeds = FixedFeeds::new(Rc::new(self.clock.clone()));
+        self.feeds.insert(number, feeds.clone());
+        self.runs += 1;
+        let peer_address = address(number);
+        self.net.mail.borrow_mut().remove(&peer_address);
+        let clock = self.plan.clock(&node);
+        let end = NetEnd { net: self.net.clone(), address: peer_address, clock: clock.clone() };
+        let ports = GatewayPorts {
+            spawner: self.plan.spawner(&node),
+            table: self.table.for_node(&node),
+            servers: Rc::new(ScriptedServers::new(clock.clone())),
+            fleet: Rc::new(feeds.clone()),
+            config_feed: Rc::new(feeds.clone()),
+            server_feed: Rc::new(feeds.clone()),
+            nodes: Rc::new(self.net.clone()),
+            datagrams: Rc::new(end),
+            clock,
+        };
+        let identity = GatewayIdentity {
+            cell: CellName::from("cell"),
+            node,
+            incarnation: Incarnation(self.runs),
+            peer_address,
+            caller_address: SocketAddr::from(([127, 0, 0, 1], 1000 + number)),
+        };
+        let settings = GatewaySettings { fencing_checked: true, ..GatewaySettings::default() };
+        let gateway = Gateway::new(identity, ports, settings);
+        gateway.start();
+        self.gateways.insert(number, gateway);
+    }
+
+    pub fn run(&mut self, milliseconds: u64) {
+        run_for(&self.clock, &mut self.pool, Duration::from_millis(milliseconds));
+    }
+}
+
+pub fn name(number: u16) -> NodeId {
+    NodeId::from(format!("node-{number}"))
+}
+
+/// Where a node takes datagrams.
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
--- a/crates/policy/src/confirmed_config.rs
+++ b/crates/policy/src/confirmed_config.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-/// When a node last learned that the configuration it holds is the newest.
+/// The newest moment at which no configuration newer than the held one existed, for all that a
+/// node can prove.
 ///
-/// The proof is an answer of the store to a question of the node's own. It is dated by the
-/// earliest moment at which the store can have given it, never by its arrival: a process that
-/// wakes from a freeze finds old answers in its sockets.
+/// The proof is an answer of the store to a question of the node's own, or the word of another
+/// node ([`ConfigVouch`]). It is dated by the earliest moment at which it can have been given,
+/// never by its arrival: a process that wakes from a freeze finds old answers in its sockets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfirmedConfig {
     confirmed_at: Option<Instant>,
@@ -18,6 +19,18 @@
         self.confirmed_at = Some(self.confirmed_at.map_or(moment, |known| known.max(moment)));
     }
 
+    /// Takes in the word of another node, for a node that holds `own_version`. Nothing newer than
+    /// the other node's version existed `age` before its word, which it gave after `asked_at`; that
+    /// proves something only to those who hold that version or a newer one.
+    pub fn take_vouch(&mut self, own_version: u64, vouch: &ConfigVouch) {
+        if vouch.version > own_version {
+            return;
+        }
+        if let Some(moment) = vouch.asked_at.checked_sub(vouch.age) {
+            self.confirm(moment);
+        }
+    }
+
     /// How old the proof is; `None` if there never was one.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|moment| now.saturating_duration_since(moment))
@@ -29,6 +42,22 @@
     }
 }
 
+/// The word of another node on the configuration.
+///
+/// It may have waited in a socket for long. What dates it is a message of this node that the other
+/// one had taken in before it gave its word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigVouch {
+    /// The version that the other node holds.
+    pub version: u64,
+
+    /// How old the other node's proof was when it gave its word.
+    pub age: Duration,
+
+    /// When this node sent the message that the other one had taken in by then.
+    pub asked_at: Instant,
+}
+
 /// Relates the steady clock of the store to the node's own.
 ///
 /// Each answer carries the store's time, read between sending the question and receiving the
--- a/crates/ports/src/gateway_feeds.rs
+++ b/crates/ports/src/gateway_feeds.rs
@@ -1,6 +1,9 @@
 //! What the platform tells a gateway: the operators' configuration and the list of servers.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use async_trait::async_trait;
 use comfreyturn_types::{FleetServer, GatewayConfig, VmId};
@@ -33,8 +36,8 @@
 /// The operators' configuration.
 #[async_trait(?Send)]
 pub trait ConfigFeed {
-    /// Waits for news, for about a second at most.
-    async fn next(&self) -> FeedResult<ConfigReading>;
+    /// Waits for news, for about `wait` at most.
+    async fn next(&self, wait: Duration) -> FeedResult<ConfigReading>;
 }
 
 /// A change of the list of servers.
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -52,7 +52,7 @@
 
 #[async_trait(?Send)]
 impl ConfigFeed for FixedFeeds {
-    async fn next(&self) -> FeedResult<ConfigReading> {
+    async fn next(&self, _wait: Duration) -> FeedResult<ConfigReading> {
         if self.cut_off.get() {
             return Err(FeedError::Unreachable);
         }
