Do not take a server's own deadline for a crash; show the way from an id to its cause

And `explain --to` was hidden by the flag of all verbs.

Ruled out: a limit of the node (none is near 391 ms); a crash of the servers (they serve on).

Flags are `--since` and `--until`.

Tests: `server_that_cuts_a_request_off_at_its_deadline_did_not_crash`, `explain_takes_its_own_flags`; the first fails without the change.

--- a/crates/ctl/src/command_line.rs
+++ b/crates/ctl/src/command_line.rs
@@ -211,9 +211,9 @@
             /// The request.
             optional --request id: String
             /// Lines from here on, in seconds as printed.
-            optional --from seconds: f64
+            optional --since seconds: f64
             /// Lines up to here, in seconds as printed.
-            optional --to seconds: f64
+            optional --until seconds: f64
             /// Draws the summary into this file.
             optional --svg file: PathBuf
         }
--- a/crates/ctl/src/explain/run_explain.rs
+++ b/crates/ctl/src/explain/run_explain.rs
@@ -29,7 +29,7 @@
         let drawn = draw_refusals(&summary, file);
         drawn.map_err(|error| unreadable(file, io::Error::other(error)))?;
     }
-    let query = StoryQuery { request: flags.request.clone(), from: flags.from, to: flags.to };
+    let query = StoryQuery { request: flags.request.clone(), from: flags.since, to: flags.until };
     if query == StoryQuery::default() {
         print!("{}", summary.table());
         return Ok(());
--- a/crates/ctl/tests/usage.rs
+++ b/crates/ctl/tests/usage.rs
@@ -48,6 +48,18 @@
     assert!(code == Some(2) && text.contains(":2: ") && text.contains("nom"), "{text}");
 }
 
+#[test]
+fn explain_takes_its_own_flags() {
+    let file = scratch_directory("explain").join("node.log");
+    let line = r#"{"level":"INFO","timestamp":"2026-06-14 17:23:23.043879 +00:00","#.to_owned()
+        + r#""kv":{"node":"node-1"},"text":"node: runs."}"#;
+    std::fs::write(&file, line).unwrap();
+    let path = file.to_str().unwrap();
+    let output = run_ctl(&["explain", "--since", "0", "--until", "1", path]);
+    assert!(output.status.success(), "{output:?}");
+    assert!(String::from_utf8(output.stdout).unwrap().contains("node: runs."));
+}
+
 #[test]
 fn a_node_that_is_not_there_exits_with_three() {
     let nobody = free_address().to_string();
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -28,6 +28,10 @@
 /// What is taken off the time that a server is given, for the way of the answer.
 const WAY_TIME: Duration = Duration::from_millis(10);
 
+/// A connection that breaks this long before the caller's time is over was cut off by the server
+/// because its own time was over.
+const CUT_OFF_TIME: Duration = Duration::from_millis(30);
+
 /// One request on its way through servers.
 pub(crate) struct ForwardRun {
     pub(crate) state: Rc<GatewayState>,
@@ -127,7 +131,7 @@
         };
         match self.within(left, reading).await {
             Some(Ok(())) => Ok(WholeAnswer { status, headers, body: body.freeze() }),
-            Some(Err(error)) => Err(AttemptError::Link(error)),
+            Some(Err(error)) => Err(self.attempt_error(error)),
             None => Err(AttemptError::OutOfTime),
         }
     }
@@ -219,8 +223,11 @@
                 Ok(Err(error)) => {
                     self.sent += 1;
                     self.may_have_run |= error != LinkError::NotRun;
-                    self.note_failure(&server.life, error);
-                    return Err(AttemptError::Link(error));
+                    let error = self.attempt_error(error);
+                    if let AttemptError::Link(error) = error {
+                        self.note_failure(&server.life, error);
+                    }
+                    return Err(error);
                 }
                 Err(error) => {
                     self.sent += 1;
@@ -288,6 +295,16 @@
         self.state.stalls.borrow_mut().stall(self.now(), life);
     }
 
+    /// What an error of a connection means. A server cuts a request off when the time that it was
+    /// given is over; that is no failure of the server.
+    pub(crate) fn attempt_error(&self, error: LinkError) -> AttemptError {
+        let left = self.deadline_at.saturating_duration_since(self.now());
+        if error == LinkError::Broken && left <= CUT_OFF_TIME {
+            return AttemptError::OutOfTime;
+        }
+        AttemptError::Link(error)
+    }
+
     /// Remembers a connection that broke while the request may have run: its request may have
     /// killed the server.
     pub(crate) fn note_failure(&self, life: &ServerLife, error: LinkError) {
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -111,14 +111,14 @@
             }
             let Self { run, attempt, .. } = self;
             let chunk = run.await_server(&attempt.life, limit, attempt.answer.chunk()).await?;
-            match chunk.map_err(AttemptError::Link)? {
+            match chunk.map_err(|error| self.run.attempt_error(error))? {
                 Some(bytes) => {
                     let now = self.run.now();
                     self.run.state.stalls.borrow_mut().hear(now, &self.attempt.life);
                     self.cutter.push(&bytes);
                 }
                 None if self.cutter.has_rest() => {
-                    return Err(AttemptError::Link(LinkError::Broken));
+                    return Err(self.run.attempt_error(LinkError::Broken));
                 }
                 None => return Ok(None),
             }
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -368,6 +368,25 @@
     assert!(matches!(answer, ForwardAnswer::Unknown(_)));
 }
 
+#[test]
+fn server_that_cuts_a_request_off_at_its_deadline_did_not_crash() {
+    let mut site = TestSite::started();
+    let late = ServerScript::Answer {
+        status: 200,
+        pieces: vec![(Duration::from_millis(391), "half")],
+        end: ScriptEnd::Broken,
+    };
+    for _ in 0..3 {
+        site.servers.script_next(late.clone());
+        let deadline = Some(Duration::from_millis(400));
+        let request = ForwardRequest { deadline, ..site.request("/write/x") };
+        let answer = site.send(request);
+        assert!(matches!(answer, ForwardAnswer::Unknown(UnknownReason::Timeout)));
+    }
+    site.servers.script_next(ServerScript::whole(200, "ok"));
+    assert_eq!(whole(site.send_to("/write/x")).0, 200, "the request is no suspect");
+}
+
 #[test]
 fn servers_failure_is_handed_on_as_it_is() {
     let mut site = TestSite::started();
