Let a dozen nodes ask for the configuration, and look at the lease less often

Ruled out: dropping the polls of a node that hears nobody (it must still learn in time).

Change: the first twelve nodes by name that are heard of always ask; the others rely on their word and ask when they hear of a newer version or when their proof is older than a third of its limit. Looks at the lease of a holder that is heard of are stretched with the number of nodes. On sites of up to twelve nodes nothing changes but the looks.

--- a/crates/gateway/src/beat_loop.rs
+++ b/crates/gateway/src/beat_loop.rs
@@ -187,6 +187,7 @@
             return;
         }
         state.hear_news(beat.list_news);
+        state.hear_config(beat.config_version);
         if let Some(vouch) = self.vouch(&beat) {
             state.take_vouch(&vouch);
         }
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -18,7 +18,8 @@
     pub(crate) async fn follow_config(self: Rc<Self>) {
         let mut is_connected = true;
         loop {
-            match self.ports.config_feed.next(self.config_wait()).await {
+            let wait = self.await_config_turn().await;
+            match self.ports.config_feed.next(wait).await {
                 Ok(reading) => {
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
@@ -52,11 +53,33 @@
         }
     }
 
-    /// How long the store may hold back its answer if nothing changes. The more nodes there are,
-    /// the more vouch for each other; a node that hears none must still learn in time.
-    fn config_wait(&self) -> Duration {
-        let settings = &self.state.settings;
-        self.state.stretched(settings.config_wait).min(settings.config_limit / 2)
+    /// Waits until this node should ask for the configuration; returns how long the store may hold
+    /// back its answer if nothing changes.
+    ///
+    /// Some nodes always ask, and vouch for the others. Those ask when they hear of a newer version
+    /// or when nobody has vouched for a while.
+    async fn await_config_turn(&self) -> Duration {
+        let Self { ports, state, .. } = self;
+        loop {
+            if self.watches_config() {
+                return state.settings.config_wait.min(state.settings.config_limit / 2);
+            }
+            if state.needs_config(ports.clock.now()) {
+                return Duration::ZERO;
+            }
+            ports.clock.sleep(state.settings.beat_period).await;
+        }
+    }
+
+    /// Whether this node is one of those that always ask for the configuration: the first ones by
+    /// name of all that are heard of.
+    fn watches_config(&self) -> bool {
+        let Self { identity, ports, state } = self;
+        let silence = state.stretched(state.settings.peer_silence);
+        let peers = state.peers.borrow();
+        let alive = peers.alive(ports.clock.now(), silence);
+        let earlier = alive.filter(|(node, _)| **node < identity.node).count();
+        earlier < state.settings.config_watchers
     }
 
     /// Follows the list of servers for ever.
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -124,7 +124,7 @@
             let now = ports.clock.now();
             let pause = match self.lease.held(now) {
                 Some(_) => settings.lease_period,
-                None if self.holder_is_heard(now) => settings.lease_look_period,
+                None if self.holder_is_heard(now) => state.stretched(settings.lease_look_period),
                 None => Duration::ZERO,
             };
             if now.saturating_duration_since(called_at) >= pause {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -180,6 +180,11 @@
         addresses
     }
 
+    /// The version of the configuration that this node holds.
+    pub fn config_version(&self) -> Option<u64> {
+        self.state.config.borrow().as_ref().map(|view| view.config.version)
+    }
+
     /// Whether this node holds the fleet's lease and orders servers into groups.
     pub fn forms_groups(&self) -> bool {
         self.state.plans.get()
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -11,6 +11,9 @@
     /// needs a key.
     pub config_limit: Duration,
 
+    /// Nodes that always ask for the configuration. The others rely on their word.
+    pub config_watchers: usize,
+
     /// How long the store may hold back the answer that no configuration is newer.
     pub config_wait: Duration,
 
@@ -110,6 +113,7 @@
     fn default() -> Self {
         Self {
             config_limit: Duration::from_millis(4500),
+            config_watchers: 12,
             config_wait: Duration::from_millis(2000),
             news_pause: Duration::from_millis(300),
             server_period: Duration::from_millis(900),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// A proof of the configuration is renewed once it is older than this part of its limit.
+const CONFIG_PATIENCE: u32 = 3;
+
 /// Memory of the meters of arrivals.
 const ARRIVAL_MEMORY: Duration = Duration::from_secs(2);
 
@@ -106,6 +109,9 @@
     /// The platform's version up to which the list was read.
     list_version: Cell<u64>,
 
+    /// The newest version of the configuration that another node holds.
+    config_elsewhere: Cell<u64>,
+
     /// The version at which this node last saw something change in the list.
     pub(crate) list_news: Cell<u64>,
 
@@ -150,6 +156,7 @@
             refusal_rates: RefCell::default(),
             list_read: Cell::new(None),
             list_version: Cell::new(0),
+            config_elsewhere: Cell::new(0),
             list_news: Cell::new(0),
             news_elsewhere: Cell::new(0),
             has_traffic: Cell::new(false),
@@ -166,6 +173,19 @@
         self.confirmed.get().is_usable(now, self.settings.config_limit)
     }
 
+    /// Takes in that another node holds a version of the configuration.
+    pub(crate) fn hear_config(&self, version: u64) {
+        self.config_elsewhere.set(self.config_elsewhere.get().max(version));
+    }
+
+    /// Whether another node holds a newer configuration, or this one's proof grows old.
+    pub(crate) fn needs_config(&self, now: Instant) -> bool {
+        let own = self.config.borrow().as_ref().map(|view| view.config.version);
+        let is_old = |age: Duration| age >= self.settings.config_limit / CONFIG_PATIENCE;
+        own.is_none_or(|own| own < self.config_elsewhere.get())
+            || self.confirmed.get().age(now).is_none_or(is_old)
+    }
+
     /// Takes in another node's word on the configuration.
     pub(crate) fn take_vouch(&self, vouch: &ConfigVouch) {
         let Some(own) = self.config.borrow().as_ref().map(|view| view.config.version) else {
--- a/crates/gateway/tests/support/test_nodes.rs
+++ b/crates/gateway/tests/support/test_nodes.rs
@@ -91,10 +91,15 @@
     pub feeds: HashMap<u16, FixedFeeds>,
     pub gateways: HashMap<u16, Rc<Gateway>>,
     runs: u64,
+    settings: GatewaySettings,
 }
 
 impl TestNodes {
     pub fn started() -> Self {
+        Self::started_with(GatewaySettings { fencing_checked: true, ..GatewaySettings::default() })
+    }
+
+    pub fn started_with(settings: GatewaySettings) -> Self {
         let clock = ManualClock::new();
         let pool = LocalPool::new();
         let plan = FaultPlan::new(&clock, &pool, FaultSettings::default());
@@ -108,6 +113,7 @@
             feeds: HashMap::new(),
             gateways: HashMap::new(),
             runs: 0,
+            settings,
         };
         for number in 1..=3 {
             nodes.start(number);
@@ -144,8 +150,7 @@
             peer_address,
             caller_address: SocketAddr::from(([127, 0, 0, 1], 1000 + number)),
         };
-        let settings = GatewaySettings { fencing_checked: true, ..GatewaySettings::default() };
-        let gateway = Gateway::new(identity, ports, settings);
+        let gateway = Gateway::new(identity, ports, self.settings.clone());
         gateway.start();
         self.gateways.insert(number, gateway);
     }
