Split the state of the gateway and the planner of the fleet

The summary is written when it is logged, for each service. Nothing that is decided changed; the tests of both crates pass unchanged.

--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Gateway,
-    gateway_state::ConfigView,
+    config_view::ConfigView,
     node_belief::{age_ms, whole_ms},
 };
 
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -51,8 +51,8 @@
     restored: bool,
     planners: HashMap<ServiceName, FleetPlanner>,
 
-    /// When the state of the fleet was logged last.
-    summary_at: Option<Instant>,
+    /// When the state of each service was logged last.
+    summary_at: HashMap<ServiceName, Instant>,
     work: HashMap<ModelName, f64>,
 
     /// Whether `work` was measured, or only declared.
@@ -263,13 +263,14 @@
             before_traffic: !state.has_traffic.get(),
         };
         let orders = planner.plan(now, &view);
-        if parts.summary_at.is_none_or(|at| now.saturating_duration_since(at) >= SUMMARY_PERIOD) {
-            parts.summary_at = Some(now);
+        let logged_at = parts.summary_at.get(name);
+        if logged_at.is_none_or(|at| now.saturating_duration_since(*at) >= SUMMARY_PERIOD) {
+            parts.summary_at.insert(name.clone(), now);
             let belief = state.belief(now);
             log::info!(
                 service:% = name,
                 fencing = fencing.0,
-                plan = parts.planners[name].summary(),
+                plan = parts.planners[name].summary(&view),
                 list_version = belief.list_version,
                 list_age_ms = age_ms(belief.list_age);
                 "fleet: state."
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,57 +8,15 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ConfigVouch, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadCandidate,
-    HeadPicker, KeyTable, RetryBudget, RetryBudgetSettings, RouteTable, ShareRetryBudget,
+    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
+    RetryBudgetSettings, ShareRetryBudget,
 };
 use comfreyturn_types::{
-    CustomerName, FleetGroupRecord, FleetServer, GatewayConfig, GroupMembership, MemberPhase,
-    MemberRecord, ModelName, ServerLife, ServiceName, ServiceSpec,
+    FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, MemberRecord, ModelName,
+    ServerLife, ServiceName,
 };
 
-use crate::{
-    GatewaySettings, LoadBook, NotRunReason, PeerBook, ServerBook, StallBook,
-    gateway_metrics::{LABELLED_CUSTOMERS, OTHER_LABEL},
-};
-
-/// A configuration with its tables.
-#[derive(Debug)]
-pub(crate) struct ConfigView {
-    pub(crate) config: Rc<GatewayConfig>,
-    pub(crate) routes: RouteTable,
-    pub(crate) keys: Option<KeyTable>,
-
-    /// Customers that metrics tell apart.
-    labelled: HashSet<CustomerName>,
-}
-
-impl ConfigView {
-    pub(crate) fn new(config: Rc<GatewayConfig>) -> Self {
-        let routes = RouteTable::new(&config.routes);
-        let keys = config.customers.as_deref().map(KeyTable::new);
-        let customers = config.customers.iter().flatten().take(LABELLED_CUSTOMERS);
-        let labelled = customers.map(|customer| customer.name.clone()).collect();
-        Self { config, routes, keys, labelled }
-    }
-
-    /// How metrics name a customer.
-    pub(crate) fn customer_label(&self, customer: Option<&CustomerName>) -> String {
-        match customer {
-            None => String::new(),
-            Some(name) if self.labelled.contains(name) => name.to_string(),
-            Some(_) => OTHER_LABEL.to_owned(),
-        }
-    }
-}
-
-/// A proof of the configuration is renewed once it is older than this part of its limit.
-const CONFIG_PATIENCE: u32 = 3;
-
-/// Memory of the meters of arrivals.
-const ARRIVAL_MEMORY: Duration = Duration::from_secs(2);
-
-/// Time from the sending of a beat until its counts are used.
-const BEAT_DELAY: Duration = Duration::from_millis(10);
+use crate::{GatewaySettings, LoadBook, PeerBook, ServerBook, StallBook, config_view::ConfigView};
 
 /// Deaths that condemn a request, whatever else dies at the time.
 const CONDEMNING_DEATHS: usize = 3;
@@ -97,7 +55,7 @@
     pub(crate) unlisted: RefCell<HashMap<ServerLife, (Instant, FleetServer)>>,
 
     /// Requests that this node sends, by service and model.
-    arrivals: RefCell<HashMap<(ServiceName, Option<ModelName>), ArrivalMeter>>,
+    pub(crate) arrivals: RefCell<HashMap<(ServiceName, Option<ModelName>), ArrivalMeter>>,
 
     /// Requests refused for want of room since the last beat, by model.
     refused: RefCell<HashMap<ModelName, f64>>,
@@ -110,7 +68,7 @@
     list_version: Cell<u64>,
 
     /// The newest version of the configuration that another node holds.
-    config_elsewhere: Cell<u64>,
+    pub(crate) config_elsewhere: Cell<u64>,
 
     /// The version at which this node last saw something change in the list.
     pub(crate) list_news: Cell<u64>,
@@ -127,7 +85,7 @@
 
     /// Whether this node orders servers into groups.
     pub(crate) plans: Cell<bool>,
-    picker: HeadPicker,
+    pub(crate) picker: HeadPicker,
 }
 
 impl GatewayState {
@@ -168,34 +126,6 @@
         }
     }
 
-    /// Whether the configuration is known to be new enough to decide about keys.
-    pub(crate) fn config_is_usable(&self, now: Instant) -> bool {
-        self.confirmed.get().is_usable(now, self.settings.config_limit)
-    }
-
-    /// Takes in that another node holds a version of the configuration.
-    pub(crate) fn hear_config(&self, version: u64) {
-        self.config_elsewhere.set(self.config_elsewhere.get().max(version));
-    }
-
-    /// Whether another node holds a newer configuration, or this one's proof grows old.
-    pub(crate) fn needs_config(&self, now: Instant) -> bool {
-        let own = self.config.borrow().as_ref().map(|view| view.config.version);
-        let is_old = |age: Duration| age >= self.settings.config_limit / CONFIG_PATIENCE;
-        own.is_none_or(|own| own < self.config_elsewhere.get())
-            || self.confirmed.get().age(now).is_none_or(is_old)
-    }
-
-    /// Takes in another node's word on the configuration.
-    pub(crate) fn take_vouch(&self, vouch: &ConfigVouch) {
-        let Some(own) = self.config.borrow().as_ref().map(|view| view.config.version) else {
-            return;
-        };
-        let mut confirmed = self.confirmed.get();
-        confirmed.take_vouch(own, vouch);
-        self.confirmed.set(confirmed);
-    }
-
     /// Counts a request of a service for its retry budget.
     pub(crate) fn note_request(&self, now: Instant, service: &ServiceName) {
         self.with_budget(service, |budget| budget.record_request(now));
@@ -223,77 +153,6 @@
         change(budget)
     }
 
-    /// Picks the server that takes a request, leaving out those in `tried`. An urgent request,
-    /// such as the rest of a stream, goes to the best server even if it is full.
-    pub(crate) fn pick(
-        &self,
-        now: Instant,
-        service: &ServiceSpec,
-        model: Option<&ModelName>,
-        tried: &[ServerLife],
-        urgent: bool,
-    ) -> Result<FleetServer, NotRunReason> {
-        let mut candidates = self.candidates(service, model);
-        let memory = self.settings.stall_memory;
-        let stalls = self.stalls.borrow();
-        candidates.retain(|head| {
-            !tried.contains(&head.life) && !stalls.is_stalled(now, &head.life, memory)
-        });
-        if candidates.is_empty() {
-            return Err(NotRunReason::NoServer);
-        }
-        let unseen = self.unseen_requests(now, service, model);
-        let picked = self.picker.pick(&candidates, unseen, rand::random(), urgent);
-        let servers = self.servers.borrow();
-        let head = picked.and_then(|picked| servers.get(&picked.life)).cloned();
-        head.ok_or(NotRunReason::NoRoom)
-    }
-
-    /// Requests that other nodes are likely to have sent since they told their counts, if callers
-    /// come to them as they come here. Counts this one.
-    fn unseen_requests(
-        &self,
-        now: Instant,
-        service: &ServiceSpec,
-        model: Option<&ModelName>,
-    ) -> f64 {
-        let mut arrivals = self.arrivals.borrow_mut();
-        let meter = arrivals
-            .entry((service.name.clone(), model.cloned()))
-            .or_insert_with(|| ArrivalMeter::new(ARRIVAL_MEMORY));
-        meter.record(now);
-        let silence = self.stretched(self.settings.peer_silence);
-        let peers = self.peers.borrow().alive(now, silence).count();
-        let age = self.stretched(self.settings.beat_period) / 2 + BEAT_DELAY;
-        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
-        let elsewhere = meter.rate(now) * peers as f64;
-        elsewhere * age.as_secs_f64()
-    }
-
-    /// The servers of a plain service, or the heads of the groups that serve a model.
-    pub(crate) fn candidates(
-        &self,
-        service: &ServiceSpec,
-        model: Option<&ModelName>,
-    ) -> Vec<HeadCandidate> {
-        let mut servers = self.servers.borrow_mut();
-        let candidate = |head: &FleetServer, slots: u32| HeadCandidate {
-            life: head.life.clone(),
-            running: self.loads.running(&head.life),
-            slots: slots.max(1),
-            distance: Duration::ZERO,
-        };
-        let Some(engine) = &service.engine else {
-            return servers.plain(&service.name).map(|head| candidate(head, head.slots)).collect();
-        };
-        let groups = servers.serving_groups(&service.name, engine);
-        let serving = groups.iter().filter(|group| {
-            model.is_none_or(|model| group.model.name == *model)
-                && !self.has_lost(group.members.iter().flatten().copied())
-        });
-        serving.filter_map(|group| Some(candidate(group.head()?, engine.slots))).collect()
-    }
-
     /// Notes up to which version the list of servers was read, and whether something changed.
     pub(crate) fn note_reading(&self, version: u64, has_news: bool) {
         self.list_version.set(version);
@@ -373,7 +232,7 @@
         }
     }
 
-    fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
+    pub(crate) fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
         let lost = self.lost.borrow();
         members.any(|member| lost.contains(&member.life))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! used are decisions of `comfreyturn_policy`.
 
 mod beat_loop;
+mod config_view;
 mod event_cutter;
 mod feed_loops;
 mod fleet_loop;
@@ -30,6 +31,7 @@
 mod relay_stream;
 mod request_story;
 mod server_book;
+mod server_choice;
 mod server_watch;
 mod stall_book;
 
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -85,7 +85,7 @@
 }
 
 /// A plan in the making.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct FleetPlan {
     pub(crate) orders: Vec<FleetOrder>,
 
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -18,9 +18,9 @@
 
 use crate::{
     FleetOrder, FleetPlannerSettings, FleetView,
-    fleet_match::{DomainPool, GroupLack, LoadChoice, PoolServer, best_pool, pool_servers},
+    fleet_match::{DomainPool, GroupLack, best_pool},
     fleet_plan::FleetPlan,
-    fleet_state::{ToldGroup, group_model, group_name, phase_of, told_groups},
+    fleet_state::{ToldGroup, group_model, group_name, told_groups},
     fleet_target::{demanded_groups, target_groups},
     planned_group::{GroupHealth, PlanScene, PlannedGroup, load_limit, place_phase},
 };
@@ -36,7 +36,7 @@
     groups: BTreeMap<GroupId, PlannedGroup>,
 
     /// Servers that load weights for no group, since when.
-    staging: HashMap<ServerLife, (ModelName, Instant)>,
+    pub(crate) staging: HashMap<ServerLife, (ModelName, Instant)>,
 
     /// Groups that are dissolved and whose rows still stand.
     obsolete: Vec<GroupId>,
@@ -48,10 +48,10 @@
     missing_heads: HashMap<ServerLife, Instant>,
 
     /// Starts of loads within the last second.
-    load_starts: Vec<Instant>,
+    pub(crate) load_starts: Vec<Instant>,
 
-    /// What the last plan came to.
-    summary: String,
+    /// What the last plan came to, without its orders.
+    pub(crate) last: FleetPlan,
 }
 
 /// Epochs that one holder of the lease can use.
@@ -69,7 +69,7 @@
             sent: HashMap::new(),
             missing_heads: HashMap::new(),
             load_starts: Vec::new(),
-            summary: String::new(),
+            last: FleetPlan::default(),
         }
     }
 
@@ -85,8 +85,8 @@
         }
         self.form_groups(now, view, &mut plan);
         self.stage_weights(now, view, &mut plan);
-        self.summary = self.summarize(view, &plan);
-        let mut orders = plan.orders;
+        let mut orders = std::mem::take(&mut plan.orders);
+        self.last = plan;
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
             self.sent.insert((order.life.clone(), order.action.clone()), now);
@@ -104,34 +104,6 @@
         }
     }
 
-    /// What the last plan came to, for logs: servers by what they do, and groups by model.
-    pub fn summary(&self) -> &str {
-        &self.summary
-    }
-
-    fn summarize(&self, view: &FleetView<'_>, plan: &FleetPlan) -> String {
-        let usable = view.servers.iter().filter(|server| is_usable(view, server));
-        let (bound, free): (Vec<&&FleetServer>, Vec<&&FleetServer>) =
-            usable.partition(|server| plan.held.contains(&server.life));
-        let staged = free.iter().filter(|server| !server.staged.is_empty()).count();
-        let targets = self.targets(view);
-        let models = view.engine.models.iter().map(|model| {
-            let count = |counts: &HashMap<_, _>| counts.get(&model.name).copied().unwrap_or(0);
-            let work = view.work.get(&model.name).copied().unwrap_or_default();
-            let (active, wanted) = (count(&plan.active), count(&targets));
-            format!(" {} has {active} of {wanted} groups for work {work:.1};", model.name)
-        });
-        let models: String = models.collect();
-        let (bound, free, lost) = (bound.len(), free.len(), view.lost.len());
-        let loading = self.loading(view);
-        let pools = self.pools(view, &plan.held);
-        let pools: String = pools.iter().map(|pool| pool.summary(&view.engine.models)).collect();
-        format!(
-            "{bound} bound, {free} free, {staged} of these staged, {loading} load, {lost} lost;\
-             {models} free by domain, weights and none:{pools}"
-        )
-    }
-
     // ---------------------------------------------------------------------------------------
     // Rows
 
@@ -313,7 +285,7 @@
         }
     }
 
-    fn targets(&self, view: &FleetView<'_>) -> HashMap<ModelName, u32> {
+    pub(crate) fn targets(&self, view: &FleetView<'_>) -> HashMap<ModelName, u32> {
         if !view.before_traffic {
             return demanded_groups(view.engine, view.work, self.settings.utilization);
         }
@@ -356,58 +328,6 @@
         None
     }
 
-    /// Free servers by fabric domain.
-    fn pools<'a>(&self, view: &FleetView<'a>, held: &HashSet<ServerLife>) -> Vec<DomainPool<'a>> {
-        let usable = view.servers.iter().copied().filter(|server| is_usable(view, server));
-        let (bound, free): (Vec<_>, Vec<_>) =
-            usable.partition(|server| held.contains(&server.life));
-        let free = free.into_iter().map(|server| PoolServer {
-            server,
-            loading: self.staging.get(&server.life).map(|(model, _)| model.clone()),
-        });
-        pool_servers(free, bound.into_iter())
-    }
-
-    /// Servers that load weights now.
-    fn loading(&self, view: &FleetView<'_>) -> usize {
-        let joining = view.servers.iter().filter(|server| {
-            let staged = group_of(view, server).is_none_or(|model| server.staged.contains(model));
-            phase_of(server) == Some(MemberPhase::Joining)
-                && !staged
-                && !self.staging.contains_key(&server.life)
-        });
-        self.staging.len() + joining.count()
-    }
-
-    // ---------------------------------------------------------------------------------------
-    // Weights ahead of need
-
-    fn stage_weights(&mut self, now: Instant, view: &FleetView<'_>, plan: &mut FleetPlan) {
-        let targets = self.targets(view);
-        let active = &plan.active;
-        let lacks = |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
-        if view.before_traffic && targets.iter().any(lacks) {
-            return;
-        }
-        while view.before_traffic || self.may_load(view) {
-            let lack = GroupLack { view, targets: &targets, active: &plan.active };
-            let pools = self.pools(view, &plan.held);
-            let choices = pools.iter().filter_map(|pool| pool.best_load(&lack));
-            let best = choices.max_by(|a, b| a.score.total_cmp(&b.score));
-            let Some(LoadChoice { server, model, .. }) = best else { return };
-            self.staging.insert(server.life.clone(), (model.clone(), now));
-            self.load_starts.push(now);
-            plan.order(&server.life, FleetAction::Stage { model });
-        }
-    }
-
-    /// Whether one more load keeps to the rates of the weight store.
-    fn may_load(&self, view: &FleetView<'_>) -> bool {
-        let starts = self.load_starts.len() as f64 + 1.0;
-        let has_place = self.loading(view) < view.engine.loads_at_once as usize;
-        has_place && starts <= view.engine.loads_per_second
-    }
-
     fn is_due(&self, now: Instant, order: &FleetOrder) -> bool {
         let sent = self.sent.get(&(order.life.clone(), order.action.clone()));
         sent.is_none_or(|at| now.saturating_duration_since(*at) >= self.settings.order_patience)
@@ -444,14 +364,14 @@
     }
 }
 
-fn is_usable(view: &FleetView<'_>, server: &FleetServer) -> bool {
+pub(crate) fn is_usable(view: &FleetView<'_>, server: &FleetServer) -> bool {
     server.service == *view.service
         && !server.leaving
         && !view.unlisted.contains(&server.life)
         && !view.lost.contains(&server.life)
 }
 
-fn group_of<'a>(view: &FleetView<'a>, server: &FleetServer) -> Option<&'a ModelName> {
+pub(crate) fn group_of<'a>(view: &FleetView<'a>, server: &FleetServer) -> Option<&'a ModelName> {
     let membership = server.membership.as_ref()?;
     group_model(view.engine, &membership.group).map(|model| &model.name)
 }
--- /dev/null
+++ b/crates/policy/src/fleet_staging.rs
@@ -0,0 +1,75 @@
+//! Which servers load which weights ahead of need, and which servers are free.
+
+use std::{collections::HashSet, time::Instant};
+
+use comfreyturn_ports::FleetAction;
+use comfreyturn_types::{MemberPhase, ModelName, ServerLife};
+
+use crate::{
+    FleetPlanner, FleetView,
+    fleet_match::{DomainPool, GroupLack, LoadChoice, PoolServer, pool_servers},
+    fleet_plan::FleetPlan,
+    fleet_planner::{group_of, is_usable},
+    fleet_state::phase_of,
+};
+
+impl FleetPlanner {
+    /// Orders loads ahead of need, within the rates of the weight store.
+    pub(crate) fn stage_weights(
+        &mut self,
+        now: Instant,
+        view: &FleetView<'_>,
+        plan: &mut FleetPlan,
+    ) {
+        let targets = self.targets(view);
+        let active = &plan.active;
+        let lacks = |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
+        if view.before_traffic && targets.iter().any(lacks) {
+            return;
+        }
+        while view.before_traffic || self.may_load(view) {
+            let lack = GroupLack { view, targets: &targets, active: &plan.active };
+            let pools = self.pools(view, &plan.held);
+            let choices = pools.iter().filter_map(|pool| pool.best_load(&lack));
+            let best = choices.max_by(|a, b| a.score.total_cmp(&b.score));
+            let Some(LoadChoice { server, model, .. }) = best else { return };
+            self.staging.insert(server.life.clone(), (model.clone(), now));
+            self.load_starts.push(now);
+            plan.order(&server.life, FleetAction::Stage { model });
+        }
+    }
+
+    /// Whether one more load keeps to the rates of the weight store.
+    fn may_load(&self, view: &FleetView<'_>) -> bool {
+        let starts = self.load_starts.len() as f64 + 1.0;
+        let has_place = self.loading(view) < view.engine.loads_at_once as usize;
+        has_place && starts <= view.engine.loads_per_second
+    }
+
+    /// Free servers by fabric domain.
+    pub(crate) fn pools<'a>(
+        &self,
+        view: &FleetView<'a>,
+        held: &HashSet<ServerLife>,
+    ) -> Vec<DomainPool<'a>> {
+        let usable = view.servers.iter().copied().filter(|server| is_usable(view, server));
+        let (bound, free): (Vec<_>, Vec<_>) =
+            usable.partition(|server| held.contains(&server.life));
+        let free = free.into_iter().map(|server| PoolServer {
+            server,
+            loading: self.staging.get(&server.life).map(|(model, _)| model.clone()),
+        });
+        pool_servers(free, bound.into_iter())
+    }
+
+    /// Servers that load weights now.
+    pub(crate) fn loading(&self, view: &FleetView<'_>) -> usize {
+        let joining = view.servers.iter().filter(|server| {
+            let staged = group_of(view, server).is_none_or(|model| server.staged.contains(model));
+            phase_of(server) == Some(MemberPhase::Joining)
+                && !staged
+                && !self.staging.contains_key(&server.life)
+        });
+        self.staging.len() + joining.count()
+    }
+}
