--- a/crates/control/src/lease_keeper.rs
+++ b/crates/control/src/lease_keeper.rs
@@ -37,6 +37,10 @@
     versions: (RowVersion, RowVersion),
 }
 
+/// The number of fencing numbers of each era of the table. The first one of an era is higher than
+/// all of the eras before, whose numbers may no longer be in the lease's row.
+const FENCING_NUMBERS_PER_ERA: u64 = 10_000;
+
 /// Acquires, renews and releases one lease.
 pub struct LeaseKeeper {
     table: TimedTable,
@@ -48,6 +52,12 @@
     observation: Cell<Option<LeaseObservation>>,
     holder: RefCell<Option<(NodeId, Incarnation)>>,
     fencing_floor: Cell<FencingNumber>,
+
+    /// The era of the table when its rows were last read.
+    era: Cell<Option<u64>>,
+
+    /// When this run noticed that the table had been restored from an older copy.
+    restored_at: Cell<Option<Instant>>,
 }
 
 impl LeaseKeeper {
@@ -69,6 +79,8 @@
             observation: Cell::new(None),
             holder: RefCell::new(None),
             fencing_floor: Cell::new(FencingNumber::default()),
+            era: Cell::new(None),
+            restored_at: Cell::new(None),
         }
     }
 
@@ -173,8 +185,15 @@
         let now = self.table.clock().now();
         let observation = LeaseObservation::update(self.observation.get(), now, view.versions);
         self.observation.set(Some(observation));
+        self.observe_era(now);
+        // In a restored table the row may be free or name an earlier holder, while a later one
+        // still acts until the end of its term.
+        let is_settled = self
+            .restored_at
+            .get()
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.term.term);
         let own = view.row.holder.as_ref() == Some(&self.run);
-        let free = view.row.holder.is_none();
+        let free = view.row.holder.is_none() && is_settled;
         if own && view.row.fencing > self.fencing_floor.get() {
             return self.resume(&view).await;
         }
@@ -185,6 +204,17 @@
         Ok(())
     }
 
+    /// Notices that the table was restored from an older copy, and raises the floor of fencing
+    /// numbers above those of earlier eras.
+    fn observe_era(&self, now: Instant) {
+        let era = self.table.era();
+        if self.era.replace(Some(era)).is_some_and(|known| known != era) {
+            self.restored_at.set(Some(now));
+        }
+        let first = FencingNumber(era * FENCING_NUMBERS_PER_ERA);
+        self.fencing_floor.set(self.fencing_floor.get().max(first));
+    }
+
     async fn read(&self) -> TableResult<LeaseView> {
         let keys = [self.lease_key.clone(), self.renewal_key.clone()];
         let rows = self.table.read(Step::LeaseRead, &keys).await?;
--- a/crates/control/src/timed_table.rs
+++ b/crates/control/src/timed_table.rs
@@ -28,6 +28,12 @@
         &self.clock
     }
 
+    /// The era of the table's contents; see [`TableStore::era`].
+    #[inline]
+    pub fn era(&self) -> u64 {
+        self.table.era()
+    }
+
     /// Reads rows.
     ///
     /// # Errors
--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -16,7 +16,7 @@
 
 /// The configuration is confirmed again once its last confirmation is older than `config_limit`
 /// divided by this.
-const CONFIG_RENEWAL_DIVISOR: u32 = 3;
+const CONFIG_RENEWAL_DIVISOR: u32 = 2;
 
 /// A configuration and the lookup tables built from it.
 #[derive(Debug)]
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -13,6 +13,9 @@
     node_snapshot::{age_ms, whole_ms},
 };
 
+/// Pause between two checks whether the list of servers should be read.
+const LIST_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 impl Gateway {
     /// Polls the operators' configuration. Never returns.
     pub(crate) async fn follow_config(self: Rc<Self>) {
@@ -24,9 +27,11 @@
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
                     }
-                    let mut confirmed = self.state.confirmed.get();
-                    confirmed.confirm(reading.proven_at);
-                    self.state.confirmed.set(confirmed);
+                    if let Some(moment) = reading.proven_at {
+                        let mut confirmed = self.state.confirmed.get();
+                        confirmed.confirm(moment);
+                        self.state.confirmed.set(confirmed);
+                    }
                     if let Some(config) = reading.config {
                         log::info!(
                             config_version = config.version,
@@ -72,32 +77,31 @@
         }
     }
 
-    /// Whether this node is a config watcher: one of the first live nodes in the order of their
-    /// names.
+    /// Whether this node is a config watcher: one of the first relays.
     fn is_config_watcher(&self) -> bool {
-        let Self { identity, ports, state } = self;
-        let timeout = state.scale_by_peers(state.settings.peer_timeout);
-        let peers = state.peers.borrow();
-        let alive = peers.alive(ports.clock.now(), timeout);
-        let earlier = alive.filter(|(node, _)| **node < identity.node).count();
-        earlier < state.settings.config_watchers
+        let Self { identity, state, .. } = self;
+        let rank = state.view.borrow().roster.rank(&identity.node);
+        rank.is_some_and(|rank| rank < state.settings.config_watchers)
     }
 
-    /// Polls the list of servers. Never returns.
+    /// Polls the list of servers while this node has to. Never returns.
     pub(crate) async fn follow_servers(self: Rc<Self>) {
         let Self { ports, state, .. } = &*self;
         let mut outage_grace = OutageGrace::new(state.settings.outage_grace);
         loop {
-            match ports.server_feed.next(outage_grace.is_expired(ports.clock.now())).await {
+            self.await_server_poll().await;
+            let asked_at = ports.clock.now();
+            let is_whole = outage_grace.is_expired(asked_at) || state.needs_whole_list.get();
+            match ports.server_feed.next(is_whole).await {
                 Ok(reading) => {
                     let now = ports.clock.now();
-                    let keep_missing = outage_grace.record_reading(now, reading.is_whole);
-                    let version = reading.version;
-                    let applied = state.servers.borrow_mut().apply(reading, keep_missing);
-                    state.record_list_version(version, applied.has_changes);
-                    state.record_dropped(now, applied.dropped);
-                    state.record_list_read(now);
-                    self.await_server_poll().await;
+                    let list_age = state.list_age(now);
+                    let keep_missing = outage_grace.record_reading(now, list_age, reading.is_whole);
+                    if reading.is_whole {
+                        state.needs_whole_list.set(false);
+                    }
+                    state.apply_reading(now, reading, keep_missing);
+                    state.record_list_read(asked_at);
                 }
                 Err(error) => {
                     outage_grace.record_failure(ports.clock.now(), error);
@@ -107,21 +111,29 @@
         }
     }
 
-    /// Waits until the list should be read again: for the usual pause, or until another node
-    /// reports a change. The holder of the fleet's lease reads often and reports changes to the
-    /// other nodes.
+    /// Waits until this node should read the list of servers.
     async fn await_server_poll(&self) {
         let Self { ports, state, .. } = self;
         let settings = &state.settings;
-        let read_at = ports.clock.now();
+        let waiting_since = ports.clock.now();
+        // Nodes that have to read the list themselves at the same time don't do so together.
+        let lone_pause = settings.lone_list_period.mul_f64(0.5 + rand::random::<f64>() / 2.0);
         loop {
-            ports.clock.sleep(settings.planner_period).await;
-            let elapsed = ports.clock.now().saturating_duration_since(read_at);
-            let is_due = |pause: Duration| elapsed >= state.scale_by_peers(pause);
-            let has_changes = state.has_unread_changes() && is_due(settings.list_change_pause);
-            if state.forms_groups.get() || has_changes || is_due(settings.server_list_period) {
+            let now = ports.clock.now();
+            let waited = now.saturating_duration_since(waiting_since);
+            let rank = state.view.borrow().roster.rank(&self.identity.node);
+            let is_reader = rank.is_some_and(|rank| rank < settings.list_readers);
+            let pause = match state.list_age(now) {
+                _ if state.forms_groups.get() => settings.planner_period,
+                None => Duration::ZERO,
+                _ if is_reader => settings.server_list_period,
+                _ => lone_pause,
+            };
+            let has_joined = state.joined_at.get().is_some();
+            if has_joined && waited >= pause && self.reads_list(now) {
                 return;
             }
+            ports.clock.sleep(LIST_CHECK_PERIOD).await;
         }
     }
 }
@@ -140,7 +152,7 @@
 }
 
 /// Entries of servers don't expire during an outage shorter than this.
-const SHORT_OUTAGE: Duration = Duration::from_millis(700);
+const SHORT_OUTAGE: Duration = Duration::from_millis(1500);
 
 impl OutageGrace {
     fn new(grace: Duration) -> Self {
@@ -154,14 +166,16 @@
         }
     }
 
-    /// Records a successful reading; returns whether servers missing from it are kept.
-    fn record_reading(&mut self, now: Instant, is_whole: bool) -> bool {
+    /// Records a successful reading; returns whether servers missing from it are kept. `list_age`
+    /// is the age of the list before it: a node that didn't read the list itself during the outage
+    /// sees only that.
+    fn record_reading(&mut self, now: Instant, list_age: Option<Duration>, is_whole: bool) -> bool {
         if let Some(since) = self.outage_since.take() {
             let outage = now.saturating_duration_since(since);
             log::info!(outage_ms = whole_ms(outage); "servers: list reached again.");
-            if outage >= SHORT_OUTAGE {
-                self.grace_until = Some(now + self.grace);
-            }
+        }
+        if list_age.is_some_and(|age| age >= SHORT_OUTAGE) {
+            self.grace_until = Some(now + self.grace);
         }
         let keep_missing = self.grace_until.is_some_and(|until| now < until);
         if is_whole && !keep_missing {
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -27,6 +27,10 @@
 /// Least pause between two log lines on the state of a service.
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 
+/// The declared shares are used until traffic has lasted this long: at its start few requests are
+/// in flight, whatever the demand is.
+const DEMAND_WARMUP: Duration = Duration::from_secs(4);
+
 /// Weight of a new sample in the moving average of work.
 const WORK_WEIGHT: f64 = 0.05;
 
@@ -101,6 +105,7 @@
     async fn keep_lease(self: Rc<Self>) {
         let Gateway { ports, state, .. } = &*self.gateway;
         loop {
+            self.await_lease_call().await;
             let now = ports.clock.now();
             let unresponsive =
                 self.unresponsive_holder(now).filter(|_| state.settings.fencing_checked);
@@ -111,58 +116,67 @@
             };
             if let Err(error) = result {
                 log::warn!(cause:% = error; "lease: request to the table service failed.");
+                ports.clock.sleep(state.settings.feed_retry_pause).await;
             }
-            self.await_lease_poll().await;
         }
     }
 
-    /// Waits until the lease should be renewed or polled. While another live node holds the lease
-    /// it is polled rarely; it is polled at once when that node becomes unresponsive or releases
-    /// the lease.
-    async fn await_lease_poll(&self) {
+    /// Waits until the lease should be renewed or tried. While another live node holds it, only the
+    /// first relays look at it, rarely; once no live node holds it, the relays try one after the
+    /// other in the order of their rank.
+    async fn await_lease_call(&self) {
         let Gateway { ports, state, .. } = &*self.gateway;
         let settings = &state.settings;
-        let polled_at = ports.clock.now();
+        let called_at = ports.clock.now();
         loop {
-            ports.clock.sleep(settings.lease_period / 2).await;
+            ports.clock.sleep(settings.lease_period / 5).await;
             let now = ports.clock.now();
-            let pause = match self.lease.held(now) {
-                Some(_) => settings.lease_period,
-                None if self.has_live_holder(now) => {
-                    state.scale_by_peers(settings.lease_poll_period)
-                }
-                None => Duration::ZERO,
+            let waited = now.saturating_duration_since(called_at);
+            let is_due = match self.lease.held(now) {
+                Some(_) => waited >= settings.lease_period,
+                None => self.should_try_lease(now, waited),
             };
-            if now.saturating_duration_since(polled_at) >= pause {
+            if is_due {
                 return;
             }
         }
     }
 
+    /// Whether this node should try to acquire the lease, `waited` after the last try.
+    fn should_try_lease(&self, now: Instant, waited: Duration) -> bool {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let settings = &state.settings;
+        if state.joined_at.get().is_none() || state.leaving.get() {
+            return false;
+        }
+        let mut view = state.view.borrow_mut();
+        let Some(rank) = view.roster.rank(&identity.node) else { return false };
+        if rank >= settings.lease_candidates {
+            return false;
+        }
+        let Some(holderless) = view.holderless_time(now, settings.holder_timeout) else {
+            return waited >= settings.lease_poll_period;
+        };
+        let delay = settings.lease_rank_delay * u32::try_from(rank).unwrap_or(u32::MAX);
+        holderless >= delay && waited >= settings.lease_period / 2
+    }
+
     /// The holder of the lease and its incarnation, if that process is unresponsive or is an
-    /// earlier incarnation of this node. Only the first of the live nodes takes the lease over, so
-    /// that nodes don't take it from each other.
+    /// earlier incarnation of this node.
     fn unresponsive_holder(&self, now: Instant) -> Option<(NodeId, Incarnation)> {
         let Gateway { identity, state, .. } = &*self.gateway;
         let (holder, incarnation) = self.lease.holder()?;
         if holder == identity.node {
             return (incarnation != identity.incarnation).then_some((holder, incarnation));
         }
-        let timeout = state.scale_by_peers(state.settings.holder_timeout);
-        let peers = state.peers.borrow();
-        let alive: Vec<_> = peers.alive(now, timeout).collect();
-        let is_seen =
-            alive.iter().any(|(node, peer)| **node == holder && peer.incarnation == incarnation);
-        let is_first = alive.iter().all(|(node, _)| identity.node <= **node);
-        let is_unresponsive = !is_seen && is_first && !alive.is_empty();
-        is_unresponsive.then_some((holder, incarnation))
-    }
-
-    /// Whether any live node holds the lease.
-    fn has_live_holder(&self, now: Instant) -> bool {
-        let state = &self.gateway.state;
-        let timeout = state.scale_by_peers(state.settings.holder_timeout);
-        state.peers.borrow().alive(now, timeout).any(|(_, peer)| peer.lease_fencing > 0)
+        let view = state.view.borrow();
+        let is_seen = view.peers.get(&holder).is_some_and(|record| {
+            let same = record.status.incarnation == incarnation;
+            same && record.was_seen(now, state.settings.holder_timeout)
+        });
+        // A node that hears no other one may be the one that is cut off.
+        let hears_others = view.peers.alive(now, state.settings.peer_timeouts).next().is_some();
+        (!is_seen && hears_others).then_some((holder, incarnation))
     }
 
     // ---------------------------------------------------------------------------------------
@@ -254,8 +268,9 @@
         let unlisted_servers = state.unlisted.borrow();
         let unlisted = unlisted_servers.keys().cloned().collect();
         let mut plans = self.plans.borrow_mut();
-        self.update_work(&mut plans, name, engine);
+        self.update_work(now, &mut plans, name, engine);
         let work = plans.work.clone();
+        let is_work_measured = plans.was_measured;
         let planner = plans
             .planners
             .entry(name.clone())
@@ -269,6 +284,7 @@
             lost: &lost,
             work: &work,
             before_traffic: !state.has_traffic.get(),
+            is_work_measured,
         };
         let orders = planner.plan(now, &view);
         let logged_at = plans.summary_at.get(name);
@@ -279,7 +295,7 @@
                 service:% = name,
                 fencing = fencing.0,
                 plan = plans.planners[name].summary(&view),
-                list_version = snapshot.list_version,
+                list_version:% = snapshot.list_version,
                 list_age_ms = age_ms(snapshot.list_age);
                 "fleet: state."
             );
@@ -294,11 +310,17 @@
     }
 
     /// Updates the work of each model, in requests in flight; uses the declared shares until there
-    /// is traffic.
-    fn update_work(&self, plans: &mut FleetPlans, service: &ServiceName, engine: &EngineSpec) {
+    /// has been traffic for some time.
+    fn update_work(
+        &self,
+        now: Instant,
+        plans: &mut FleetPlans,
+        service: &ServiceName,
+        engine: &EngineSpec,
+    ) {
         let state = &self.gateway.state;
         let FleetPlans { work, was_measured, .. } = plans;
-        if !state.has_traffic.get() {
+        if state.traffic_age(now).is_none_or(|age| age < DEMAND_WARMUP) {
             // A declared share is a share of all servers' time. Divided by the size of a group, it
             // is proportional to the requests in flight.
             let share = |model: &PooledModel| model.share / f64::from(model.group_size);
@@ -306,18 +328,18 @@
             *work = declared.map(|model| (model.name.clone(), share(model))).collect();
             return;
         }
+        state.refresh_loads();
         let mut measured: HashMap<&ModelName, f64> = HashMap::new();
         let servers = state.servers.borrow();
         for group in servers.groups(service, engine) {
             let running = group.head().map_or(0, |head| state.loads.running(&head.life));
             *measured.entry(&group.model.name).or_default() += f64::from(running);
         }
-        let peers = state.peers.borrow();
-        for (model, rate) in peers.all().flat_map(|peer| &peer.refusals) {
-            let known = engine.models.iter().find(|known| known.name.as_str() == model);
-            if let Some(known) = known {
-                *measured.entry(&known.name).or_default() += rate * REFUSED_RUN_TIME_S;
-            }
+        let mut report = state.others_report();
+        report.merge(&state.own_report(now));
+        for model in &engine.models {
+            let refused = report.rates.get(&model.name).map_or(0.0, |rate| rate.refused);
+            *measured.entry(&model.name).or_default() += refused * REFUSED_RUN_TIME_S;
         }
         for model in &engine.models {
             let sample = measured.get(&model.name).copied().unwrap_or_default();
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -374,7 +374,7 @@
 
     pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
         if matches!(reason, NotRunReason::NoRoom | NotRunReason::NoServer) {
-            self.state.record_refusal(self.request.model.as_ref());
+            self.state.record_refusal(&self.service, self.request.model.as_ref());
         }
         let retry_after = self.state.retry_after();
         self.trace.not_run(reason, retry_after);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,14 +1,18 @@
 //! One node's part of the gateway.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use comfreyturn_control::TimedTable;
-use comfreyturn_policy::choose_target;
+use comfreyturn_policy::{CallerNode, choose_target, spread_callers};
 use comfreyturn_ports::{
     Clock, ConfigFeed, DatagramLink, FleetControl, NodeRegistry, ServerFeed, ServerLink, Spawner,
     TableStore,
 };
-use comfreyturn_types::{CellName, Incarnation, NodeId};
+use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId, StoreVersion};
 
 use crate::{
     DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings, HeartbeatLoop,
@@ -64,6 +68,15 @@
 
     /// Where the node accepts callers.
     pub caller_address: SocketAddr,
+
+    /// The failure domain that the node belongs to.
+    pub failure_domain: FailureDomain,
+
+    /// The node's share of processors, in thousandths of a core.
+    pub capacity: u32,
+
+    /// Whether all nodes of the deployment start for the first time.
+    pub first_start: bool,
 }
 
 /// One node's part of the gateway.
@@ -87,9 +100,9 @@
     /// while this node holds the fleet's lease.
     pub fn start(self: &Rc<Self>) {
         let spawn = |task| self.ports.spawner.spawn(task);
+        spawn(Box::pin(self.clone().keep_node_rows()));
         spawn(Box::pin(self.clone().follow_config()));
         spawn(Box::pin(self.clone().follow_servers()));
-        spawn(Box::pin(self.clone().keep_node_rows()));
         let heartbeats = Rc::new(HeartbeatLoop::new(self.clone()));
         spawn(Box::pin(heartbeats.clone().send()));
         spawn(Box::pin(heartbeats.receive()));
@@ -100,7 +113,7 @@
     /// Answers a request.
     pub async fn forward(&self, request: ForwardRequest) -> ForwardAnswer {
         let state = &self.state;
-        state.has_traffic.set(true);
+        state.start_traffic(self.ports.clock.now());
         let mut trace = RequestTrace::new(state, &self.ports.clock, &request);
         if state.refusing.get() {
             return self.not_run(&trace, NotRunReason::Leaving);
@@ -167,18 +180,49 @@
             && self.state.config_is_usable(now)
     }
 
-    /// The addresses of all nodes that callers should use.
-    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+    /// The addresses of the nodes that callers of a failure domain should use, at most `limit`.
+    pub fn caller_addresses(
+        &self,
+        failure_domain: Option<&FailureDomain>,
+        limit: usize,
+    ) -> Vec<SocketAddr> {
+        let Self { identity, state, .. } = self;
         let now = self.ports.clock.now();
-        let timeout = self.state.scale_by_peers(self.state.settings.peer_timeout);
-        let peers = self.state.peers.borrow();
-        let alive = peers.alive(now, timeout);
-        let ready = alive.filter(|(_, peer)| peer.ready);
-        let mut addresses: Vec<_> = ready.filter_map(|(_, peer)| peer.caller_address).collect();
+        let view = state.view.borrow();
+        let alive = view.peers.alive(now, state.settings.peer_timeouts);
+        let ready = alive.filter(|(_, peer)| peer.status.ready);
+        let mut nodes: Vec<CallerNode> = ready
+            .map(|(node, peer)| CallerNode {
+                node: node.clone(),
+                failure_domain: peer.status.failure_domain.clone(),
+                address: peer.status.caller_address,
+            })
+            .collect();
         if self.is_ready() {
-            addresses.push(self.identity.caller_address);
+            nodes.push(CallerNode {
+                node: identity.node.clone(),
+                failure_domain: identity.failure_domain.clone(),
+                address: identity.caller_address,
+            });
         }
-        addresses
+        spread_callers(nodes, failure_domain, limit)
+    }
+
+    /// Whether this node reads the list of servers from the platform: the holder of the fleet's
+    /// lease and the first relays do. All other nodes get the changes from their relays.
+    pub(crate) fn reads_list(&self, now: Instant) -> bool {
+        let Self { identity, state, .. } = self;
+        let settings = &state.settings;
+        if state.forms_groups.get() || state.needs_whole_list.get() {
+            return true;
+        }
+        let view = state.view.borrow();
+        let is_alone = view.roster.relays().all(|node| *node == identity.node);
+        let rank = view.roster.rank(&identity.node);
+        let is_old = state.list_age(now).is_none_or(|age| age >= settings.list_age_limit);
+        is_alone
+            || rank.is_some_and(|rank| rank < settings.list_readers)
+            || (is_old && state.was_running_for(now, settings.list_age_limit))
     }
 
     /// The version of the configuration that this node holds.
@@ -186,6 +230,11 @@
         self.state.config.borrow().as_ref().map(|view| view.config.version)
     }
 
+    /// The version of the platform's store up to which this node has the list of servers.
+    pub fn list_version(&self) -> StoreVersion {
+        self.state.list_version()
+    }
+
     /// Whether this node holds the fleet's lease and orders servers into groups.
     pub fn forms_groups(&self) -> bool {
         self.state.forms_groups.get()
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use comfreyturn_policy::{FleetPlannerSettings, HeadPickerSettings, LeaseTerm};
+use comfreyturn_policy::{
+    FleetPlannerSettings, HeadPickerSettings, LeaseTerm, RelayChoiceSettings, RelaySettings,
+};
+
+use crate::PeerTimeouts;
 
 /// Periods and limits of a gateway.
 #[derive(Clone, Debug)]
@@ -18,13 +22,19 @@
     /// How long the store may delay its answer while there is no newer configuration.
     pub config_poll_timeout: Duration,
 
-    /// Least pause between two readings of the list of servers after another node reported a
-    /// change.
-    pub list_change_pause: Duration,
+    /// Number of relays that read the list of servers all the time, besides the holder of the
+    /// fleet's lease.
+    pub list_readers: usize,
 
     /// Pause between two readings of the list of servers.
     pub server_list_period: Duration,
 
+    /// A node whose list is older than this reads it from the platform itself.
+    pub list_age_limit: Duration,
+
+    /// Pause between two such readings.
+    pub lone_list_period: Duration,
+
     /// Pause between two rounds of the holder of the fleet's lease: it reads the list of servers,
     /// probes and plans.
     pub planner_period: Duration,
@@ -35,15 +45,39 @@
     /// Pause after a reading that failed.
     pub feed_retry_pause: Duration,
 
-    /// Pause between two datagrams to each other node.
+    /// Pause between two datagrams to each other relay.
     pub heartbeat_period: Duration,
 
-    /// A node without a heartbeat for this time is not announced to callers.
-    pub peer_timeout: Duration,
+    /// Pause between two reports of a member to its relay.
+    pub member_period: Duration,
+
+    /// Times after which a node that shows no sign of life is not announced to callers.
+    pub peer_timeouts: PeerTimeouts,
+
+    /// The report of a node that sends no newer one is used for this time.
+    pub report_retention: Duration,
+
+    /// Number of relays.
+    pub relays: RelaySettings,
+
+    /// Choice of this node's relay.
+    pub relay_choice: RelayChoiceSettings,
+
+    /// Before the first datagrams, a node of one core waits for this time, and for a random part
+    /// of the other; a smaller one waits longer in proportion. So not all nodes call the platform
+    /// at the same moment, and the largest ones become relays.
+    pub join_delay: (Duration, Duration),
 
     /// A holder of the fleet's lease without a heartbeat for this time counts as crashed.
     pub holder_timeout: Duration,
 
+    /// If no live node holds the fleet's lease, the first relay tries to acquire it at once, and
+    /// each further one this much later than the one before.
+    pub lease_rank_delay: Duration,
+
+    /// Number of relays that may hold the fleet's lease.
+    pub lease_candidates: usize,
+
     /// Pause between two renewals of the fleet's lease.
     pub lease_period: Duration,
 
@@ -57,7 +91,7 @@
     /// from an unresponsive holder before it expires.
     pub fencing_checked: bool,
 
-    /// Pause between two readings of the rows of other nodes.
+    /// Pause between two readings of the rows of other nodes while no other node is heard.
     pub node_period: Duration,
 
     /// How long an order may take.
@@ -72,8 +106,9 @@
     /// Share of a service's requests that may be retried.
     pub retry_share: f64,
 
-    /// Requests of a service that may be retried in each window regardless of `retry_share`.
-    pub retry_floor: u32,
+    /// Requests of a service that all nodes together may retry in each window in addition to
+    /// `retry_share`.
+    pub retry_slack: f64,
 
     /// The window of the retry budget.
     pub retry_window: Duration,
@@ -118,16 +153,28 @@
     fn default() -> Self {
         Self {
             config_limit: Duration::from_millis(4500),
-            config_watchers: 12,
-            config_poll_timeout: Duration::from_millis(2000),
-            list_change_pause: Duration::from_millis(300),
-            server_list_period: Duration::from_millis(900),
+            config_watchers: 4,
+            config_poll_timeout: Duration::from_millis(700),
+            list_readers: 2,
+            server_list_period: Duration::from_millis(300),
+            list_age_limit: Duration::from_millis(1000),
+            lone_list_period: Duration::from_millis(900),
             planner_period: Duration::from_millis(150),
             outage_grace: Duration::from_millis(2200),
             feed_retry_pause: Duration::from_millis(200),
             heartbeat_period: Duration::from_millis(100),
-            peer_timeout: Duration::from_millis(1000),
+            member_period: Duration::from_millis(120),
+            peer_timeouts: PeerTimeouts {
+                heard: Duration::from_millis(700),
+                relayed: Duration::from_millis(500),
+            },
+            report_retention: Duration::from_millis(1500),
+            relays: RelaySettings::default(),
+            relay_choice: RelayChoiceSettings::default(),
+            join_delay: (Duration::from_millis(50), Duration::from_millis(200)),
             holder_timeout: Duration::from_millis(600),
+            lease_rank_delay: Duration::from_millis(400),
+            lease_candidates: 4,
             lease_period: Duration::from_millis(500),
             lease_poll_period: Duration::from_millis(4000),
             lease_term: LeaseTerm {
@@ -135,12 +182,12 @@
                 safety_margin: Duration::from_millis(700),
             },
             fencing_checked: false,
-            node_period: Duration::from_secs(15),
+            node_period: Duration::from_secs(2),
             order_timeout: Duration::from_millis(600),
             probe_timeout: Duration::from_millis(300),
             lost_probes: 2,
             retry_share: 0.15,
-            retry_floor: 5,
+            retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
             stall_factor: 1.5,
             default_pause: Duration::from_millis(300),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -11,13 +11,15 @@
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
     RetryBudgetSettings, ShareRetryBudget,
 };
+use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{
     FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, MemberRecord, ModelName,
-    ServerLife, ServiceName,
+    ServerLife, ServiceName, ServiceSpec, StoreVersion,
 };
 
 use crate::{
-    GatewaySettings, LoadTracker, PeerTable, ServerTable, StallTracker, config_view::ConfigView,
+    GatewaySettings, LoadTracker, LoggedChange, ModelRate, ReportKind, ServerLog, ServerTable,
+    StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -26,13 +28,12 @@
 /// How long servers that left the list are kept.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(20);
 
-/// Periods are multiplied by the number of other nodes divided by this, rounded down, but not
-/// shortened.
-const PEERS_AT_FULL_RATE: u32 = 16;
-
 /// Groups are not planned if the list of servers was not read within this time.
 const LIST_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Data heard from a server longer ago than this is not reported.
+const OWN_SEEN_MAX_AGE: Duration = Duration::from_secs(2);
+
 /// Weight of one second of refusals in the moving average.
 const REFUSAL_WEIGHT: f64 = 0.3;
 
@@ -45,7 +46,10 @@
     pub(crate) servers: RefCell<ServerTable>,
     pub(crate) loads: LoadTracker,
     pub(crate) stalls: RefCell<StallTracker>,
-    pub(crate) peers: RefCell<PeerTable>,
+    pub(crate) view: RefCell<PeerView>,
+
+    /// Changes of the list of servers, for other nodes.
+    pub(crate) list_log: RefCell<ServerLog>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, ShareRetryBudget>>,
     pub(crate) suspects: RefCell<CrashLedger>,
 
@@ -64,23 +68,29 @@
 
     /// Requests refused for lack of capacity since the last heartbeat, by model.
     refused: RefCell<HashMap<ModelName, f64>>,
-    refusal_rates: RefCell<HashMap<ModelName, f64>>,
 
-    /// When the list of servers was first and last read.
+    /// Rates of this node's requests, by model.
+    rates: RefCell<HashMap<ModelName, ModelRate>>,
+
+    /// When the list of servers was first and last read, by this node or the one from which it
+    /// gets the list.
     list_reads: Cell<Option<(Instant, Instant)>>,
 
-    /// The platform's version of the list as last read.
-    list_version: Cell<u64>,
+    /// Whether the list must be read from the platform, because no other node has the changes that
+    /// this one lacks.
+    pub(crate) needs_whole_list: Cell<bool>,
+
+    /// Whether reports came since the loads of other nodes were last summed up.
+    pub(crate) has_new_reports: Cell<bool>,
 
     /// The newest version of the configuration held by another node.
     pub(crate) peer_config_version: Cell<u64>,
 
-    /// The version of the list at which this node last saw a change.
-    pub(crate) list_change_version: Cell<u64>,
-
-    /// The newest version of the list at which any other node saw a change.
-    peer_change_version: Cell<u64>,
+    /// When the first request of a caller arrived at any node.
+    traffic_since: Cell<Option<Instant>>,
     pub(crate) has_traffic: Cell<bool>,
+    /// When this node began to exchange datagrams; `None` before.
+    pub(crate) joined_at: Cell<Option<Instant>>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) refusing: Cell<bool>,
     pub(crate) in_flight: Cell<usize>,
@@ -102,13 +112,13 @@
         };
         Self {
             picker: HeadPicker::new(settings.picker),
-            settings,
             config: RefCell::default(),
             confirmed: Cell::default(),
             servers: RefCell::default(),
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
-            peers: RefCell::default(),
+            view: RefCell::new(PeerView::new(settings.relay_choice)),
+            list_log: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::new(CrashLedger::new(suspects)),
             crashes: RefCell::default(),
@@ -116,18 +126,20 @@
             unlisted: RefCell::default(),
             arrivals: RefCell::default(),
             refused: RefCell::default(),
-            refusal_rates: RefCell::default(),
+            rates: RefCell::default(),
             list_reads: Cell::new(None),
-            list_version: Cell::new(0),
+            needs_whole_list: Cell::new(false),
+            has_new_reports: Cell::new(false),
+            traffic_since: Cell::new(None),
             peer_config_version: Cell::new(0),
-            list_change_version: Cell::new(0),
-            peer_change_version: Cell::new(0),
             has_traffic: Cell::new(false),
+            joined_at: Cell::new(None),
             leaving: Cell::new(false),
             refusing: Cell::new(false),
             in_flight: Cell::new(0),
             lease_fencing: Cell::new(0),
             forms_groups: Cell::new(false),
+            settings,
         }
     }
 
@@ -148,37 +160,73 @@
     ) -> T {
         let settings = RetryBudgetSettings {
             share: self.settings.retry_share,
-            floor: self.settings.retry_floor,
+            floor: 0,
             window: self.settings.retry_window,
             ..RetryBudgetSettings::default()
         };
+        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
+        let nodes = (self.view.borrow().peers.len() + 1) as f64;
         let mut budgets = self.budgets.borrow_mut();
         let budget =
             budgets.entry(service.clone()).or_insert_with(|| ShareRetryBudget::new(settings));
+        budget.set_slack(self.settings.retry_slack / nodes);
         change(budget)
     }
 
-    /// Records the version of the list of servers that was read, and whether it contained changes.
-    pub(crate) fn record_list_version(&self, version: u64, has_changes: bool) {
-        self.list_version.set(version);
-        if has_changes {
-            self.list_change_version.set(version);
+    /// Applies a reading of the list. With `keep_missing`, servers that are missing from it are
+    /// kept.
+    pub(crate) fn apply_reading(&self, now: Instant, reading: ServerReading, keep_missing: bool) {
+        let version = reading.version;
+        if version < self.list_version() {
+            // Changes that other nodes sent are newer than this answer of the platform.
+            return;
         }
+        let applied = self.servers.borrow_mut().apply(reading, keep_missing);
+        let servers = self.servers.borrow();
+        let mut log = self.list_log.borrow_mut();
+        for vm in &applied.changed {
+            let server = servers.by_vm(vm).cloned();
+            log.push(LoggedChange { vm: vm.clone(), version, server });
+        }
+        log.complete_at(version);
+        drop((servers, log));
+        self.record_dropped(now, applied.dropped);
     }
 
-    /// Records that another node saw a change at a version of the list.
-    pub(crate) fn record_peer_change(&self, version: u64) {
-        self.peer_change_version.set(self.peer_change_version.get().max(version));
-    }
-
-    /// Whether another node saw a change in the list that this node has not read.
-    pub(crate) fn has_unread_changes(&self) -> bool {
-        self.peer_change_version.get() > self.list_version.get()
+    /// Applies changes of the list that another node sent. They are complete up to `complete`.
+    pub(crate) fn apply_listed(
+        &self,
+        now: Instant,
+        mut changes: Vec<LoggedChange>,
+        complete: Option<StoreVersion>,
+    ) {
+        let log = self.list_log.borrow();
+        changes.retain(|change| change.version > log.version_of(&change.vm));
+        drop(log);
+        let server_change = |change: &LoggedChange| match &change.server {
+            Some(server) => ServerChange::Listed(Box::new(server.clone())),
+            None => ServerChange::Dropped(change.vm.clone()),
+        };
+        let reading = ServerReading {
+            is_whole: false,
+            version: StoreVersion::default(),
+            changes: changes.iter().map(server_change).collect(),
+        };
+        let applied = self.servers.borrow_mut().apply(reading, false);
+        let mut log = self.list_log.borrow_mut();
+        for change in changes.into_iter().filter(|change| applied.changed.contains(&change.vm)) {
+            log.push(change);
+        }
+        if let Some(complete) = complete {
+            log.complete_at(complete);
+        }
+        drop(log);
+        self.record_dropped(now, applied.dropped);
     }
 
-    /// The version of the list of servers as last read.
-    pub(crate) fn list_version(&self) -> u64 {
-        self.list_version.get()
+    /// The version up to which this node has the list of servers.
+    pub(crate) fn list_version(&self) -> StoreVersion {
+        self.list_log.borrow().complete()
     }
 
     /// How long ago the list of servers was last read.
@@ -186,10 +234,27 @@
         self.list_reads.get().map(|(_, last)| now.saturating_duration_since(last))
     }
 
-    /// Records that the list of servers was read.
-    pub(crate) fn record_list_read(&self, now: Instant) {
-        let (first, _) = self.list_reads.get().unwrap_or((now, now));
-        self.list_reads.set(Some((first, now)));
+    /// Records that the list of servers was read from the platform at `read_at`.
+    pub(crate) fn record_list_read(&self, read_at: Instant) {
+        let (first, last) = self.list_reads.get().unwrap_or((read_at, read_at));
+        self.list_reads.set(Some((first, last.max(read_at))));
+    }
+
+    /// Records that callers send requests.
+    pub(crate) fn start_traffic(&self, now: Instant) {
+        if !self.has_traffic.replace(true) {
+            self.traffic_since.set(Some(now));
+        }
+    }
+
+    /// Whether this node has exchanged datagrams for at least `time`.
+    pub(crate) fn was_running_for(&self, now: Instant, time: Duration) -> bool {
+        self.joined_at.get().is_some_and(|at| now.saturating_duration_since(at) >= time)
+    }
+
+    /// How long callers have been sending requests; `None` before the first one.
+    pub(crate) fn traffic_age(&self, now: Instant) -> Option<Duration> {
+        self.traffic_since.get().map(|since| now.saturating_duration_since(since))
     }
 
     /// Whether the list of servers is complete enough to plan: it was read recently, and, if groups
@@ -210,7 +275,7 @@
         for server in members {
             let group = server.membership.as_ref().map(|membership| membership.group.to_string());
             log::info!(
-                server:% = server.life, group = group, list_version = self.list_version();
+                server:% = server.life, group = group, list_version:% = self.list_version();
                 "servers: member of a group left the list."
             );
             unlisted.insert(server.life.clone(), (now, server));
@@ -243,40 +308,71 @@
         members.any(|member| lost.contains(&member.life))
     }
 
-    /// Lengthens a period or a timeout with the number of nodes. Each node sends heartbeats to
-    /// every other one, so this bounds the rate at which it sends.
-    pub(crate) fn scale_by_peers(&self, period: Duration) -> Duration {
-        let peers = u32::try_from(self.peers.borrow().len()).unwrap_or(u32::MAX);
-        period * (peers / PEERS_AT_FULL_RATE).max(1)
+    // ---------------------------------------------------------------------------------------
+    // Reports to other nodes
+
+    /// What this node alone reports.
+    pub(crate) fn own_report(&self, now: Instant) -> ViewReport {
+        let stalls = self.stalls.borrow();
+        let retention = self.settings.stall_retention;
+        let crashes = self.crashes.borrow();
+        ViewReport {
+            loads: self.loads.own(),
+            seen: stalls.own_seen(now, OWN_SEEN_MAX_AGE),
+            stalls: stalls.own_stalls(now, retention),
+            rates: self.rates.borrow().clone(),
+            crashes: crashes.iter().map(|(_, request, crash)| (*request, *crash)).collect(),
+        }
     }
 
-    /// A random time after which a caller refused now should retry.
-    pub(crate) fn retry_after(&self) -> Duration {
-        let (least, most) = self.settings.retry_after;
-        least + most.saturating_sub(least).mul_f64(rand::random())
+    /// The sum of what all other nodes report.
+    pub(crate) fn others_report(&self) -> ViewReport {
+        let kinds = [ReportKind::Relay, ReportKind::Member, ReportKind::Upstream];
+        self.view.borrow().reports.sum(&kinds)
     }
 
-    /// Records that a request for a model was refused for lack of capacity.
-    pub(crate) fn record_refusal(&self, model: Option<&ModelName>) {
-        if let Some(model) = model {
-            *self.refused.borrow_mut().entry(model.clone()).or_default() += 1.0;
+    /// Sums up the loads of the other nodes, if there are new reports.
+    pub(crate) fn refresh_loads(&self) {
+        if self.has_new_reports.replace(false) {
+            self.loads.set_others(self.others_report().loads);
         }
     }
 
-    /// Adds the refusals since the last call, `period` ago, to the moving averages; returns
-    /// refusals per second by model.
-    pub(crate) fn update_refusals(&self, period: Duration) -> Vec<(ModelName, f64)> {
+    /// Adds the requests since the last call, `period` ago, to the moving averages.
+    pub(crate) fn update_rates(&self, now: Instant, period: Duration) {
         let refused = std::mem::take(&mut *self.refused.borrow_mut());
-        let mut rates = self.refusal_rates.borrow_mut();
+        let mut rates = self.rates.borrow_mut();
         let weight = REFUSAL_WEIGHT * period.as_secs_f64();
-        for (model, count) in &refused {
-            let rate = rates.entry(model.clone()).or_default();
-            *rate += weight * count / period.as_secs_f64();
+        for (model, count) in refused {
+            let rate = rates.entry(model).or_default();
+            rate.refused += weight * count / period.as_secs_f64();
+        }
+        for ((_, model), meter) in self.arrivals.borrow().iter() {
+            if let Some(model) = model {
+                rates.entry(model.clone()).or_default().arrived = meter.rate(now);
+            }
         }
         for rate in rates.values_mut() {
-            *rate *= 1.0 - weight;
+            rate.refused *= 1.0 - weight;
+        }
+    }
+
+    /// A random time after which a caller refused now should retry.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let (least, most) = self.settings.retry_after;
+        least + most.saturating_sub(least).mul_f64(rand::random())
+    }
+
+    /// Records that a request for a model was refused for lack of capacity. Names that callers made
+    /// up are not counted.
+    pub(crate) fn record_refusal(&self, service: &ServiceSpec, model: Option<&ModelName>) {
+        let engine = service.engine.as_ref();
+        let is_declared = |name: &&ModelName| {
+            engine.is_some_and(|engine| engine.models.iter().any(|model| model.name == **name))
+        };
+        if let Some(model) = model.filter(is_declared) {
+            *self.refused.borrow_mut().entry(model.clone()).or_default() += 1.0;
         }
-        rates.iter().map(|(model, rate)| (model.clone(), *rate)).collect()
     }
 }
 
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -28,7 +28,8 @@
         gauge!("comfreyturn_fleet_lease_fencing_number").set(float(state.lease_fencing.get()));
         gauge!("comfreyturn_config_version").set(config_version.map_or(f64::NAN, float));
         gauge!("comfreyturn_config_age_seconds").set(seconds(config_age));
-        gauge!("comfreyturn_server_list_version").set(float(list_version));
+        gauge!("comfreyturn_server_list_version").set(float(list_version.number));
+        gauge!("comfreyturn_store_era").set(float(list_version.era));
         gauge!("comfreyturn_server_list_age_seconds").set(seconds(list_age));
         gauge!("comfreyturn_servers_listed").set(count(state.servers.borrow().all().count()));
         gauge!("comfreyturn_servers_unlisted").set(count(state.unlisted.borrow().len()));
@@ -38,7 +39,7 @@
 
     fn set_peers(&self) {
         let now = self.ports.clock.now();
-        for (node, peer) in self.state.peers.borrow().named() {
+        for (node, peer) in self.state.view.borrow().peers.named() {
             let age = peer.last_seen_at.map(|at| now.saturating_duration_since(at));
             gauge!("comfreyturn_peer_age_seconds", "node" => node.to_string()).set(seconds(age));
         }
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -2,21 +2,29 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{ConfigAttestation, SuspectLedger};
+use comfreyturn_policy::{ConfigAttestation, RelayCandidate, SuspectLedger};
 use comfreyturn_proto::peer;
-use comfreyturn_types::{Incarnation, NodeId, ServerLife, VmId};
+use comfreyturn_types::{Incarnation, NodeId};
 use prost::Message;
 
-use crate::{Gateway, PeerRecord};
+use crate::{
+    Gateway, LogPosition, ReportKind, ViewReport,
+    beat_codec::{
+        decode_age, decode_change, decode_node, decode_report, decode_sender, decode_version,
+        encode_age, encode_change, encode_node, encode_report, encode_sender, encode_version,
+    },
+    peer_table::PeerStatus,
+    peer_view::ListCursor,
+};
 
-/// Number of sent datagrams whose send times are kept, so that an echo from another node can be
-/// dated.
+/// Number of rounds whose send times and reports are kept, so that an echo from another node can
+/// be dated, and so that this node's figures can be told from those of the others in a digest.
 const SENT_HISTORY_LEN: usize = 32;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
@@ -24,244 +32,596 @@
 /// Each crash is reported for this time, so that lost datagrams don't matter.
 const CRASH_REPEAT_TIME: Duration = Duration::from_secs(2);
 
-/// A node without a heartbeat for this time is removed.
+/// A node without a sign of life for this time is removed.
 const PEER_RETENTION: Duration = Duration::from_secs(20);
 
-/// Requests of a node without a heartbeat for this time are no longer counted.
-const LOAD_RETENTION: Duration = Duration::from_millis(1500);
-
 /// A stall reported by another node is ignored if this node received data from the server within
 /// this time.
 const LOCAL_SEEN_MAX_AGE: Duration = Duration::from_millis(250);
 
-/// Sends this node's state to the other nodes and applies what they send.
+/// A digest is sent to several members for this time before it is assembled anew.
+const DIGEST_REUSE_TIME: Duration = Duration::from_millis(40);
+
+/// Descriptions of nodes in a datagram.
+const NODES_PER_DATAGRAM: usize = 64;
+
+/// Changes of the list of servers in a datagram.
+const CHANGES_PER_DATAGRAM: usize = 128;
+
+/// A round of sent datagrams.
+struct SentRound {
+    sequence: u64,
+
+    /// When the content was assembled.
+    assembled_at: Instant,
+    report: Rc<ViewReport>,
+}
+
+/// Sends this node's state to other nodes and applies what they send.
+///
+/// Relays send each other what they and their members report, once in each period. Each other node
+/// is the member of one relay: it reports to it once in each period, and the relay answers with a
+/// digest of all reports that it has. In a small fleet all nodes are relays.
 pub struct HeartbeatLoop {
     gateway: Rc<Gateway>,
     sequence: Cell<u64>,
 
-    /// The latest sent datagrams: their sequence numbers and when their content was assembled.
-    sent: RefCell<VecDeque<(u64, Instant)>>,
+    /// The latest rounds, oldest first.
+    sent: RefCell<VecDeque<SentRound>>,
+
+    /// The encoded report of the latest digest, and when it was assembled.
+    digest: RefCell<Option<(Instant, Vec<u8>)>>,
+
+    /// What relays asked for; it is sent to them with the next round.
+    requests: RefCell<HashMap<NodeId, RelayRequest>>,
+}
+
+/// What a relay asked for.
+#[derive(Default)]
+struct RelayRequest {
+    /// The relay's position in the log of the list of servers.
+    position: Option<LogPosition>,
+
+    /// Tags of nodes that the relay doesn't know.
+    unknown_nodes: HashSet<u32>,
 }
 
 impl HeartbeatLoop {
     /// Creates the loop of a gateway.
     pub fn new(gateway: Rc<Gateway>) -> Self {
-        Self { gateway, sequence: Cell::new(0), sent: RefCell::default() }
+        Self {
+            gateway,
+            sequence: Cell::new(0),
+            sent: RefCell::default(),
+            digest: RefCell::default(),
+            requests: RefCell::default(),
+        }
     }
 
+    // ---------------------------------------------------------------------------------------
+    // Sending
+
     /// Sends heartbeats. Never returns.
     pub(crate) async fn send(self: Rc<Self>) {
         let ports = &self.gateway.ports;
         loop {
             let now = ports.clock.now();
-            let heartbeat = self.heartbeat(now).encode_to_vec();
-            self.record_sent(now);
-            for (address, echo) in self.receivers() {
-                // Concatenated protobuf messages decode as one message with the fields of both.
-                ports.datagrams.send(address, [&heartbeat[..], &echo].concat()).await;
+            self.update_view(now);
+            for (address, bytes) in self.round(now) {
+                ports.datagrams.send(address, bytes).await;
             }
-            self.forget(now);
-            let state = &self.gateway.state;
-            ports.clock.sleep(state.scale_by_peers(state.settings.heartbeat_period)).await;
+            ports.clock.sleep(self.period()).await;
         }
     }
 
-    /// Receives heartbeats and applies them. Never returns.
-    pub(crate) async fn receive(self: Rc<Self>) {
-        let ports = &self.gateway.ports;
-        loop {
-            match ports.datagrams.receive().await {
-                Ok(bytes) => self.apply(ports.clock.now(), &bytes),
-                Err(error) => {
-                    log::warn!(cause:% = error; "heartbeats: receive failed.");
-                    ports.clock.sleep(self.gateway.state.settings.heartbeat_period).await;
-                }
-            }
+    /// The pause until the next round.
+    fn period(&self) -> Duration {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let settings = &state.settings;
+        if self.is_relay(&identity.node) {
+            settings.heartbeat_period
+        } else {
+            settings.member_period
         }
     }
 
-    fn record_sent(&self, now: Instant) {
+    /// Forgets what is too old and chooses the relays anew.
+    fn update_view(&self, now: Instant) {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let settings = &state.settings;
+        let own = RelayCandidate {
+            node: identity.node.clone(),
+            failure_domain: identity.failure_domain.clone(),
+            capacity: identity.capacity,
+        };
+        let own = (!state.leaving.get()).then_some(own);
+        let mut view = state.view.borrow_mut();
+        let member_retention = settings.peer_timeouts.relayed;
+        view.forget_unresponsive(now, settings.report_retention, member_retention, PEER_RETENTION);
+        view.update_roster(now, own, settings.peer_timeouts, settings.relays);
+        drop(view);
+        state.update_rates(now, self.period());
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_REPEAT_TIME;
+        state.crashes.borrow_mut().retain(|(at, _, _)| is_recent(at));
+        state.refresh_loads();
+    }
+
+    /// The datagrams of one round, with their receivers.
+    fn round(&self, now: Instant) -> Vec<(SocketAddr, Vec<u8>)> {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let mut report = state.own_report(now);
+        report.merge(&state.view.borrow().reports.sum(&[ReportKind::Member]));
+        let report = Rc::new(report);
+        let sequence = self.next_sequence();
         let mut sent = self.sent.borrow_mut();
-        sent.push_back((self.sequence.get(), now));
+        sent.push_back(SentRound { sequence, assembled_at: now, report: report.clone() });
         if sent.len() > SENT_HISTORY_LEN {
             sent.pop_front();
         }
+        drop(sent);
+        let is_relay = self.is_relay(&identity.node);
+        let mut beat = peer::GatewayBeat { sequence, ..self.header(now) };
+        encode_report(now, &report, &mut beat);
+        if is_relay { self.exchange(now, beat) } else { self.member_report(now, beat) }
     }
 
-    /// The addresses of the other nodes, each with the encoded echo of that node's newest
-    /// heartbeat.
-    fn receivers(&self) -> Vec<(SocketAddr, Vec<u8>)> {
-        let peers = self.gateway.state.peers.borrow();
-        let receiver = |peer: &PeerRecord| {
-            let echo = peer.last_seen_at.map(|_| peer::BeatEcho {
-                incarnation: peer.incarnation.0,
-                sequence: peer.sequence,
-            });
-            let echo = peer::GatewayBeat { echo, ..peer::GatewayBeat::default() };
-            (peer.peer_address, echo.encode_to_vec())
+    /// The datagrams to all other relays.
+    fn exchange(&self, now: Instant, mut beat: peer::GatewayBeat) -> Vec<(SocketAddr, Vec<u8>)> {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        beat.kind = peer::BeatKind::Relay.into();
+        self.add_members(now, &mut beat);
+        let common = beat.encode_to_vec();
+        let source = self.choose_list_source(now);
+        let view = state.view.borrow();
+        let relays = view.roster.relays().filter(|node| **node != identity.node);
+        // A node that seems to have crashed may only be cut off, or this one may be.
+        let probed = view.peers.random_dead(now, state.settings.peer_timeouts);
+        let receivers =
+            relays.chain(probed).filter_map(|node| Some((node.clone(), view.peers.get(node)?)));
+        let receivers = receivers.map(|(node, record)| (node, record.status.peer_address));
+        let receivers: Vec<_> = receivers.collect();
+        drop(view);
+        let mut requests = std::mem::take(&mut *self.requests.borrow_mut());
+        let datagram = |(node, address): (NodeId, SocketAddr)| {
+            let mut own = peer::GatewayBeat {
+                echo: self.echo(&node),
+                unknown_nodes: self.take_unknown(&node),
+                ..Default::default()
+            };
+            if source.as_ref() == Some(&node) {
+                own.list_request = Some(self.list_request(&node));
+            }
+            let request = requests.remove(&node).unwrap_or_default();
+            own.nodes = self.describe(&request.unknown_nodes);
+            let position = request.position.or_else(|| self.missed_position(&node));
+            own.list_changes = position.map(|position| self.list_changes(position));
+            // Concatenated protobuf messages decode as one message with the fields of both.
+            (address, [&common[..], &own.encode_to_vec()].concat())
         };
-        peers.all().map(receiver).collect()
+        receivers.into_iter().map(datagram).collect()
     }
 
-    /// The attestation of the configuration in another node's heartbeat. `None` if the heartbeat
-    /// doesn't echo a recent datagram of this incarnation, since it can't be dated then.
-    fn attestation(&self, beat: &peer::GatewayBeat) -> Option<ConfigAttestation> {
-        let echo = beat.echo?;
-        if echo.incarnation != self.gateway.identity.incarnation.0 {
-            return None;
+    /// The datagram to this node's relay.
+    fn member_report(
+        &self,
+        now: Instant,
+        mut beat: peer::GatewayBeat,
+    ) -> Vec<(SocketAddr, Vec<u8>)> {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        beat.kind = peer::BeatKind::Member.into();
+        let has_members = state.view.borrow().has_members();
+        if has_members {
+            self.add_members(now, &mut beat);
         }
-        let sent = self.sent.borrow();
-        let (_, echo_sent_at) = *sent.iter().find(|(sequence, _)| *sequence == echo.sequence)?;
-        let age = Duration::from_millis(beat.config_age_ms.checked_sub(1)?);
-        Some(ConfigAttestation { version: beat.config_version, age, echo_sent_at })
+        let mut view = state.view.borrow_mut();
+        let preference = view.roster.preference(&identity.node, &identity.failure_domain);
+        let Some(relay) = view.choice.choose(now, &preference).cloned() else {
+            return Vec::new();
+        };
+        let address = view.peers.get(&relay).map(|record| record.status.peer_address);
+        drop(view);
+        let Some(address) = address else { return Vec::new() };
+        beat.echo = self.echo(&relay);
+        beat.nodes_hash = self.live_hash(now);
+        beat.unknown_nodes = self.take_unknown(&relay);
+        beat.list_request = Some(self.list_request(&relay));
+        vec![(address, beat.encode_to_vec())]
     }
 
-    fn heartbeat(&self, now: Instant) -> peer::GatewayBeat {
+    /// The fields that all datagrams have.
+    fn header(&self, now: Instant) -> peer::GatewayBeat {
         let Gateway { identity, state, .. } = &*self.gateway;
-        self.sequence.set(self.sequence.get() + 1);
-        let own = state.loads.own().into_iter();
-        let stalls = state.stalls.borrow().own_stalls(now, state.settings.stall_retention);
-        let period = state.scale_by_peers(state.settings.heartbeat_period);
-        let refusals = state.update_refusals(period).into_iter();
-        let crashes = state.crashes.borrow();
         let snapshot = state.snapshot(now);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a rate of requests is small and not negative"
-        )]
-        let milli = |rate: f64| (rate * 1000.0) as u64;
-        peer::GatewayBeat {
-            node: identity.node.to_string(),
-            incarnation: identity.incarnation.0,
-            sequence: self.sequence.get(),
-            peer_address: identity.peer_address.to_string(),
-            caller_address: identity.caller_address.to_string(),
-            ready: self.gateway.is_ready(),
+        let mut beat = peer::GatewayBeat {
             leaving: state.leaving.get(),
-            lease: state.lease_fencing.get(),
             has_traffic: state.has_traffic.get(),
-            list_news: state.list_change_version.get(),
             config_version: snapshot.config_version.unwrap_or_default(),
             // Rounded up, so that the confirmation never looks younger than it is.
             config_age_ms: encode_age(snapshot.config_age.map(|age| age + MILLISECOND)),
-            echo: None,
-            loads: own
-                .map(|(life, running)| peer::ServerLoad {
-                    server: Some(name(&life)),
-                    running,
-                    heard_age_ms: encode_age(state.stalls.borrow().last_seen_age(now, &life)),
-                })
-                .collect(),
-            stalls: stalls
-                .iter()
-                .map(|life| peer::ServerStall { server: Some(name(life)) })
-                .collect(),
-            refusals: refusals
-                .map(|(model, rate)| peer::ModelRefusals {
-                    model: model.to_string(),
-                    rate_milli: milli(rate),
-                })
-                .collect(),
-            deaths: crashes
-                .iter()
-                .map(|(_, fingerprint, crash)| peer::RequestDeath {
-                    fingerprint: *fingerprint,
-                    death: *crash,
-                })
-                .collect(),
+            list_version: Some(encode_version(state.list_version())),
+            list_age_ms: encode_age(snapshot.list_age.map(|age| age + MILLISECOND)),
+            ..Default::default()
+        };
+        encode_sender(&identity.node, &self.own_status(), &mut beat);
+        beat
+    }
+
+    /// Adds the tags of this node's live members.
+    fn add_members(&self, now: Instant, beat: &mut peer::GatewayBeat) {
+        let state = &self.gateway.state;
+        let timeouts = state.settings.peer_timeouts;
+        let view = state.view.borrow();
+        let members = view.reports.nodes(ReportKind::Member);
+        let records = members.filter_map(|node| view.peers.get(node));
+        let live = records.filter(|record| record.is_heard(now, timeouts.relayed));
+        beat.live_nodes = live.map(|record| record.tag).collect();
+    }
+
+    /// The tags that a node sent and this one doesn't know.
+    fn take_unknown(&self, node: &NodeId) -> Vec<u32> {
+        let unknown = self.gateway.state.view.borrow_mut().unknown_nodes.remove(node);
+        unknown.into_iter().flatten().take(NODES_PER_DATAGRAM).collect()
+    }
+
+    /// Descriptions of the nodes with some tags.
+    fn describe(&self, tags: &HashSet<u32>) -> Vec<peer::NodeStatus> {
+        let view = self.gateway.state.view.borrow();
+        view.peers.with_tags(tags).map(|(node, status)| encode_node(node, status)).collect()
+    }
+
+    /// Whether a node is a relay, as far as this one knows.
+    fn is_relay(&self, node: &NodeId) -> bool {
+        self.gateway.state.view.borrow().roster.rank(node).is_some()
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
+    }
+
+    fn own_status(&self) -> PeerStatus {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        PeerStatus {
+            incarnation: identity.incarnation,
+            peer_address: identity.peer_address,
+            caller_address: identity.caller_address,
+            failure_domain: identity.failure_domain.clone(),
+            capacity: identity.capacity,
+            ready: self.gateway.is_ready(),
+            lease_fencing: state.lease_fencing.get(),
+        }
+    }
+
+    /// The exclusive or of the tags of all live nodes, this one included.
+    fn live_hash(&self, now: Instant) -> u32 {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let others = state.view.borrow().peers.live_hash(now, state.settings.peer_timeouts);
+        others ^ self.own_status().tag(&identity.node)
+    }
+
+    fn echo(&self, node: &NodeId) -> Option<peer::BeatEcho> {
+        let view = self.gateway.state.view.borrow();
+        let record = view.peers.get(node).filter(|record| record.sequence > 0)?;
+        let incarnation = record.status.incarnation.0;
+        Some(peer::BeatEcho { incarnation, sequence: record.sequence })
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // Digests
+
+    /// Answers a member with a digest. `echo` is the member's datagram.
+    async fn send_digest(&self, now: Instant, to: SocketAddr, request: &peer::GatewayBeat) {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let mut beat = peer::GatewayBeat {
+            sequence: self.next_sequence(),
+            kind: peer::BeatKind::Digest.into(),
+            echo: Some(peer::BeatEcho {
+                incarnation: request.incarnation,
+                sequence: request.sequence,
+            }),
+            ..self.header(now)
+        };
+        beat.nodes_hash = self.live_hash(now);
+        if beat.nodes_hash != request.nodes_hash {
+            let timeouts = state.settings.peer_timeouts;
+            let view = state.view.borrow();
+            beat.lists_all_nodes = true;
+            beat.live_nodes = view.peers.alive(now, timeouts).map(|(_, peer)| peer.tag).collect();
+            beat.live_nodes.push(self.own_status().tag(&identity.node));
+        }
+        beat.nodes = self.describe(&request.unknown_nodes.iter().copied().collect());
+        if let Some(request) = &request.list_request {
+            beat.list_changes = Some(self.list_changes(self.log_position(request)));
+        }
+        let bytes = [beat.encode_to_vec(), self.digest_report(now)].concat();
+        self.gateway.ports.datagrams.send(to, bytes).await;
+    }
+
+    /// The encoded report on the whole fleet.
+    fn digest_report(&self, now: Instant) -> Vec<u8> {
+        let state = &self.gateway.state;
+        let mut digest = self.digest.borrow_mut();
+        if let Some((at, bytes)) = &*digest
+            && now.saturating_duration_since(*at) < DIGEST_REUSE_TIME
+        {
+            return bytes.clone();
+        }
+        let kinds = [ReportKind::Member, ReportKind::Relay, ReportKind::Upstream];
+        let mut report = state.own_report(now);
+        report.merge(&state.view.borrow().reports.sum(&kinds));
+        let mut beat = peer::GatewayBeat::default();
+        encode_report(now, &report, &mut beat);
+        let bytes = beat.encode_to_vec();
+        *digest = Some((now, bytes.clone()));
+        bytes
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // The list of servers
+
+    /// The relay from which this relay gets the list, unless it reads the list itself.
+    fn choose_list_source(&self, now: Instant) -> Option<NodeId> {
+        let state = &self.gateway.state;
+        if self.gateway.reads_list(now) {
+            return None;
+        }
+        let view = state.view.borrow();
+        view.list_source(now, state.settings.peer_timeouts, state.list_version())
+    }
+
+    /// Asks a node for changes; continues at the position in its log, if this node has one.
+    fn list_request(&self, node: &NodeId) -> peer::ListRequest {
+        let state = &self.gateway.state;
+        let complete = state.list_version();
+        let mut view = state.view.borrow_mut();
+        let incarnation = view.peers.get(node).map(|record| record.status.incarnation);
+        let current = view
+            .list_cursor
+            .as_ref()
+            .filter(|cursor| cursor.node == *node && Some(cursor.incarnation) == incarnation);
+        if current.is_none() {
+            let position = LogPosition { complete, position: 0 };
+            let incarnation = incarnation.unwrap_or(Incarnation(0));
+            view.list_cursor = Some(ListCursor { node: node.clone(), incarnation, position });
+        }
+        let cursor = view.list_cursor.as_ref();
+        let position = cursor.map(|cursor| cursor.position).unwrap_or_default();
+        peer::ListRequest {
+            complete: Some(encode_version(position.complete)),
+            incarnation: incarnation.map_or(0, |incarnation| incarnation.0),
+            position: position.position,
+        }
+    }
+
+    /// The position of a relay that didn't ask for changes but has an older list than this node.
+    fn missed_position(&self, relay: &NodeId) -> Option<LogPosition> {
+        let state = &self.gateway.state;
+        let complete = state.view.borrow().peers.get(relay)?.list_version;
+        (complete < state.list_version()).then_some(LogPosition { complete, position: 0 })
+    }
+
+    /// The position of a reader in this node's log.
+    fn log_position(&self, request: &peer::ListRequest) -> LogPosition {
+        let is_own = request.incarnation == self.gateway.identity.incarnation.0;
+        LogPosition {
+            complete: decode_version(request.complete.as_ref()),
+            position: if is_own { request.position } else { 0 },
+        }
+    }
+
+    fn list_changes(&self, position: LogPosition) -> peer::ListChanges {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let slice = state.list_log.borrow().changes_after(position, CHANGES_PER_DATAGRAM);
+        peer::ListChanges {
+            incarnation: identity.incarnation.0,
+            position: slice.position,
+            complete: slice.complete.map(encode_version),
+            has_hole: slice.has_hole,
+            servers: slice.changes.iter().map(encode_change).collect(),
+        }
+    }
+
+    /// Applies changes of the list. They include all changes since a version that this node has,
+    /// whether it asked for them or not. `read_at` is when the sender's list was read from the
+    /// platform.
+    fn apply_changes(
+        &self,
+        now: Instant,
+        node: &NodeId,
+        changes: &peer::ListChanges,
+        read_at: Option<Instant>,
+    ) {
+        let state = &self.gateway.state;
+        let mut view = state.view.borrow_mut();
+        let cursor = view
+            .list_cursor
+            .as_mut()
+            .filter(|cursor| cursor.node == *node && cursor.incarnation.0 == changes.incarnation);
+        if changes.has_hole {
+            state.needs_whole_list.set(cursor.is_some());
+            return;
+        }
+        if let Some(cursor) = cursor {
+            cursor.position.position = cursor.position.position.max(changes.position);
+        }
+        let complete = changes.complete.as_ref().map(|version| decode_version(Some(version)));
+        drop(view);
+        let mut decoded = Vec::new();
+        for message in &changes.servers {
+            match decode_change(message) {
+                Some(change) => decoded.push(change),
+                None => log::warn!(server = message.vm; "servers: malformed entry from a node."),
+            }
+        }
+        state.apply_listed(now, decoded, complete);
+        if let (Some(_), Some(read_at)) = (complete, read_at) {
+            state.record_list_read(read_at);
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // Receiving
+
+    /// Receives heartbeats and applies them. Never returns.
+    pub(crate) async fn receive(self: Rc<Self>) {
+        let ports = &self.gateway.ports;
+        loop {
+            match ports.datagrams.receive().await {
+                Ok(bytes) => self.take(&bytes).await,
+                Err(error) => {
+                    log::warn!(cause:% = error; "heartbeats: receive failed.");
+                    ports.clock.sleep(self.gateway.state.settings.heartbeat_period).await;
+                }
+            }
         }
     }
 
-    fn apply(&self, now: Instant, bytes: &[u8]) {
+    async fn take(&self, bytes: &[u8]) {
+        let now = self.gateway.ports.clock.now();
         let Some((node, beat)) = decode(bytes) else {
             log::debug!("heartbeats: malformed datagram of {} bytes.", bytes.len());
             return;
         };
-        let Gateway { identity, state, .. } = &*self.gateway;
-        if node == identity.node {
+        if node == self.gateway.identity.node {
             return;
         }
-        let Some(record) = record(now, &beat) else {
+        let Some(status) = decode_sender(&beat) else {
             log::debug!("heartbeats: {node} sent an invalid address.");
             return;
         };
-        if !state.peers.borrow_mut().record(node.clone(), record) {
+        let address = status.peer_address;
+        if !self.apply(now, &node, status, &beat) {
             return;
         }
-        state.record_peer_change(beat.list_news);
+        match beat.kind() {
+            peer::BeatKind::Member => self.send_digest(now, address, &beat).await,
+            // A node that takes itself for a relay, because it knows few others, learns of the
+            // relays from the digest.
+            peer::BeatKind::Relay if !self.is_relay(&node) => {
+                self.send_digest(now, address, &beat).await;
+            }
+            peer::BeatKind::Relay => {
+                let position = beat.list_request.as_ref();
+                let request = RelayRequest {
+                    position: position.map(|request| self.log_position(request)),
+                    unknown_nodes: beat.unknown_nodes.iter().copied().collect(),
+                };
+                self.requests.borrow_mut().insert(node, request);
+            }
+            peer::BeatKind::Digest => {}
+        }
+    }
+
+    /// Applies a datagram; returns whether it is newer than the last one of its sender.
+    fn apply(
+        &self,
+        now: Instant,
+        node: &NodeId,
+        status: PeerStatus,
+        beat: &peer::GatewayBeat,
+    ) -> bool {
+        let state = &self.gateway.state;
+        let list_version = decode_version(beat.list_version.as_ref());
+        let mut view = state.view.borrow_mut();
+        if !view.peers.record(now, node.clone(), status, beat.sequence, list_version) {
+            return false;
+        }
+        let is_digest = beat.kind() == peer::BeatKind::Digest;
+        let is_stray = is_digest && !view.choice.record_digest(now, node);
+        drop(view);
         state.record_peer_config(beat.config_version);
-        if let Some(attestation) = self.attestation(&beat) {
+        let echoed_at = self.echoed(beat).map(|(assembled_at, _)| assembled_at);
+        if let Some(attestation) = attestation(beat, echoed_at) {
             state.apply_attestation(&attestation);
         }
         if beat.has_traffic {
-            state.has_traffic.set(true);
+            state.start_traffic(now);
         }
-        let loads = beat.loads.iter().filter_map(|load| Some((life(load.server.as_ref()?), load)));
-        let loads: HashMap<_, _> = loads.map(|(life, load)| (life, load.running)).collect();
-        state.loads.set_peer_loads(now, node, loads);
-        let mut stalls = state.stalls.borrow_mut();
-        for load in &beat.loads {
-            let seen_at = seen_at(now, load.heard_age_ms);
-            if let (Some(server), Some(seen_at)) = (&load.server, seen_at) {
-                stalls.record_peer_seen(seen_at, &life(server));
+        self.apply_nodes(now, node, beat);
+        if is_stray {
+            return true;
+        }
+        self.apply_report(now, node, beat);
+        if let Some(changes) = &beat.list_changes {
+            let age = decode_age(beat.list_age_ms);
+            let read_at = echoed_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
+            self.apply_changes(now, node, changes, read_at);
+        }
+        true
+    }
+
+    /// Applies what the sender tells of other nodes.
+    fn apply_nodes(&self, now: Instant, sender: &NodeId, beat: &peer::GatewayBeat) {
+        let Gateway { identity, state, .. } = &*self.gateway;
+        let timeouts = state.settings.peer_timeouts;
+        let mut view = state.view.borrow_mut();
+        for (node, status) in beat.nodes.iter().filter_map(decode_node) {
+            if node != identity.node {
+                view.peers.record_relayed(now, node, status, timeouts);
             }
         }
-        for server in beat.stalls.iter().filter_map(|stall| stall.server.as_ref()) {
-            stalls.record_peer_stall(now, &life(server), LOCAL_SEEN_MAX_AGE);
+        let tags: HashSet<u32> = beat.live_nodes.iter().copied().collect();
+        let is_digest = beat.kind() == peer::BeatKind::Digest;
+        if is_digest && !beat.lists_all_nodes {
+            view.peers.refresh_live(now, timeouts);
+        } else {
+            view.peers.apply_live(now, &tags, beat.lists_all_nodes, timeouts);
+        }
+        let mut unknown = view.peers.unknown_tags(&tags);
+        unknown.remove(&self.own_status().tag(&identity.node));
+        view.unknown_nodes.insert(sender.clone(), unknown);
+    }
+
+    fn apply_report(&self, now: Instant, node: &NodeId, beat: &peer::GatewayBeat) {
+        let state = &self.gateway.state;
+        let servers = state.servers.borrow();
+        let mut report = decode_report(now, beat, |tag| servers.by_tag(tag).cloned());
+        drop(servers);
+        let kind = match beat.kind() {
+            peer::BeatKind::Relay => ReportKind::Relay,
+            peer::BeatKind::Member => ReportKind::Member,
+            peer::BeatKind::Digest => ReportKind::Upstream,
+        };
+        if kind == ReportKind::Upstream
+            && let Some((_, own)) = self.echoed(beat)
+        {
+            report.subtract(&own);
+        }
+        let mut stalls = state.stalls.borrow_mut();
+        for (life, at) in &report.seen {
+            stalls.record_peer_seen(*at, life);
+        }
+        for life in &report.stalls {
+            stalls.record_peer_stall(now, life, LOCAL_SEEN_MAX_AGE);
         }
         let mut suspects = state.suspects.borrow_mut();
-        for death in &beat.deaths {
-            suspects.record_crash(now, death.fingerprint, death.death);
+        for (fingerprint, crash) in &report.crashes {
+            suspects.record_crash(now, *fingerprint, *crash);
         }
+        state.view.borrow_mut().reports.record(now, node.clone(), kind, report);
+        state.has_new_reports.set(true);
     }
 
-    fn forget(&self, now: Instant) {
-        let state = &self.gateway.state;
-        state.loads.forget_unresponsive(now, state.scale_by_peers(LOAD_RETENTION));
-        let limit = state.scale_by_peers(PEER_RETENTION);
-        state.peers.borrow_mut().forget_unresponsive(now, limit);
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_REPEAT_TIME;
-        state.crashes.borrow_mut().retain(|(at, _, _)| recent(at));
+    /// The round that a datagram echoes: when it was assembled, and its report. `None` if it
+    /// doesn't echo a recent round of this incarnation, since it can't be dated then.
+    fn echoed(&self, beat: &peer::GatewayBeat) -> Option<(Instant, Rc<ViewReport>)> {
+        let echo = beat.echo?;
+        if echo.incarnation != self.gateway.identity.incarnation.0 {
+            return None;
+        }
+        let sent = self.sent.borrow();
+        let round = sent.iter().find(|round| round.sequence == echo.sequence)?;
+        Some((round.assembled_at, round.report.clone()))
     }
 }
 
+/// The attestation of the configuration in another node's datagram. `None` if it can't be dated.
+fn attestation(beat: &peer::GatewayBeat, echoed_at: Option<Instant>) -> Option<ConfigAttestation> {
+    let age = decode_age(beat.config_age_ms)?;
+    Some(ConfigAttestation { version: beat.config_version, age, echo_sent_at: echoed_at? })
+}
+
 fn decode(bytes: &[u8]) -> Option<(NodeId, peer::GatewayBeat)> {
     let beat = peer::GatewayBeat::decode(bytes).ok()?;
     (!beat.node.is_empty()).then(|| (NodeId::from(beat.node.as_str()), beat))
 }
-
-fn record(now: Instant, beat: &peer::GatewayBeat) -> Option<PeerRecord> {
-    let refusals = beat.refusals.iter();
-    Some(PeerRecord {
-        incarnation: Incarnation(beat.incarnation),
-        peer_address: beat.peer_address.parse().ok()?,
-        caller_address: Some(beat.caller_address.parse().ok()?),
-        sequence: beat.sequence,
-        last_seen_at: Some(now),
-        ready: beat.ready && !beat.leaving,
-        lease_fencing: beat.lease,
-        has_traffic: beat.has_traffic,
-        refusals: refusals
-            .map(|refusal| (refusal.model.clone(), refusal.rate_milli as f64 / 1000.0))
-            .collect(),
-    })
-}
-
-/// Encodes an age: milliseconds plus one, or zero for `None`.
-fn encode_age(age: Option<Duration>) -> u64 {
-    age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1)
-}
-
-/// Decodes an age written by [`encode_age`] to a time.
-fn seen_at(now: Instant, encoded_age: u64) -> Option<Instant> {
-    now.checked_sub(Duration::from_millis(encoded_age.checked_sub(1)?))
-}
-
-fn name(life: &ServerLife) -> peer::ServerName {
-    peer::ServerName { vm: life.vm.to_string(), born: life.born }
-}
-
-fn life(name: &peer::ServerName) -> ServerLife {
-    ServerLife { vm: VmId::from(name.vm.as_str()), born: name.born }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! `comfreyturn_policy` decides which server receives a request, which orders are sent, and whether
 //! a configuration may still be used.
 
+mod beat_codec;
 mod config_view;
 mod event_splitter;
 mod feed_loops;
@@ -28,12 +29,15 @@
 mod node_rows;
 mod node_snapshot;
 mod peer_table;
+mod peer_view;
 mod relay_stream;
 mod request_trace;
 mod server_choice;
+mod server_log;
 mod server_prober;
 mod server_table;
 mod stall_tracker;
+mod view_reports;
 
 pub use event_splitter::EventSplitter;
 pub use fleet_loop::FleetLoop;
@@ -43,7 +47,9 @@
 pub use gateway_settings::*;
 pub use heartbeat_loop::*;
 pub use load_tracker::LoadTracker;
-pub use peer_table::{PeerRecord, PeerTable};
+pub use peer_table::{PeerRecord, PeerStatus, PeerTable, PeerTimeouts};
 pub use relay_stream::{RelayStream, StreamBroken};
+pub use server_log::{LogPosition, LogSlice, LoggedChange, ServerLog};
 pub use server_table::{AppliedReading, ServerTable};
 pub use stall_tracker::StallTracker;
+pub use view_reports::{ModelRate, ReportKind, ViewReport, ViewReports};
--- a/crates/gateway/src/load_tracker.rs
+++ b/crates/gateway/src/load_tracker.rs
@@ -1,20 +1,12 @@
 //! Requests in flight at each server, from all nodes.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use comfreyturn_types::{NodeId, ServerLife};
+use comfreyturn_types::ServerLife;
 
 #[derive(Debug, Default)]
 struct LoadTotals {
     own: HashMap<ServerLife, u32>,
-    peers: HashMap<NodeId, (Instant, HashMap<ServerLife, u32>)>,
-
-    /// Invariant: the sums over `peers`.
     others: HashMap<ServerLife, u32>,
 }
 
@@ -32,22 +24,9 @@
         LoadGuard { tracker: self.clone(), life: life.clone() }
     }
 
-    /// Replaces the counts reported by another node.
-    pub fn set_peer_loads(&self, now: Instant, node: NodeId, loads: HashMap<ServerLife, u32>) {
-        let mut totals = self.totals.borrow_mut();
-        totals.peers.insert(node, (now, loads));
-        totals.sum_others();
-    }
-
-    /// Removes the counts of nodes that reported nothing for `limit`: their requests ended with
-    /// them.
-    pub fn forget_unresponsive(&self, now: Instant, limit: Duration) {
-        let mut totals = self.totals.borrow_mut();
-        let before = totals.peers.len();
-        totals.peers.retain(|_, (at, _)| now.saturating_duration_since(*at) < limit);
-        if totals.peers.len() != before {
-            totals.sum_others();
-        }
+    /// Replaces the sums over all other nodes.
+    pub fn set_others(&self, loads: HashMap<ServerLife, u32>) {
+        self.totals.borrow_mut().others = loads;
     }
 
     /// Requests in flight at a server.
@@ -58,9 +37,8 @@
     }
 
     /// This node's requests in flight, by server.
-    pub fn own(&self) -> Vec<(ServerLife, u32)> {
-        let totals = self.totals.borrow();
-        totals.own.iter().map(|(life, running)| (life.clone(), *running)).collect()
+    pub fn own(&self) -> HashMap<ServerLife, u32> {
+        self.totals.borrow().own.clone()
     }
 
     fn finish(&self, life: &ServerLife) {
@@ -74,18 +52,6 @@
     }
 }
 
-impl LoadTotals {
-    fn sum_others(&mut self) {
-        let mut others: HashMap<ServerLife, u32> = HashMap::new();
-        for (_, loads) in self.peers.values() {
-            for (life, running) in loads {
-                *others.entry(life.clone()).or_default() += running;
-            }
-        }
-        self.others = others;
-    }
-}
-
 /// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
--- a/crates/gateway/src/node_snapshot.rs
+++ b/crates/gateway/src/node_snapshot.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyturn_policy::HeadCandidate;
-use comfreyturn_types::{ModelName, ServiceName};
+use comfreyturn_types::{ModelName, ServiceName, StoreVersion};
 
 use crate::gateway_state::GatewayState;
 
@@ -17,7 +17,7 @@
     pub(crate) config_age: Option<Duration>,
 
     /// The version of the list of servers as last read.
-    pub(crate) list_version: u64,
+    pub(crate) list_version: StoreVersion,
 
     /// How long ago the list of servers was last read.
     pub(crate) list_age: Option<Duration>,
@@ -45,13 +45,12 @@
 impl GatewayState {
     /// The versions and ages of this node's data.
     pub(crate) fn snapshot(&self, now: Instant) -> NodeSnapshot {
-        let timeout = self.scale_by_peers(self.settings.peer_timeout);
         NodeSnapshot {
             config_version: self.config.borrow().as_ref().map(|view| view.config.version),
             config_age: self.confirmed.get().age(now),
             list_version: self.list_version(),
             list_age: self.list_age(now),
-            peers: self.peers.borrow().alive(now, timeout).count(),
+            peers: self.view.borrow().peers.alive(now, self.settings.peer_timeouts).count(),
         }
     }
 
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -178,7 +178,7 @@
             stalled = capacity.stalled,
             running = capacity.running,
             slots = capacity.slots,
-            list_version = snapshot.list_version,
+            list_version:% = snapshot.list_version,
             list_age_ms = age_ms(snapshot.list_age),
             config_version = snapshot.config_version,
             config_age_ms = age_ms(snapshot.config_age),
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -10,6 +10,13 @@
 /// Averaging time of the arrival meters.
 const ARRIVAL_AVERAGING_TIME: Duration = Duration::from_secs(2);
 
+/// Mean age of the counts of another node that sends them directly, in periods of heartbeats.
+const DIRECT_PERIODS: f64 = 0.5;
+
+/// Mean age of the counts of a node that come over its relay and this node's: three times half a
+/// period.
+const RELAYED_PERIODS: f64 = 1.5;
+
 /// Time from the sending of a heartbeat until its counts are used.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(10);
 
@@ -24,6 +31,7 @@
         tried: &[ServerLife],
         urgent: bool,
     ) -> Result<FleetServer, NotRunReason> {
+        self.refresh_loads();
         let mut candidates = self.candidates(service, model);
         let retention = self.settings.stall_retention;
         let stalls = self.stalls.borrow();
@@ -40,8 +48,9 @@
         head.ok_or(NotRunReason::NoRoom)
     }
 
-    /// Estimates the requests that other nodes have sent since they last reported their counts,
-    /// assuming that they receive requests at the same rate as this node. Records an arrival here.
+    /// Estimates the requests that other nodes have sent and this node doesn't know of yet. For a
+    /// model it goes by their reports, for a plain service it assumes that they receive requests at
+    /// the same rate as this node. Records an arrival here.
     fn unreported_requests(
         &self,
         now: Instant,
@@ -53,11 +62,16 @@
             .entry((service.name.clone(), model.cloned()))
             .or_insert_with(|| ArrivalMeter::new(ARRIVAL_AVERAGING_TIME));
         meter.record(now);
-        let timeout = self.scale_by_peers(self.settings.peer_timeout);
-        let peers = self.peers.borrow().alive(now, timeout).count();
-        let age = self.scale_by_peers(self.settings.heartbeat_period) / 2 + HEARTBEAT_DELAY;
+        let view = self.view.borrow();
+        let peers = view.peers.alive(now, self.settings.peer_timeouts).count();
         #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
-        let elsewhere = meter.rate(now) * peers as f64;
+        let elsewhere = match model {
+            Some(model) => view.arrival_rate(model),
+            None => meter.rate(now) * peers as f64,
+        };
+        let is_direct = peers < self.settings.relays.direct_limit;
+        let hops = if is_direct { DIRECT_PERIODS } else { RELAYED_PERIODS };
+        let age = self.settings.heartbeat_period.mul_f64(hops) + HEARTBEAT_DELAY;
         elsewhere * age.as_secs_f64()
     }
 
--- a/crates/gateway/src/server_table.rs
+++ b/crates/gateway/src/server_table.rs
@@ -1,17 +1,22 @@
 //! The servers in the platform's list.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use comfreyturn_policy::{ReportedGroup, reported_groups};
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{EngineSpec, FleetServer, GroupId, ServerLife, ServiceName, VmId};
 
+use crate::beat_codec::server_tag;
+
 /// The changes made by a reading.
 #[derive(Debug, Default)]
 pub struct AppliedReading {
     /// Servers that are no longer in the list.
     pub dropped: Vec<FleetServer>,
 
+    /// VMs whose entry differs from the one before.
+    pub changed: Vec<VmId>,
+
     /// Whether a server was added or removed, changed its membership, or began or stopped leaving.
     pub has_changes: bool,
 }
@@ -21,6 +26,9 @@
 pub struct ServerTable {
     servers: BTreeMap<VmId, FleetServer>,
 
+    /// The listed servers by their tags in messages between nodes.
+    tags: HashMap<u32, ServerLife>,
+
     /// Groups that were seen whole, with their epochs. Remembered because a member that leaves the
     /// list may still serve.
     whole: HashSet<(GroupId, u64)>,
@@ -29,35 +37,78 @@
 impl ServerTable {
     /// Applies a reading. With `keep_missing`, servers that are missing from it are kept.
     pub fn apply(&mut self, reading: ServerReading, keep_missing: bool) -> AppliedReading {
-        let before = self.servers.clone();
+        let mut applied = AppliedReading::default();
+        let mut missing: HashSet<VmId> = HashSet::new();
         if reading.is_whole && !keep_missing {
-            self.servers.clear();
+            missing = self.servers.keys().cloned().collect();
         }
         for change in reading.changes {
             match change {
                 ServerChange::Listed(server) => {
-                    if before.get(&server.life.vm).is_none_or(|old| old.life != server.life) {
-                        let domain = server.fabric_domain.as_ref().map_or("none", |d| d.as_str());
-                        log::debug!("servers: {} listed, fabric domain {domain}.", server.life);
-                    }
-                    self.servers.insert(server.life.vm.clone(), *server);
+                    missing.remove(&server.life.vm);
+                    self.insert(*server, &mut applied);
                 }
                 ServerChange::Dropped(vm) if !keep_missing => {
-                    self.servers.remove(&vm);
+                    missing.insert(vm);
                 }
                 ServerChange::Dropped(_) => {}
             }
         }
-        let is_reported = |name: &GroupId| {
-            let members = self.servers.values().filter_map(|server| server.membership.as_ref());
-            members.into_iter().any(|membership| membership.group == *name)
-        };
-        self.whole.retain(|(name, _)| is_reported(name));
+        for vm in missing {
+            self.remove(&vm, &mut applied);
+        }
+        if applied.has_changes {
+            self.forget_groups();
+        }
+        applied
+    }
+
+    fn insert(&mut self, server: FleetServer, applied: &mut AppliedReading) {
+        let vm = server.life.vm.clone();
+        let old = self.servers.get(&vm);
+        if old == Some(&server) {
+            return;
+        }
         let status = |server: &FleetServer| (server.membership.clone(), server.leaving);
-        let is_unchanged = |old: &FleetServer| self.get(&old.life).map(status) == Some(status(old));
-        let has_changes = before.len() != self.servers.len() || !before.values().all(is_unchanged);
-        let dropped = before.into_values().filter(|server| self.get(&server.life).is_none());
-        AppliedReading { dropped: dropped.collect(), has_changes }
+        let same_life = old.filter(|old| old.life == server.life);
+        applied.has_changes |= same_life.map(status) != Some(status(&server));
+        if same_life.is_none() {
+            let domain = server.fabric_domain.as_ref().map_or("none", |domain| domain.as_str());
+            log::debug!("servers: {} listed, fabric domain {domain}.", server.life);
+            if let Some(old) = self.servers.remove(&vm) {
+                self.tags.remove(&server_tag(&old.life));
+                applied.dropped.push(old);
+            }
+        }
+        self.tags.insert(server_tag(&server.life), server.life.clone());
+        self.servers.insert(vm.clone(), server);
+        applied.changed.push(vm);
+    }
+
+    fn remove(&mut self, vm: &VmId, applied: &mut AppliedReading) {
+        if let Some(old) = self.servers.remove(vm) {
+            self.tags.remove(&server_tag(&old.life));
+            applied.dropped.push(old);
+            applied.changed.push(vm.clone());
+            applied.has_changes = true;
+        }
+    }
+
+    /// Forgets whole groups that no server reports any more.
+    fn forget_groups(&mut self) {
+        let members = self.servers.values().filter_map(|server| server.membership.as_ref());
+        let reported: HashSet<&GroupId> = members.map(|membership| &membership.group).collect();
+        self.whole.retain(|(name, _)| reported.contains(name));
+    }
+
+    /// The listed server with this tag.
+    pub(crate) fn by_tag(&self, tag: u32) -> Option<&ServerLife> {
+        self.tags.get(&tag)
+    }
+
+    /// The entry of a VM.
+    pub(crate) fn by_vm(&self, vm: &VmId) -> Option<&FleetServer> {
+        self.servers.get(vm)
     }
 
     /// All servers.
@@ -85,7 +136,7 @@
         service: &ServiceName,
         engine: &'a EngineSpec,
     ) -> Vec<ReportedGroup<'a>> {
-        let Self { servers, whole } = self;
+        let Self { servers, whole, .. } = self;
         let mut groups = reported_groups(servers.values(), service, engine);
         for group in groups.iter().filter(|group| group.is_whole()) {
             whole.insert((group.group.clone(), group.epoch));
--- a/crates/gateway/src/stall_tracker.rs
+++ b/crates/gateway/src/stall_tracker.rs
@@ -59,6 +59,16 @@
         activity.peer_last_seen_at = activity.peer_last_seen_at.max(Some(at));
     }
 
+    /// When this node's streams last received data, by server, if that is at most `max_age` ago.
+    pub fn own_seen(&self, now: Instant, max_age: Duration) -> HashMap<ServerLife, Instant> {
+        let seen = self.activities.iter().filter_map(|(life, activity)| {
+            let at = activity.last_seen_at?;
+            let is_recent = now.saturating_duration_since(at) < max_age;
+            is_recent.then(|| (life.clone(), at))
+        });
+        seen.collect()
+    }
+
     /// How long ago this node received data from a stream of the server.
     pub fn last_seen_age(&self, now: Instant, life: &ServerLife) -> Option<Duration> {
         let last_seen_at = self.activities.get(life)?.last_seen_at?;
--- /dev/null
+++ b/crates/gateway/src/view_reports.rs
@@ -0,0 +1,141 @@
+//! What other nodes report about requests and servers, merged for the next node.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{ModelName, NodeId, ServerLife};
+
+/// What the sender of a report is to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportKind {
+    /// A relay. Its report covers its members.
+    Relay,
+
+    /// A member of this node.
+    Member,
+
+    /// The relay of this node. Its digest covers the whole fleet but this node.
+    Upstream,
+}
+
+/// Rates of the requests for a model, in requests per second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelRate {
+    /// Requests refused for lack of capacity.
+    pub refused: f64,
+
+    /// All requests.
+    pub arrived: f64,
+}
+
+/// What a node, or a set of nodes, reports about requests and servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ViewReport {
+    /// Requests in flight at each server.
+    pub loads: HashMap<ServerLife, u32>,
+
+    /// When servers last delivered data to any of the nodes.
+    pub seen: HashMap<ServerLife, Instant>,
+
+    /// Servers that stalled, as observed by any of the nodes.
+    pub stalls: Vec<ServerLife>,
+
+    /// Rates of requests by model.
+    pub rates: HashMap<ModelName, ModelRate>,
+
+    /// Recent crashes caused by requests: the fingerprint of the request, and the crash.
+    pub crashes: Vec<(u64, u64)>,
+}
+
+impl ViewReport {
+    /// Adds another report to this one.
+    pub fn merge(&mut self, other: &Self) {
+        for (life, running) in &other.loads {
+            *self.loads.entry(life.clone()).or_default() += running;
+        }
+        for (life, at) in &other.seen {
+            let seen = self.seen.entry(life.clone()).or_insert(*at);
+            *seen = (*seen).max(*at);
+        }
+        for life in &other.stalls {
+            if !self.stalls.contains(life) {
+                self.stalls.push(life.clone());
+            }
+        }
+        for (model, rate) in &other.rates {
+            let sum = self.rates.entry(model.clone()).or_default();
+            sum.refused += rate.refused;
+            sum.arrived += rate.arrived;
+        }
+        for crash in &other.crashes {
+            if !self.crashes.contains(crash) {
+                self.crashes.push(*crash);
+            }
+        }
+    }
+
+    /// Takes this node's own figures out of a digest that includes them.
+    pub fn subtract(&mut self, own: &Self) {
+        for (life, running) in &own.loads {
+            if let Some(sum) = self.loads.get_mut(life) {
+                *sum = sum.saturating_sub(*running);
+            }
+        }
+        for (model, rate) in &own.rates {
+            if let Some(sum) = self.rates.get_mut(model) {
+                sum.refused = (sum.refused - rate.refused).max(0.0);
+                sum.arrived = (sum.arrived - rate.arrived).max(0.0);
+            }
+        }
+    }
+}
+
+/// The newest report of each node that reports to this one.
+#[derive(Debug, Default)]
+pub struct ViewReports {
+    reports: HashMap<NodeId, (Instant, ReportKind, ViewReport)>,
+}
+
+impl ViewReports {
+    /// Replaces the report of a node. A node has one report at a time, so that its figures are
+    /// counted once when it becomes a relay or stops being one.
+    pub fn record(&mut self, now: Instant, node: NodeId, kind: ReportKind, report: ViewReport) {
+        if kind == ReportKind::Upstream {
+            self.reports.retain(|_, (_, kind, _)| *kind != ReportKind::Upstream);
+        }
+        self.reports.insert(node, (now, kind, report));
+    }
+
+    /// Removes the reports of nodes that reported nothing for `limit`, or for `member_limit` if
+    /// they are members: those report to another relay by then.
+    pub fn forget_unresponsive(&mut self, now: Instant, limit: Duration, member_limit: Duration) {
+        self.reports.retain(|_, (at, kind, _)| {
+            let limit = if *kind == ReportKind::Member { member_limit } else { limit };
+            now.saturating_duration_since(*at) < limit
+        });
+    }
+
+    /// The nodes whose report is of a kind.
+    pub fn nodes(&self, kind: ReportKind) -> impl Iterator<Item = &NodeId> {
+        let reports = self.reports.iter();
+        reports.filter(move |(_, (_, own, _))| *own == kind).map(|(node, _)| node)
+    }
+
+    /// All reports.
+    pub fn reports(&self) -> impl Iterator<Item = &ViewReport> {
+        self.reports.values().map(|(_, _, report)| report)
+    }
+
+    /// The sum of the reports of some kinds.
+    pub fn sum(&self, kinds: &[ReportKind]) -> ViewReport {
+        let mut sum = ViewReport::default();
+        for (_, kind, report) in self.reports.values() {
+            if kinds.contains(kind) {
+                sum.merge(report);
+            }
+        }
+        sum
+    }
+}
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -20,7 +20,7 @@
     CallerLimits, CellName, CustomerName, EngineSpec, FabricDomain, FailureDomain, FleetServer,
     GatewayConfig, GroupId, GroupMembership, HostName, Incarnation, KeyedCustomer, MemberPhase,
     ModelName, NodeId, PooledModel, RequestId, RequestKind, RouteName, RouteSpec, RouteTarget,
-    ServerLife, ServiceName, ServiceSpec, VmId,
+    ServerLife, ServiceName, ServiceSpec, StoreVersion, VmId,
 };
 use http::{HeaderMap, Method};
 
@@ -126,6 +126,9 @@
             incarnation: Incarnation(1),
             peer_address: "127.0.0.1:2".parse().unwrap(),
             caller_address: "127.0.0.1:3".parse().unwrap(),
+            failure_domain: FailureDomain::from("z"),
+            capacity: 1000,
+            first_start: false,
         };
         let ports = GatewayPorts {
             clock: shared,
@@ -149,7 +152,11 @@
         let plain = ["p1", "p2", "p3"].map(|vm| listed(vm, "plain", false));
         let models = ["m1", "m2"].map(|vm| listed(vm, "models", false));
         let changes = plain.into_iter().chain(models).collect();
-        site.feeds.add_reading(ServerReading { is_whole: true, version: 1, changes });
+        site.feeds.add_reading(ServerReading {
+            is_whole: true,
+            version: StoreVersion::first_era(1),
+            changes,
+        });
         site.gateway.start();
         site.run(10);
         site
@@ -398,7 +405,11 @@
 fn leaving_server_gets_no_new_request() {
     let mut site = TestSite::started();
     let changes = ["p1", "p2"].map(|vm| listed(vm, "plain", true)).to_vec();
-    site.feeds.add_reading(ServerReading { is_whole: false, version: 2, changes });
+    site.feeds.add_reading(ServerReading {
+        is_whole: false,
+        version: StoreVersion::first_era(2),
+        changes,
+    });
     site.run(1100);
     for _ in 0..4 {
         site.servers.script("p3", ServerScript::whole(200, "ok"));
@@ -510,10 +521,10 @@
     let mut site = TestSite::started();
     site.script_all("p", &ServerScript::whole(200, "ok"));
     assert!(site.gateway.is_ready());
-    assert_eq!(site.gateway.caller_addresses().len(), 1);
+    assert_eq!(site.gateway.caller_addresses(None, 64).len(), 1);
     site.gateway.announce_leaving();
     assert!(!site.gateway.is_ready());
-    assert!(site.gateway.caller_addresses().is_empty());
+    assert!(site.gateway.caller_addresses(None, 64).is_empty());
     assert_eq!(whole(site.send_to("/read/x")).0, 200);
     site.gateway.refuse_new();
     assert_eq!(not_run(&site.send_to("/read/x")), Some(NotRunReason::Leaving));
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -1,15 +1,18 @@
 //! The gateway's tables of servers and peers, and its trackers of loads and stalls.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-use comfreyturn_gateway::{LoadTracker, PeerRecord, PeerTable, ServerTable, StallTracker};
+use comfreyturn_gateway::{
+    LoadTracker, PeerStatus, PeerTable, PeerTimeouts, ReportKind, ServerTable, StallTracker,
+    ViewReport, ViewReports,
+};
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{
     EngineSpec, FailureDomain, FleetServer, GroupId, GroupMembership, Incarnation, MemberPhase,
-    ModelName, NodeId, PooledModel, ServerLife, ServiceName, VmId,
+    ModelName, NodeId, PooledModel, ServerLife, ServiceName, StoreVersion, VmId,
 };
 
 const RETENTION: Duration = Duration::from_secs(2);
@@ -54,7 +57,8 @@
 fn reading(is_whole: bool, servers: Vec<FleetServer>, dropped: &[&str]) -> ServerReading {
     let listed = servers.into_iter().map(|server| ServerChange::Listed(Box::new(server)));
     let dropped = dropped.iter().map(|vm| ServerChange::Dropped(VmId::from(*vm)));
-    ServerReading { is_whole, version: 1, changes: listed.chain(dropped).collect() }
+    let version = StoreVersion::first_era(1);
+    ServerReading { is_whole, version, changes: listed.chain(dropped).collect() }
 }
 
 fn serving(table: &mut ServerTable) -> usize {
@@ -122,14 +126,23 @@
 fn loads_are_the_sum_of_own_and_last_reported_requests() {
     let now = Instant::now();
     let tracker = LoadTracker::default();
+    let mut reports = ViewReports::default();
+    let mut report = |at: Instant, running: u32| {
+        let loads = HashMap::from([(life("a"), running)]);
+        let report = ViewReport { loads, ..ViewReport::default() };
+        reports.record(at, NodeId::from("n"), ReportKind::Relay, report);
+        reports.sum(&[ReportKind::Relay]).loads
+    };
     let guard = tracker.start(&life("a"));
-    tracker.set_peer_loads(now, NodeId::from("n"), HashMap::from([(life("a"), 3)]));
+    tracker.set_others(report(now, 3));
     assert_eq!(tracker.running(&life("a")), 4);
-    tracker.set_peer_loads(now, NodeId::from("n"), HashMap::from([(life("a"), 1)]));
+    tracker.set_others(report(now, 1));
     assert_eq!(tracker.running(&life("a")), 2);
     drop(guard);
     assert_eq!(tracker.running(&life("a")), 1);
-    tracker.forget_unresponsive(now + RETENTION, Duration::from_secs(1));
+    let second = Duration::from_secs(1);
+    reports.forget_unresponsive(now + RETENTION, second, second);
+    tracker.set_others(reports.sum(&[ReportKind::Relay]).loads);
     assert_eq!(tracker.running(&life("a")), 0, "a removed node has no requests in flight");
 }
 
@@ -162,42 +175,71 @@
     assert!(tracker.own_stalls(later, RETENTION).is_empty(), "it is not reported as an own stall");
 }
 
-fn record(incarnation: u64, sequence: u64, last_seen_at: Instant) -> PeerRecord {
-    PeerRecord {
+const TIMEOUTS: PeerTimeouts =
+    PeerTimeouts { heard: Duration::from_secs(1), relayed: Duration::from_millis(500) };
+
+fn status(incarnation: u64, port: u16) -> PeerStatus {
+    PeerStatus {
         incarnation: Incarnation(incarnation),
-        peer_address: "127.0.0.1:2".parse().unwrap(),
-        caller_address: None,
-        sequence,
-        last_seen_at: Some(last_seen_at),
+        peer_address: ([127, 0, 0, 1], port).into(),
+        caller_address: ([127, 0, 0, 1], port + 1).into(),
+        failure_domain: FailureDomain::from("z"),
+        capacity: 250,
         ready: true,
         lease_fencing: 0,
-        has_traffic: false,
-        refusals: Vec::new(),
     }
 }
 
+fn record(table: &mut PeerTable, now: Instant, incarnation: u64, sequence: u64) -> bool {
+    let version = StoreVersion::default();
+    table.record(now, NodeId::from("n"), status(incarnation, 2), sequence, version)
+}
+
 #[test]
 fn late_heartbeat_of_the_same_incarnation_is_ignored() {
     let now = Instant::now();
     let mut table = PeerTable::default();
-    assert!(table.record(NodeId::from("n"), record(1, 5, now)));
-    assert!(!table.record(NodeId::from("n"), record(1, 4, now)));
-    assert!(!table.record(NodeId::from("n"), record(1, 5, now)));
-    assert!(
-        table.record(NodeId::from("n"), record(2, 1, now)),
-        "a new incarnation starts a new sequence"
-    );
+    assert!(record(&mut table, now, 1, 5));
+    assert!(!record(&mut table, now, 1, 4));
+    assert!(!record(&mut table, now, 1, 5));
+    assert!(record(&mut table, now, 2, 1), "a new incarnation starts a new sequence");
 }
 
 #[test]
 fn heartbeats_take_precedence_over_the_row_of_a_node() {
     let now = Instant::now();
     let mut table = PeerTable::default();
-    let node = NodeId::from("n");
-    table.record(node.clone(), record(2, 1, now));
-    table.add_listed(node.clone(), Incarnation(1), "127.0.0.1:9".parse().unwrap());
-    let addresses: Vec<_> = table.all().map(|peer| peer.peer_address).collect();
+    record(&mut table, now, 2, 1);
+    table.add_listed(now, NodeId::from("n"), status(1, 9));
+    let addresses: Vec<_> = table.named().map(|(_, peer)| peer.status.peer_address).collect();
     assert_eq!(addresses, ["127.0.0.1:2".parse().unwrap()]);
-    assert_eq!(table.alive(now, RETENTION).count(), 1);
-    assert_eq!(table.alive(now + RETENTION, RETENTION).count(), 0);
+    assert_eq!(table.alive(now, TIMEOUTS).count(), 1);
+    assert_eq!(table.alive(now + TIMEOUTS.heard, TIMEOUTS).count(), 0);
+}
+
+#[test]
+fn node_that_a_whole_list_of_live_nodes_lacks_has_crashed() {
+    let now = Instant::now();
+    let mut table = PeerTable::default();
+    table.record_relayed(now, NodeId::from("a"), status(1, 2), TIMEOUTS);
+    table.record_relayed(now, NodeId::from("b"), status(2, 4), TIMEOUTS);
+    let later = now + Duration::from_millis(100);
+    let tags = HashSet::from([status(1, 2).tag(&NodeId::from("a"))]);
+    table.apply_live(later, &tags, true, TIMEOUTS);
+    let alive: Vec<_> = table.alive(later, TIMEOUTS).map(|(node, _)| node.to_string()).collect();
+    assert_eq!(alive, ["a"]);
+}
+
+#[test]
+fn node_with_another_status_is_not_refreshed_until_it_is_described() {
+    let now = Instant::now();
+    let mut table = PeerTable::default();
+    let node = NodeId::from("a");
+    table.record_relayed(now, node.clone(), status(1, 2), TIMEOUTS);
+    let unready = PeerStatus { ready: false, ..status(1, 2) };
+    let later = now + TIMEOUTS.relayed;
+    table.apply_live(later, &HashSet::from([unready.tag(&node)]), false, TIMEOUTS);
+    assert_eq!(table.alive(later, TIMEOUTS).count(), 0);
+    table.record_relayed(later, node.clone(), unready, TIMEOUTS);
+    assert!(!table.get(&node).unwrap().status.ready);
 }
--- a/crates/gateway/tests/nodes/config_attestation.rs
+++ b/crates/gateway/tests/nodes/config_attestation.rs
@@ -1,10 +1,8 @@
 //! Attestation of the configuration between nodes.
 
-mod support;
-
+use crate::test_nodes::{TestNodes, address, name};
 use comfreyturn_gateway::GatewaySettings;
 use comfreyturn_types::GatewayConfig;
-use support::{TestNodes, address, name};
 
 /// Time within which a node that can't confirm its configuration must stop serving, in
 /// milliseconds.
--- a/crates/gateway/tests/nodes/fleet_lease.rs
+++ b/crates/gateway/tests/nodes/fleet_lease.rs
@@ -1,8 +1,6 @@
 //! The node that forms groups while nodes crash, restart and leave.
 
-mod support;
-
-use support::{TestNodes, name};
+use crate::test_nodes::{TestNodes, name};
 
 /// The live nodes that form groups.
 fn holders(nodes: &TestNodes) -> Vec<u16> {
--- /dev/null
+++ b/crates/gateway/tests/nodes/main.rs
@@ -0,0 +1,6 @@
+//! Several nodes of one deployment, on virtual time.
+
+mod config_attestation;
+mod fleet_lease;
+mod fleet_view;
+mod test_nodes;
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -1,4 +1,4 @@
-//! Three nodes of one deployment that exchange datagrams.
+//! Nodes of one deployment that exchange datagrams.
 
 use std::{
     cell::RefCell,
@@ -15,14 +15,34 @@
     FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable, ScriptedServers,
     run_for,
 };
-use comfreyturn_types::{CellName, Incarnation, NodeId};
+use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId};
 
 /// Pause between two polls for queued datagrams.
 const POLL_PERIOD: Duration = Duration::from_millis(1);
 
+/// What one node sent or received.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub datagrams: u64,
+    pub bytes: u64,
+}
+
+impl Traffic {
+    fn add(&mut self, bytes: &[u8]) {
+        self.datagrams += 1;
+        self.bytes += bytes.len() as u64;
+    }
+}
+
 /// Queued datagrams of each address, and the registered nodes.
 #[derive(Clone, Default)]
 pub struct TestNet {
+    pub sent: Rc<RefCell<HashMap<SocketAddr, Traffic>>>,
+    pub received: Rc<RefCell<HashMap<SocketAddr, Traffic>>>,
+
+    /// When nodes registered, as time since the start.
+    pub registrations: Rc<RefCell<Vec<Duration>>>,
+    clock: Option<ManualClock>,
     queues: Rc<RefCell<HashMap<SocketAddr, VecDeque<Vec<u8>>>>>,
     entries: Rc<RefCell<Vec<NodeEntry>>>,
 
@@ -49,6 +69,8 @@
 #[async_trait(?Send)]
 impl DatagramLink for NetEndpoint {
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
+        self.net.sent.borrow_mut().entry(self.address).or_default().add(&bytes);
+        self.net.received.borrow_mut().entry(to).or_default().add(&bytes);
         self.net.queues.borrow_mut().entry(to).or_default().push_back(bytes);
     }
 
@@ -65,6 +87,9 @@
 #[async_trait(?Send)]
 impl NodeRegistry for TestNet {
     async fn announce(&self, entry: &NodeEntry) -> TableResult<()> {
+        let now = self.clock.as_ref().map(ManualClock::elapsed).unwrap_or_default();
+        self.registrations.borrow_mut().push(now);
+        self.entries.borrow_mut().retain(|old| old.node != entry.node);
         self.entries.borrow_mut().push(entry.clone());
         Ok(())
     }
@@ -79,7 +104,7 @@
     }
 }
 
-/// Three nodes of one deployment.
+/// Nodes of one deployment, numbered from one.
 pub struct TestNodes {
     clock: ManualClock,
     pool: LocalPool,
@@ -92,6 +117,9 @@
     pub gateways: HashMap<u16, Rc<Gateway>>,
     last_incarnation: u64,
     settings: GatewaySettings,
+
+    /// Whether nodes start as at the first start of the deployment.
+    is_first_start: bool,
 }
 
 impl TestNodes {
@@ -100,26 +128,38 @@
     }
 
     pub fn started_with(settings: GatewaySettings) -> Self {
+        let mut nodes = Self::new(settings, false);
+        (1..=3).for_each(|number| nodes.start(number));
+        nodes.run(3000);
+        nodes
+    }
+
+    /// A fleet that starts for the first time, all nodes at the same moment.
+    pub fn first_start(count: u16) -> Self {
+        let settings = GatewaySettings { fencing_checked: true, ..GatewaySettings::default() };
+        let mut nodes = Self::new(settings, true);
+        (1..=count).for_each(|number| nodes.start(number));
+        nodes
+    }
+
+    fn new(settings: GatewaySettings, is_first_start: bool) -> Self {
         let clock = ManualClock::new();
         let pool = LocalPool::new();
         let plan = FaultPlan::new(&clock, &pool, FaultSettings::default());
         let table = MemoryTable::new(&plan);
-        let mut nodes = Self {
+        let net = TestNet { clock: Some(clock.clone()), ..TestNet::default() };
+        Self {
             clock,
             pool,
             plan,
             table,
-            net: TestNet::default(),
+            net,
             feeds: HashMap::new(),
             gateways: HashMap::new(),
             last_incarnation: 0,
             settings,
-        };
-        for number in 1..=3 {
-            nodes.start(number);
+            is_first_start,
         }
-        nodes.run(3000);
-        nodes
     }
 
     pub fn start(&mut self, number: u16) {
@@ -150,6 +190,9 @@
             incarnation: Incarnation(self.last_incarnation),
             peer_address,
             caller_address: SocketAddr::from(([127, 0, 0, 1], 1000 + number)),
+            failure_domain: failure_domain(number),
+            capacity: capacity(number),
+            first_start: self.is_first_start,
         };
         let gateway = Gateway::new(identity, ports, self.settings.clone());
         gateway.start();
@@ -165,6 +208,21 @@
     NodeId::from(format!("node-{number}"))
 }
 
+/// Failure domains of the nodes.
+const DOMAINS: u16 = 5;
+
+/// Nodes with more processors than the others.
+pub const LARGE_NODES: u16 = 15;
+
+fn failure_domain(number: u16) -> FailureDomain {
+    FailureDomain::from(format!("domain-{}", number % DOMAINS))
+}
+
+/// In thousandths of a core.
+fn capacity(number: u16) -> u32 {
+    if number <= LARGE_NODES { 500 } else { 120 }
+}
+
 /// The address at which a node receives datagrams.
 pub fn address(number: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], number))
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -74,6 +74,9 @@
     /// Whether no request has arrived yet. Weights load fast then, and no caller waits for a
     /// group.
     pub before_traffic: bool,
+
+    /// Whether `work` was measured; else it holds the declared shares.
+    pub is_work_measured: bool,
 }
 
 /// An order to one server.
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -290,7 +290,7 @@
     }
 
     pub(crate) fn targets(&self, view: &FleetView<'_>) -> HashMap<ModelName, u32> {
-        if !view.before_traffic {
+        if view.is_work_measured {
             return demanded_groups(view.engine, view.work, self.settings.utilization);
         }
         let usable = view.servers.iter().filter(|server| is_usable(view, server)).count();
--- a/crates/policy/src/share_retry_budget.rs
+++ b/crates/policy/src/share_retry_budget.rs
@@ -45,12 +45,22 @@
 
     /// Oldest first. Invariant: at most `settings.slots + 1` entries.
     slots: VecDeque<BudgetSlot>,
+
+    /// Retries allowed within the window in addition to the share.
+    slack: f64,
 }
 
 impl ShareRetryBudget {
     /// Creates a budget without any recorded requests.
     pub fn new(settings: RetryBudgetSettings) -> Self {
-        Self { settings, slots: VecDeque::new() }
+        Self { settings, slots: VecDeque::new(), slack: 0.0 }
+    }
+
+    /// Sets how many retries are allowed within the window in addition to the share of requests.
+    /// Nodes that divide a common slack among them stay within it together, whether or not they
+    /// reach each other.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
     }
 
     fn current_slot(&mut self, now: Instant) -> &mut BudgetSlot {
@@ -90,7 +100,7 @@
         self.current_slot(now);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
-        let allowed = f64::from(requests) * self.settings.share;
+        let allowed = f64::from(requests) * self.settings.share + self.slack;
         if f64::from(retries) + 1.0 > allowed.max(f64::from(self.settings.floor)) {
             return false;
         }
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -95,6 +95,7 @@
             lost: &self.lost,
             work: &self.work,
             before_traffic: self.before_traffic,
+            is_work_measured: !self.before_traffic,
         };
         self.planner.plan(self.now, &view)
     }
--- a/crates/ports/src/gateway_feeds.rs
+++ b/crates/ports/src/gateway_feeds.rs
@@ -6,7 +6,7 @@
 };
 
 use async_trait::async_trait;
-use comfreyturn_types::{FleetServer, GatewayConfig, VmId};
+use comfreyturn_types::{FleetServer, GatewayConfig, StoreVersion, VmId};
 
 /// Error of reading a feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -29,8 +29,9 @@
     /// The newest configuration, if it differs from the previous reading.
     pub config: Option<Rc<GatewayConfig>>,
 
-    /// A time at which the configuration was proven to be the newest one.
-    pub proven_at: Instant,
+    /// A time at which the configuration was proven to be the newest one; `None` if the reading
+    /// proves nothing.
+    pub proven_at: Option<Instant>,
 }
 
 /// The operators' configuration.
@@ -58,7 +59,7 @@
 
     /// The platform's version up to which the changes are included. Increases from reading to
     /// reading, and is comparable between nodes.
-    pub version: u64,
+    pub version: StoreVersion,
 
     /// The changes, in order.
     pub changes: Vec<ServerChange>,
--- a/crates/ports/src/node_registry.rs
+++ b/crates/ports/src/node_registry.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use comfreyturn_types::{Incarnation, NodeId};
+use comfreyturn_types::{FailureDomain, Incarnation, NodeId};
 use serde::{Deserialize, Serialize};
 
 use crate::TableResult;
 
-/// The address at which one run of a node receives datagrams.
+/// One run of a node, as it registers itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeEntry {
     /// The node.
@@ -19,6 +19,15 @@
 
     /// The address at which it receives datagrams.
     pub peer_address: SocketAddr,
+
+    /// The address at which it accepts callers.
+    pub caller_address: SocketAddr,
+
+    /// The failure domain that it belongs to.
+    pub failure_domain: FailureDomain,
+
+    /// Its share of processors, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// The list of the nodes of a deployment, stored by the platform.
--- a/crates/ports/src/table_store.rs
+++ b/crates/ports/src/table_store.rs
@@ -96,4 +96,11 @@
     /// taken effect: the rows must be read back first.
     async fn commit(&self, step: Step, transaction: TableTransaction)
     -> TableResult<CommitOutcome>;
+
+    /// The era of the table's contents, as its last answer told: it rises each time the table is
+    /// restored from an older copy, and rows written since that copy are gone. Zero if unknown.
+    /// Versions of rows of different eras are never equal.
+    fn era(&self) -> u64 {
+        0
+    }
 }
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -69,7 +69,7 @@
         if self.is_unreachable.get() {
             return Err(FeedError::Unreachable);
         }
-        Ok(ConfigReading { config, proven_at: self.clock.now() })
+        Ok(ConfigReading { config, proven_at: Some(self.clock.now()) })
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 mod numbers;
 mod outcome;
 mod roster;
+mod store_version;
 mod vm_record;
 mod vm_report;
 
@@ -25,5 +26,6 @@
 pub use numbers::*;
 pub use outcome::*;
 pub use roster::*;
+pub use store_version::*;
 pub use vm_record::*;
 pub use vm_report::*;
