Stage spares before traffic where no further group fits, and keep fewer of them

In domains with seven free servers nothing was formed. Groups ran seven tenths full while two fifths of the servers were free.

Ruled out: the age of the view (the holder's list was 150 ms old), too few loads at a time (21 were always under way).

Change: the wait ends where no domain has room for a group that is short; a domain with more free servers than its reserve forms groups of another model; spares hold the weights of the groups of their domain, by the number of servers in them; utilization 0.5, reserve 0.15.

--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -37,6 +37,9 @@
 
     /// Number of servers of the domain that are in groups.
     grouped: usize,
+
+    /// The same by the model of the group.
+    grouped_by_model: HashMap<ModelName, usize>,
 }
 
 /// Sorts servers by fabric domain. Servers without a fabric domain share a pool of their own.
@@ -50,7 +53,11 @@
         domain.servers.push(server);
     }
     for server in grouped {
-        domains.entry(server.fabric_domain.as_ref()).or_default().grouped += 1;
+        let pool = domains.entry(server.fabric_domain.as_ref()).or_default();
+        pool.grouped += 1;
+        if let Some(model) = &server.model {
+            *pool.grouped_by_model.entry(model.clone()).or_default() += 1;
+        }
     }
     let mut pools: Vec<FreePool<'a>> = domains.into_values().collect();
     for pool in &mut pools {
@@ -101,7 +108,7 @@
 const MIN_GROUP_COUNT: f64 = 0.5;
 
 impl GroupShortage<'_> {
-    fn is_short(&self, model: &ModelName) -> bool {
+    pub(crate) fn is_short(&self, model: &ModelName) -> bool {
         self.active.get(model).unwrap_or(&0) < self.targets.get(model).unwrap_or(&0)
     }
 
@@ -130,6 +137,18 @@
 }
 
 impl<'a> FreePool<'a> {
+    /// Whether the domain has enough free servers for a group, also if some of them still load.
+    pub(crate) fn has_room(&self, model: &PooledModel, reserve_share: f64) -> bool {
+        let size = self.servers.len() + self.grouped;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a fraction of the number of servers"
+        )]
+        let reserve = (size as f64 * reserve_share).ceil() as usize;
+        self.servers.len() >= model.group_size as usize + reserve
+    }
+
     fn soonest(&self, model: &PooledModel, size: usize) -> Option<Vec<&'a FleetServer>> {
         let idle = self.servers.iter().filter(|server| server.loading.is_none());
         let mut servers: Vec<&FleetServer> = idle.map(|server| server.server).collect();
@@ -223,8 +242,18 @@
         let without_weights = self.servers.iter().find(|server| server.has_no_weights())?;
         let mut models: Vec<&PooledModel> = shortage.view.engine.models.iter().collect();
         models.sort_by_key(|model| std::cmp::Reverse(model.group_size));
-        let spares = |model: &&&PooledModel| self.ready(&model.name);
-        let model = models.iter().min_by_key(spares)?;
+        let grouped = |model: &PooledModel| {
+            self.grouped_by_model.get(&model.name).copied().unwrap_or_default()
+        };
+        // Each server of a group is as likely to be lost as any other one. Without groups in the
+        // domain, all models count the same.
+        let least = usize::from(models.iter().all(|model| grouped(model) == 0));
+        let losses_per_spare = |model: &PooledModel| {
+            let spares = self.ready(&model.name) + 1;
+            (grouped(model) + least) as f64 / spares as f64
+        };
+        let best = models.into_iter().rev();
+        let model = best.max_by(|a, b| losses_per_spare(a).total_cmp(&losses_per_spare(b)))?;
         Some(LoadChoice { server: without_weights.server, model: model.name.clone(), score: 0.0 })
     }
 }
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -13,8 +13,8 @@
 /// Settings of a [`FleetPlanner`](crate::FleetPlanner).
 #[derive(Clone, Copy, Debug)]
 pub struct FleetPlannerSettings {
-    /// Fraction of the servers that is kept out of groups before the first request, to replace lost
-    /// members.
+    /// Fraction of the servers, of all and of each fabric domain, that is kept out of groups to
+    /// replace lost members.
     pub spare_share: f64,
 
     /// Fraction of a group's slots that may be in use before its model gets another group.
@@ -38,8 +38,8 @@
 impl Default for FleetPlannerSettings {
     fn default() -> Self {
         Self {
-            spare_share: 0.2,
-            utilization: 0.7,
+            spare_share: 0.15,
+            utilization: 0.5,
             order_retry_interval: Duration::from_millis(500),
             form_timeout: Duration::from_millis(2500),
             head_loss_timeout: Duration::from_millis(300),
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -317,15 +317,24 @@
         let shortage = GroupShortage { view, targets, active };
         let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
         models.sort_by(|a, b| shortage.need(&b.name).total_cmp(&shortage.need(&a.name)));
-        for model in models {
-            let wanted = targets.get(&model.name).copied().unwrap_or_default();
-            if active.get(&model.name).copied().unwrap_or_default() >= wanted {
-                continue;
-            }
-            let Some(members) = choose_members(pools, model) else { continue };
+        let formable = |model: &PooledModel, pools: &[FreePool<'a>]| {
+            let members = choose_members(pools, model)?;
             let loads = members.iter().filter(|server| !server.staged.contains(&model.name));
             let loads = loads.count();
-            if loads == 0 || (view.before_traffic && loads <= free_loads) {
+            let may_load = view.before_traffic && loads <= free_loads;
+            (loads == 0 || may_load).then_some(members)
+        };
+        for model in models.iter().filter(|model| shortage.is_short(&model.name)) {
+            if let Some(members) = formable(model, pools) {
+                return Some((model, members));
+            }
+        }
+        // Domains that can hold no group of the models that lack one, but have more free servers
+        // than they need as spares, serve other models.
+        for model in models {
+            let has_room = |pool: &&FreePool<'a>| pool.has_room(model, self.settings.spare_share);
+            let roomy: Vec<FreePool<'a>> = pools.iter().filter(has_room).cloned().collect();
+            if let Some(members) = formable(model, &roomy) {
                 return Some((model, members));
             }
         }
--- a/crates/policy/src/fleet_staging.rs
+++ b/crates/policy/src/fleet_staging.rs
@@ -1,6 +1,9 @@
 //! Staging of weights on free servers before a group needs them.
 
-use std::{collections::HashSet, time::Instant};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Instant,
+};
 
 use comfreyturn_ports::FleetAction;
 use comfreyturn_types::{MemberPhase, ModelName, ServerLife};
@@ -22,10 +25,7 @@
         plan: &mut FleetPlan,
     ) {
         let targets = self.targets(view);
-        let active = &plan.active;
-        let is_short =
-            |(model, wanted): (&ModelName, &u32)| active.get(model).unwrap_or(&0) < wanted;
-        if view.before_traffic && targets.iter().any(is_short) {
+        if view.before_traffic && self.awaits_group(view, &targets, plan) {
             return;
         }
         while view.before_traffic || self.may_load(view) {
@@ -40,6 +40,22 @@
         }
     }
 
+    /// Whether a model lacks a group that some domain has room for. Groups take the loads of the
+    /// weight store before spares do.
+    fn awaits_group(
+        &self,
+        view: &FleetView<'_>,
+        targets: &HashMap<ModelName, u32>,
+        plan: &FleetPlan,
+    ) -> bool {
+        let shortage = GroupShortage { view, targets, active: &plan.active };
+        let pools = self.pools(view, &plan.held);
+        let models = view.engine.models.iter();
+        models
+            .filter(|model| shortage.is_short(&model.name))
+            .any(|model| pools.iter().any(|pool| pool.has_room(model, 0.0)))
+    }
+
     /// Whether one more load stays within the rates of the weight store.
     fn may_load(&self, view: &FleetView<'_>) -> bool {
         let starts = self.load_starts.len() as f64 + 1.0;
