Tell the newest configuration over relays, and call the platform less in vain

Cause: a digest carried the version of the relay's own configuration. The four nodes that follow the configuration could all be among those that are turned away; the others looked only after 2.25 s, later than the 2 s of the small sites. Before the first configuration every node polled in a tight loop, and in an outage every node tried the store for itself. Callers refused by a leaving node were told to wait as for capacity.

Ruled out: a late proof (the nodes' proofs were fresh by their relays' attestations of the version that they held), refusal by the store of the nodes concerned (they logged none).

Change: datagrams carry the newest version that the sender knows of, held or not; a node that the store turns away does not count among the watchers; nodes poll only once they have joined; members whose relay answers make eight calls a second together; callers that another node could serve come back within a quarter of a second.

--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -18,6 +18,10 @@
 /// divided by this.
 const CONFIG_RENEWAL_DIVISOR: u32 = 2;
 
+/// A node whose poll of the configuration takes this much longer than the poll may wait no longer
+/// counts as one that reads it.
+const CONFIG_ANSWER_TIME: Duration = Duration::from_millis(400);
+
 /// A configuration and the lookup tables built from it.
 #[derive(Debug)]
 pub(crate) struct ConfigView {
@@ -59,12 +63,29 @@
         self.peer_config_version.set(self.peer_config_version.get().max(version));
     }
 
-    /// Whether another node holds a newer configuration, or the held one must be confirmed again.
-    pub(crate) fn needs_config(&self, now: Instant) -> bool {
+    /// The newest version of the configuration that any node is known to hold.
+    pub(crate) fn newest_config(&self) -> u64 {
+        let own = self.config.borrow().as_ref().map(|view| view.config.version);
+        own.unwrap_or_default().max(self.peer_config_version.get())
+    }
+
+    /// Whether this node read the configuration from the platform itself a short while ago.
+    pub(crate) fn reads_config(&self, now: Instant) -> bool {
+        let limit = self.settings.config_poll_timeout + CONFIG_ANSWER_TIME;
+        let read_at = self.config_read_at.get();
+        read_at.is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
+    /// Whether another node holds a newer configuration.
+    pub(crate) fn lacks_config(&self) -> bool {
         let own = self.config.borrow().as_ref().map(|view| view.config.version);
+        own.unwrap_or_default() < self.peer_config_version.get()
+    }
+
+    /// Whether the configuration must be confirmed again.
+    pub(crate) fn needs_config(&self, now: Instant) -> bool {
         let is_old = |age: Duration| age >= self.settings.config_limit / CONFIG_RENEWAL_DIVISOR;
-        own.is_none_or(|own| own < self.peer_config_version.get())
-            || self.confirmed.get().age(now).is_none_or(is_old)
+        self.confirmed.get().age(now).is_none_or(is_old)
     }
 
     /// Applies another node's attestation that its configuration is the newest.
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -13,6 +13,13 @@
     node_snapshot::{age_ms, whole_ms},
 };
 
+/// Calls to the platform per second that all members together make while their relays answer but
+/// get nothing new from it. In an outage that all nodes see, the others would be in vain.
+const MEMBER_CALLS_PER_S: f64 = 8.0;
+
+/// A member waits for this time for the first answer of a relay before it calls the platform.
+const RELAY_TRIAL_TIME: Duration = Duration::from_millis(500);
+
 /// Pause between two checks whether the list of servers should be read.
 const LIST_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -27,6 +34,7 @@
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
                     }
+                    self.state.config_read_at.set(Some(self.ports.clock.now()));
                     if let Some(moment) = reading.proven_at {
                         let mut confirmed = self.state.confirmed.get();
                         confirmed.confirm(moment);
@@ -70,18 +78,40 @@
             if self.is_config_watcher() {
                 return state.settings.config_poll_timeout.min(state.settings.config_limit / 2);
             }
-            if state.needs_config(ports.clock.now()) {
+            let period = state.settings.heartbeat_period;
+            ports.clock.sleep(period).await;
+            let now = ports.clock.now();
+            if state.lacks_config() || (state.needs_config(now) && self.may_call(period)) {
                 return Duration::ZERO;
             }
-            ports.clock.sleep(state.settings.heartbeat_period).await;
         }
     }
 
-    /// Whether this node is a config watcher: one of the first relays.
-    fn is_config_watcher(&self) -> bool {
+    /// Whether this node should call the platform itself, if it may decide so once in each
+    /// `period`: always, unless it is a member whose relay answers. Then a few of all members do.
+    fn may_call(&self, period: Duration) -> bool {
         let Self { identity, state, .. } = self;
-        let rank = state.view.borrow().roster.rank(&identity.node);
-        rank.is_some_and(|rank| rank < state.settings.config_watchers)
+        let view = state.view.borrow();
+        if view.roster.rank(&identity.node).is_some() {
+            return state.joined_at.get().is_some();
+        }
+        if !view.hears_relay() {
+            return state.was_running_for(self.ports.clock.now(), RELAY_TRIAL_TIME);
+        }
+        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
+        let nodes = (view.peers.len() + 1) as f64;
+        rand::random::<f64>() < MEMBER_CALLS_PER_S * period.as_secs_f64() / nodes
+    }
+
+    /// Whether this node is a config watcher: one of the first relays, without those that the
+    /// platform turns away.
+    fn is_config_watcher(&self) -> bool {
+        let Self { identity, ports, state } = self;
+        let view = state.view.borrow();
+        let Some(rank) = view.roster.rank(&identity.node) else { return false };
+        let timeouts = state.settings.peer_timeouts;
+        let readers = view.config_readers(ports.clock.now(), timeouts, rank);
+        readers < state.settings.config_watchers && state.joined_at.get().is_some()
     }
 
     /// Polls the list of servers while this node has to. Never returns.
@@ -130,7 +160,9 @@
                 _ => lone_pause,
             };
             let has_joined = state.joined_at.get().is_some();
-            if has_joined && waited >= pause && self.reads_list(now) {
+            let must_read = state.forms_groups.get() || state.needs_whole_list.get();
+            let is_due = has_joined && waited >= pause && self.reads_list(now);
+            if is_due && (must_read || self.may_call(LIST_CHECK_PERIOD)) {
                 return;
             }
             ports.clock.sleep(LIST_CHECK_PERIOD).await;
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use comfreyturn_policy::RefusalCause;
 use http::{HeaderMap, StatusCode};
 
 use crate::RelayStream;
@@ -36,6 +37,18 @@
     TooLate,
 }
 
+impl NotRunReason {
+    /// Whether another node could serve the request.
+    pub(crate) fn cause(self) -> RefusalCause {
+        match self {
+            Self::NoConfig | Self::StaleConfig | Self::Leaving => RefusalCause::Node,
+            Self::NoServer | Self::NoRoom | Self::Declined | Self::Suspect | Self::TooLate => {
+                RefusalCause::Capacity
+            }
+        }
+    }
+}
+
 /// Why a request is denied; a retry would be denied as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -376,7 +376,9 @@
         if matches!(reason, NotRunReason::NoRoom | NotRunReason::NoServer) {
             self.state.record_refusal(&self.service, self.request.model.as_ref());
         }
-        let retry_after = self.state.retry_after();
+        let waited = self.now().saturating_duration_since(self.request.received_at);
+        let deadline = self.request.deadline.unwrap_or(self.route.timeout);
+        let retry_after = self.state.retry_after(reason, deadline.saturating_sub(waited));
         self.trace.not_run(reason, retry_after);
         ForwardAnswer::NotRun { reason, retry_after }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 };
 
 use comfreyturn_control::TimedTable;
-use comfreyturn_policy::{CallerNode, choose_target, spread_callers};
+use comfreyturn_policy::{CallerNode, RelayCandidate, choose_target, spread_callers};
 use comfreyturn_ports::{
     Clock, ConfigFeed, DatagramLink, FleetControl, NodeRegistry, ServerFeed, ServerLink, Spawner,
     TableStore,
@@ -20,6 +20,9 @@
     gateway_state::GatewayState, request_trace::RequestTrace,
 };
 
+/// Assumed time left of a caller that states no deadline.
+const UNSTATED_DEADLINE: Duration = Duration::from_secs(5);
+
 /// The interfaces through which a gateway reaches the outside.
 #[derive(Clone)]
 pub struct GatewayPorts {
@@ -116,16 +119,18 @@
         state.start_traffic(self.ports.clock.now());
         let mut trace = RequestTrace::new(state, &self.ports.clock, &request);
         if state.refusing.get() {
-            return self.not_run(&trace, NotRunReason::Leaving);
+            return self.not_run(&trace, NotRunReason::Leaving, request.deadline);
         }
         let view = state.config.borrow().clone();
-        let Some(view) = view else { return self.not_run(&trace, NotRunReason::NoConfig) };
+        let Some(view) = view else {
+            return self.not_run(&trace, NotRunReason::NoConfig, request.deadline);
+        };
         let Some(route) = view.routes.find(&request.host, request.path()) else {
             return denied(&trace, DeniedReason::NoRoute);
         };
         let needs_key = view.keys.is_some() && !route.public;
         if needs_key && !state.config_is_usable(self.ports.clock.now()) {
-            return self.not_run(&trace, NotRunReason::StaleConfig);
+            return self.not_run(&trace, NotRunReason::StaleConfig, request.deadline);
         }
         let customer = match &view.keys {
             Some(keys) if needs_key => {
@@ -140,7 +145,7 @@
         let target = choose_target(route, rand::random());
         let service = target.and_then(|target| view.config.services.get(&target.service));
         let Some(service) = service else {
-            return self.not_run(&trace, NotRunReason::NoServer);
+            return self.not_run(&trace, NotRunReason::NoServer, request.deadline);
         };
         let label = view.customer_label(customer.map(|customer| &customer.name));
         trace.routed(&service.name, label, customer.and_then(|customer| customer.priority));
@@ -163,8 +168,13 @@
         run.run().await
     }
 
-    fn not_run(&self, trace: &RequestTrace, reason: NotRunReason) -> ForwardAnswer {
-        let retry_after = self.state.retry_after();
+    fn not_run(
+        &self,
+        trace: &RequestTrace,
+        reason: NotRunReason,
+        deadline: Option<Duration>,
+    ) -> ForwardAnswer {
+        let retry_after = self.state.retry_after(reason, deadline.unwrap_or(UNSTATED_DEADLINE));
         trace.not_run(reason, retry_after);
         ForwardAnswer::NotRun { reason, retry_after }
     }
@@ -208,6 +218,20 @@
         spread_callers(nodes, failure_domain, limit)
     }
 
+    /// Chooses the relays anew. A leaving node is none.
+    pub(crate) fn update_roster(&self, now: Instant) {
+        let Self { identity, state, .. } = self;
+        let settings = &state.settings;
+        let own = RelayCandidate {
+            node: identity.node.clone(),
+            failure_domain: identity.failure_domain.clone(),
+            capacity: identity.capacity,
+        };
+        let own = (!state.leaving.get()).then_some(own);
+        let mut view = state.view.borrow_mut();
+        view.update_roster(now, own, settings.peer_timeouts, settings.relays);
+    }
+
     /// Whether this node reads the list of servers from the platform: the holder of the fleet's
     /// lease and the first relays do. All other nodes get the changes from their relays.
     pub(crate) fn reads_list(&self, now: Instant) -> bool {
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,6 +4,7 @@
 
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, RelayChoiceSettings, RelaySettings,
+    ReturnSettings,
 };
 
 use crate::PeerTimeouts;
@@ -135,9 +136,8 @@
     /// data again.
     pub stall_retention: Duration,
 
-    /// Refused callers are asked to retry after a random time between these two. Groups are
-    /// repaired within it, and callers that were refused together don't retry together.
-    pub retry_after: (Duration, Duration),
+    /// When refused callers should come back.
+    pub return_delay: ReturnSettings,
 
     /// Size limit of a buffered answer, in bytes.
     pub whole_answer_limit: usize,
@@ -195,7 +195,7 @@
             first_event_floor: Duration::from_millis(900),
             answer_factor: 3.0,
             stall_retention: Duration::from_secs(2),
-            retry_after: (Duration::from_millis(600), Duration::from_millis(1800)),
+            return_delay: ReturnSettings::default(),
             whole_answer_limit: 1024 * 1024,
             picker: HeadPickerSettings::default(),
             planner: FleetPlannerSettings::default(),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,7 +9,7 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
-    RetryBudgetSettings, ShareRetryBudget,
+    RetryBudgetSettings, ShareRetryBudget, return_delay,
 };
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    GatewaySettings, LoadTracker, LoggedChange, ModelRate, ReportKind, ServerLog, ServerTable,
-    StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
+    GatewaySettings, LoadTracker, LoggedChange, ModelRate, NotRunReason, ReportKind, ServerLog,
+    ServerTable, StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -83,6 +83,9 @@
     /// Whether reports came since the loads of other nodes were last summed up.
     pub(crate) has_new_reports: Cell<bool>,
 
+    /// When this node last read the configuration from the platform.
+    pub(crate) config_read_at: Cell<Option<Instant>>,
+
     /// The newest version of the configuration held by another node.
     pub(crate) peer_config_version: Cell<u64>,
 
@@ -131,6 +134,7 @@
             needs_whole_list: Cell::new(false),
             has_new_reports: Cell::new(false),
             traffic_since: Cell::new(None),
+            config_read_at: Cell::new(None),
             peer_config_version: Cell::new(0),
             has_traffic: Cell::new(false),
             joined_at: Cell::new(None),
@@ -357,10 +361,9 @@
         }
     }
 
-    /// A random time after which a caller refused now should retry.
-    pub(crate) fn retry_after(&self) -> Duration {
-        let (least, most) = self.settings.retry_after;
-        least + most.saturating_sub(least).mul_f64(rand::random())
+    /// After which time a caller that is refused now and has `time_left` should come back.
+    pub(crate) fn retry_after(&self, reason: NotRunReason, time_left: Duration) -> Duration {
+        return_delay(reason.cause(), time_left, &self.settings.return_delay, rand::random())
     }
 
     /// Records that a request for a model was refused for lack of capacity. Names that callers made
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{ConfigAttestation, RelayCandidate, SuspectLedger};
+use comfreyturn_policy::{ConfigAttestation, SuspectLedger};
 use comfreyturn_proto::peer;
 use comfreyturn_types::{Incarnation, NodeId};
 use prost::Message;
@@ -19,7 +19,7 @@
         decode_age, decode_change, decode_node, decode_report, decode_sender, decode_version,
         encode_age, encode_change, encode_node, encode_report, encode_sender, encode_version,
     },
-    peer_table::PeerStatus,
+    peer_table::{PeerProgress, PeerStatus},
     peer_view::ListCursor,
 };
 
@@ -127,19 +127,16 @@
 
     /// Forgets what is too old and chooses the relays anew.
     fn update_view(&self, now: Instant) {
-        let Gateway { identity, state, .. } = &*self.gateway;
+        let state = &self.gateway.state;
         let settings = &state.settings;
-        let own = RelayCandidate {
-            node: identity.node.clone(),
-            failure_domain: identity.failure_domain.clone(),
-            capacity: identity.capacity,
-        };
-        let own = (!state.leaving.get()).then_some(own);
-        let mut view = state.view.borrow_mut();
         let member_retention = settings.peer_timeouts.relayed;
-        view.forget_unresponsive(now, settings.report_retention, member_retention, PEER_RETENTION);
-        view.update_roster(now, own, settings.peer_timeouts, settings.relays);
-        drop(view);
+        state.view.borrow_mut().forget_unresponsive(
+            now,
+            settings.report_retention,
+            member_retention,
+            PEER_RETENTION,
+        );
+        self.gateway.update_roster(now);
         state.update_rates(now, self.period());
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_REPEAT_TIME;
         state.crashes.borrow_mut().retain(|(at, _, _)| is_recent(at));
@@ -238,6 +235,8 @@
             config_version: snapshot.config_version.unwrap_or_default(),
             // Rounded up, so that the confirmation never looks younger than it is.
             config_age_ms: encode_age(snapshot.config_age.map(|age| age + MILLISECOND)),
+            newest_config: state.newest_config(),
+            reads_config: state.reads_config(now),
             list_version: Some(encode_version(state.list_version())),
             list_age_ms: encode_age(snapshot.list_age.map(|age| age + MILLISECOND)),
             ..Default::default()
@@ -301,9 +300,9 @@
 
     fn echo(&self, node: &NodeId) -> Option<peer::BeatEcho> {
         let view = self.gateway.state.view.borrow();
-        let record = view.peers.get(node).filter(|record| record.sequence > 0)?;
+        let record = view.peers.get(node).filter(|record| record.progress.sequence > 0)?;
         let incarnation = record.status.incarnation.0;
-        Some(peer::BeatEcho { incarnation, sequence: record.sequence })
+        Some(peer::BeatEcho { incarnation, sequence: record.progress.sequence })
     }
 
     // ---------------------------------------------------------------------------------------
@@ -396,7 +395,7 @@
     /// The position of a relay that didn't ask for changes but has an older list than this node.
     fn missed_position(&self, relay: &NodeId) -> Option<LogPosition> {
         let state = &self.gateway.state;
-        let complete = state.view.borrow().peers.get(relay)?.list_version;
+        let complete = state.view.borrow().peers.get(relay)?.progress.list_version;
         (complete < state.list_version()).then_some(LogPosition { complete, position: 0 })
     }
 
@@ -521,15 +520,19 @@
         beat: &peer::GatewayBeat,
     ) -> bool {
         let state = &self.gateway.state;
-        let list_version = decode_version(beat.list_version.as_ref());
+        let progress = PeerProgress {
+            sequence: beat.sequence,
+            list_version: decode_version(beat.list_version.as_ref()),
+            reads_config: beat.reads_config,
+        };
         let mut view = state.view.borrow_mut();
-        if !view.peers.record(now, node.clone(), status, beat.sequence, list_version) {
+        if !view.peers.record(now, node.clone(), status, progress) {
             return false;
         }
         let is_digest = beat.kind() == peer::BeatKind::Digest;
         let is_stray = is_digest && !view.choice.record_digest(now, node);
         drop(view);
-        state.record_peer_config(beat.config_version);
+        state.record_peer_config(beat.newest_config);
         let echoed_at = self.echoed(beat).map(|(assembled_at, _)| assembled_at);
         if let Some(attestation) = attestation(beat, echoed_at) {
             state.apply_attestation(&attestation);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
 pub use gateway_settings::*;
 pub use heartbeat_loop::*;
 pub use load_tracker::LoadTracker;
-pub use peer_table::{PeerRecord, PeerStatus, PeerTable, PeerTimeouts};
+pub use peer_table::{PeerProgress, PeerRecord, PeerStatus, PeerTable, PeerTimeouts};
 pub use relay_stream::{RelayStream, StreamBroken};
 pub use server_log::{LogPosition, LogSlice, LoggedChange, ServerLog};
 pub use server_table::{AppliedReading, ServerTable};
--- a/crates/gateway/src/node_rows.rs
+++ b/crates/gateway/src/node_rows.rs
@@ -85,7 +85,9 @@
     /// Begins to exchange datagrams.
     fn join(&self) {
         if self.state.joined_at.get().is_none() {
-            self.state.joined_at.set(Some(self.ports.clock.now()));
+            let now = self.ports.clock.now();
+            self.update_roster(now);
+            self.state.joined_at.set(Some(now));
         }
     }
 
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// How far a node is, as its last datagram said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerProgress {
+    /// The sequence number of the datagram; zero if there was none.
+    pub sequence: u64,
+
+    /// The version up to which it has the list of servers.
+    pub list_version: StoreVersion,
+
+    /// Whether it reads the configuration from the platform, with success.
+    pub reads_config: bool,
+}
+
 /// The last known state of another node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerRecord {
@@ -69,8 +82,8 @@
     /// [`PeerStatus::tag`] of the status.
     pub tag: u32,
 
-    /// The sequence number of its last datagram that this node received; zero if there was none.
-    pub sequence: u64,
+    /// How far it is, as its last datagram said.
+    pub progress: PeerProgress,
 
     /// When it was last known to be alive; `None` if only its row was read.
     pub last_seen_at: Option<Instant>,
@@ -80,9 +93,6 @@
 
     /// When it was added or its status changed.
     pub changed_at: Instant,
-
-    /// The version up to which it has the list of servers, as its last datagram said.
-    pub list_version: StoreVersion,
 }
 
 /// The other nodes.
@@ -105,11 +115,10 @@
         let record = PeerRecord {
             status,
             tag,
-            sequence: 0,
+            progress: PeerProgress::default(),
             last_seen_at: None,
             last_heard_at: None,
             changed_at: now,
-            list_version: StoreVersion::default(),
         };
         self.peers.insert(node, record);
     }
@@ -120,12 +129,12 @@
         now: Instant,
         node: NodeId,
         status: PeerStatus,
-        sequence: u64,
-        list_version: StoreVersion,
+        progress: PeerProgress,
     ) -> bool {
         let known = self.peers.get(&node);
         let is_old = |known: &PeerRecord| {
-            known.status.incarnation == status.incarnation && known.sequence >= sequence
+            known.status.incarnation == status.incarnation
+                && known.progress.sequence >= progress.sequence
         };
         if known.is_some_and(is_old) {
             return false;
@@ -135,11 +144,10 @@
         let record = PeerRecord {
             status,
             tag,
-            sequence,
+            progress,
             last_seen_at: Some(now),
             last_heard_at: Some(now),
             changed_at,
-            list_version,
         };
         self.peers.insert(node, record);
         true
@@ -160,17 +168,17 @@
             return;
         }
         let changed_at = known.filter(|known| known.tag == tag).map_or(now, |old| old.changed_at);
-        let sequence = known
+        let progress = known
             .filter(|known| known.status.incarnation == status.incarnation)
-            .map_or(0, |known| known.sequence);
+            .map(|known| known.progress)
+            .unwrap_or_default();
         let record = PeerRecord {
             status,
             tag,
-            sequence,
+            progress,
             last_seen_at: Some(now),
             last_heard_at: known.and_then(|known| known.last_heard_at),
             changed_at,
-            list_version: known.map(|known| known.list_version).unwrap_or_default(),
         };
         self.peers.insert(node, record);
     }
--- a/crates/gateway/src/peer_view.rs
+++ b/crates/gateway/src/peer_view.rs
@@ -90,6 +90,21 @@
         Some(now.saturating_duration_since(since))
     }
 
+    /// The number of live relays before `rank` that read the configuration from the platform.
+    pub(crate) fn config_readers(
+        &self,
+        now: Instant,
+        timeouts: PeerTimeouts,
+        rank: usize,
+    ) -> usize {
+        let earlier = self.roster.relays().take(rank);
+        let records = earlier.filter_map(|node| self.peers.get(node));
+        let is_reader = |record: &&crate::PeerRecord| {
+            record.progress.reads_config && record.is_alive(now, timeouts)
+        };
+        records.filter(is_reader).count()
+    }
+
     /// The live relay that has the newest list of servers, the first one among equals, unless all
     /// lists are older than `own`.
     pub(crate) fn list_source(
@@ -103,11 +118,11 @@
             let record = self.peers.get(node).filter(|record| record.is_alive(now, timeouts));
             let Some(record) = record else { continue };
             let is_better = match best {
-                Some((version, _)) => record.list_version > version,
-                None => record.list_version >= own,
+                Some((version, _)) => record.progress.list_version > version,
+                None => record.progress.list_version >= own,
             };
             if is_better {
-                best = Some((record.list_version, node));
+                best = Some((record.progress.list_version, node));
             }
         }
         best.map(|(_, node)| node.clone())
@@ -122,6 +137,11 @@
             .sum()
     }
 
+    /// Whether a relay answers this node.
+    pub(crate) fn hears_relay(&self) -> bool {
+        self.reports.nodes(ReportKind::Upstream).next().is_some()
+    }
+
     /// Whether this node passes on the reports of others.
     pub(crate) fn has_members(&self) -> bool {
         self.reports.nodes(ReportKind::Member).next().is_some()
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -6,8 +6,8 @@
 };
 
 use comfreyturn_gateway::{
-    LoadTracker, PeerStatus, PeerTable, PeerTimeouts, ReportKind, ServerTable, StallTracker,
-    ViewReport, ViewReports,
+    LoadTracker, LogPosition, LogSlice, LoggedChange, PeerProgress, PeerStatus, PeerTable,
+    PeerTimeouts, ReportKind, ServerLog, ServerTable, StallTracker, ViewReport, ViewReports,
 };
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{
@@ -191,8 +191,8 @@
 }
 
 fn record(table: &mut PeerTable, now: Instant, incarnation: u64, sequence: u64) -> bool {
-    let version = StoreVersion::default();
-    table.record(now, NodeId::from("n"), status(incarnation, 2), sequence, version)
+    let progress = PeerProgress { sequence, ..PeerProgress::default() };
+    table.record(now, NodeId::from("n"), status(incarnation, 2), progress)
 }
 
 #[test]
@@ -243,3 +243,73 @@
     table.record_relayed(later, node.clone(), unready, TIMEOUTS);
     assert!(!table.get(&node).unwrap().status.ready);
 }
+
+// -------------------------------------------------------------------------------------------
+// The log of the list of servers
+
+fn version(number: u64) -> StoreVersion {
+    StoreVersion::first_era(number)
+}
+
+fn change(vm: &str, number: u64, is_listed: bool) -> LoggedChange {
+    let server = is_listed.then(|| member(vm, 0, MemberPhase::Open));
+    LoggedChange { vm: VmId::from(vm), version: version(number), server }
+}
+
+fn names(slice: &LogSlice) -> Vec<&str> {
+    slice.changes.iter().map(|change| change.vm.as_str()).collect()
+}
+
+fn log_of_three() -> ServerLog {
+    let mut log = ServerLog::default();
+    for (vm, number) in [("a", 5), ("b", 5), ("c", 7)] {
+        log.push(change(vm, number, true));
+    }
+    log.complete_at(version(8));
+    log
+}
+
+#[test]
+fn reader_continues_where_its_last_slice_ended() {
+    let log = log_of_three();
+    let first = log.changes_after(LogPosition::default(), 2);
+    assert_eq!((names(&first), first.complete), (vec!["a", "b"], None));
+    let position = LogPosition { position: first.position, ..LogPosition::default() };
+    let second = log.changes_after(position, 2);
+    assert_eq!((names(&second), second.complete), (vec!["c"], Some(version(8))));
+}
+
+#[test]
+fn reader_of_another_log_gets_what_is_newer_than_its_list() {
+    let reader = LogPosition { complete: version(5), position: 0 };
+    assert_eq!(names(&log_of_three().changes_after(reader, 9)), ["c"]);
+}
+
+#[test]
+fn newer_change_of_a_server_replaces_the_older_one() {
+    let mut log = log_of_three();
+    log.push(change("a", 9, false));
+    let slice = log.changes_after(LogPosition::default(), 9);
+    assert_eq!(names(&slice), ["b", "c", "a"]);
+    assert!(slice.changes[2].server.is_none());
+    assert_eq!(log.version_of(&VmId::from("a")), version(9));
+}
+
+#[test]
+fn reader_that_missed_a_forgotten_removal_is_told_of_the_hole() {
+    let mut log = log_of_three();
+    for number in 0..2100 {
+        log.push(change(&format!("gone-{number}"), 10 + number, false));
+    }
+    log.complete_at(version(3000));
+    let early = LogPosition { complete: version(8), position: 0 };
+    assert!(log.changes_after(early, 9).has_hole);
+    let late = LogPosition { complete: version(2000), position: 0 };
+    assert!(!log.changes_after(late, 9).has_hole);
+    assert!(!log.changes_after(LogPosition::default(), 9).has_hole, "it has nothing to remove");
+}
+
+#[test]
+fn every_version_of_a_new_era_is_newer() {
+    assert!(StoreVersion { era: 2, number: 1 } > StoreVersion { era: 1, number: 900 });
+}
--- a/crates/gateway/tests/nodes/fleet_view.rs
+++ b/crates/gateway/tests/nodes/fleet_view.rs
@@ -186,3 +186,26 @@
         }
     }
 }
+
+/// A change of the configuration must be in force everywhere within this time, in milliseconds: the
+/// shortest bound of the deployments.
+const CONFIG_MS: u64 = 2000;
+
+#[test]
+fn config_change_reaches_every_node_while_the_platform_turns_the_watchers_away() {
+    for size in [9, 22, 89] {
+        let mut nodes = ready_fleet(size);
+        let refused: Vec<u16> =
+            (1..=size).filter(|number| *number <= LARGE_NODES.min(size) - 2).collect();
+        for number in &refused {
+            nodes.feeds[number].set_unreachable(true);
+        }
+        let config = GatewayConfig { version: 2, ..GatewayConfig::default() };
+        nodes.feeds.values().for_each(|feeds| feeds.put_config(config.clone()));
+        nodes.run(CONFIG_MS);
+        for number in (1..=size).filter(|number| !refused.contains(number)) {
+            let version = nodes.gateways[&number].config_version();
+            assert_eq!(version, Some(2), "node {number} of {size}");
+        }
+    }
+}
--- a/crates/standin/src/fakes/memory_table.rs
+++ b/crates/standin/src/fakes/memory_table.rs
@@ -1,27 +1,40 @@
 //! In-memory table service.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use async_trait::async_trait;
 use comfreyturn_ports::{
     CommitOutcome, RowKey, Step, TableError, TableResult, TableRow, TableStore, TableTransaction,
 };
-use comfreyturn_types::NodeId;
+use comfreyturn_types::{NodeId, RowVersion};
 
 use super::{FaultEndpoint, FaultPlan, call_outcome::RequestDelivery};
 use crate::TableRows;
 
+/// Bits of a row version below the era.
+const NUMBER_BITS: u32 = 40;
+
 /// In-memory table service. Clones share the rows.
 #[derive(Clone)]
 pub struct MemoryTable {
     plan: FaultPlan,
     rows: Rc<RefCell<TableRows>>,
+
+    /// Rises with each restored copy. Nodes see it in the versions of rows.
+    era: Rc<Cell<u64>>,
 }
 
+/// A copy of a table's rows.
+#[derive(Clone)]
+pub struct TableCopy(TableRows);
+
 impl MemoryTable {
     /// An empty table.
     pub fn new(plan: &FaultPlan) -> Self {
-        Self { plan: plan.clone(), rows: Rc::default() }
+        Self { plan: plan.clone(), rows: Rc::default(), era: Rc::default() }
     }
 
     /// The table as a node calls it.
@@ -29,6 +42,35 @@
         Rc::new(NodeTable { table: self.clone(), node: node.clone() })
     }
 
+    /// Copies all rows, without faults.
+    pub fn copy(&self) -> TableCopy {
+        TableCopy(self.rows.borrow().clone())
+    }
+
+    /// Restores a copy: what was written since is gone, and versions are given out again, in a new
+    /// era.
+    pub fn restore(&self, copy: TableCopy) {
+        *self.rows.borrow_mut() = copy.0;
+        self.era.set(self.era.get() + 1);
+    }
+
+    fn with_era(&self, row: TableRow) -> TableRow {
+        TableRow { version: RowVersion(self.era.get() << NUMBER_BITS | row.version.0), ..row }
+    }
+
+    /// Commits a transaction whose checks are versions as a node sees them.
+    fn commit_in_era(&self, mut transaction: TableTransaction) -> CommitOutcome {
+        let era = self.era.get();
+        for check in &mut transaction.checks {
+            let RowVersion(version) = check.version;
+            if version != 0 && version >> NUMBER_BITS != era {
+                return CommitOutcome::Conflict(vec![check.key.clone()]);
+            }
+            check.version = RowVersion(version & ((1 << NUMBER_BITS) - 1));
+        }
+        self.commit(&transaction)
+    }
+
     /// Reads a row, without faults.
     pub fn row(&self, key: &str) -> Option<TableRow> {
         self.rows.borrow().read(&[RowKey::from(key)]).pop().flatten()
@@ -92,12 +134,20 @@
 impl TableStore for NodeTable {
     async fn read(&self, step: Step, keys: &[RowKey]) -> TableResult<Vec<Option<TableRow>>> {
         let keys = keys.to_vec();
-        self.call(step, move |table| table.rows.borrow().read(&keys)).await
+        let read = move |table: &MemoryTable| -> Vec<Option<TableRow>> {
+            let rows = table.rows.borrow().read(&keys);
+            rows.into_iter().map(|row| row.map(|row| table.with_era(row))).collect()
+        };
+        self.call(step, read).await
     }
 
     async fn scan(&self, step: Step, prefix: &str) -> TableResult<Vec<(RowKey, TableRow)>> {
         let prefix = prefix.to_owned();
-        self.call(step, move |table| table.rows(&prefix)).await
+        let scan = move |table: &MemoryTable| -> Vec<(RowKey, TableRow)> {
+            let rows = table.rows(&prefix).into_iter();
+            rows.map(|(key, row)| (key, table.with_era(row))).collect()
+        };
+        self.call(step, scan).await
     }
 
     async fn commit(
@@ -105,6 +155,10 @@
         step: Step,
         transaction: TableTransaction,
     ) -> TableResult<CommitOutcome> {
-        self.call(step, move |table| table.commit(&transaction)).await
+        self.call(step, move |table| table.commit_in_era(transaction.clone())).await
+    }
+
+    fn era(&self) -> u64 {
+        self.table.era.get()
     }
 }
--- a/crates/standin/src/table_rows.rs
+++ b/crates/standin/src/table_rows.rs
@@ -6,7 +6,7 @@
 use comfreyturn_types::RowVersion;
 
 /// The rows of the table service, in memory.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TableRows {
     /// The existing rows.
     rows: BTreeMap<RowKey, TableRow>,
