Part the heartbeats, the list of servers and the demand into files of their own

Ruled out: one type for sending and one for receiving, since both need the sent rounds. No behaviour changes; the gateway's tests pass before and after.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -11,8 +11,7 @@
 use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView, HeldLease};
 use comfreyturn_ports::{OrderOutcome, TableResult};
 use comfreyturn_types::{
-    EngineSpec, FencingNumber, FleetServer, Incarnation, LeaseScope, ModelName, NodeId,
-    PooledModel, ServiceName,
+    EngineSpec, FencingNumber, FleetServer, Incarnation, LeaseScope, ModelName, NodeId, ServiceName,
 };
 use futures_util::future::{Either, select};
 
@@ -27,19 +26,9 @@
 /// Least pause between two log lines on the state of a service.
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 
-/// The declared shares are used until traffic has lasted this long: at its start few requests are
-/// in flight, whatever the demand is.
-const DEMAND_WARMUP: Duration = Duration::from_secs(4);
-
-/// Weight of a new sample in the moving average of work.
-const WORK_WEIGHT: f64 = 0.05;
-
-/// Assumed running time of a refused request, in seconds: converts a rate of refusals to work.
-const REFUSED_RUN_TIME_S: f64 = 1.0;
-
 /// Forms groups while this node holds the fleet's lease.
 pub struct FleetLoop {
-    gateway: Rc<Gateway>,
+    pub(crate) gateway: Rc<Gateway>,
     lease: Rc<LeaseKeeper>,
     rows: GroupRows,
     plans: RefCell<FleetPlans>,
@@ -47,7 +36,7 @@
 
 /// State kept between planning rounds.
 #[derive(Default)]
-struct FleetPlans {
+pub(crate) struct FleetPlans {
     /// The fencing number of the lease under which the planners act.
     fencing: FencingNumber,
 
@@ -59,10 +48,10 @@
     summary_at: HashMap<ServiceName, Instant>,
 
     /// The work of each model, in requests in flight.
-    work: HashMap<ModelName, f64>,
+    pub(crate) work: HashMap<ModelName, f64>,
 
     /// Whether `work` holds measured values; else it holds the declared shares.
-    was_measured: bool,
+    pub(crate) was_measured: bool,
 }
 
 impl FleetLoop {
@@ -309,50 +298,6 @@
         }
     }
 
-    /// Updates the work of each model, in requests in flight; uses the declared shares until there
-    /// has been traffic for some time.
-    fn update_work(
-        &self,
-        now: Instant,
-        plans: &mut FleetPlans,
-        service: &ServiceName,
-        engine: &EngineSpec,
-    ) {
-        let state = &self.gateway.state;
-        let FleetPlans { work, was_measured, .. } = plans;
-        if state.traffic_age(now).is_none_or(|age| age < DEMAND_WARMUP) {
-            // A declared share is a share of all servers' time. Divided by the size of a group, it
-            // is proportional to the requests in flight.
-            let share = |model: &PooledModel| model.share / f64::from(model.group_size);
-            let declared = engine.models.iter();
-            *work = declared.map(|model| (model.name.clone(), share(model))).collect();
-            return;
-        }
-        state.refresh_loads();
-        let mut measured: HashMap<&ModelName, f64> = HashMap::new();
-        let servers = state.servers.borrow();
-        for group in servers.groups(service, engine) {
-            let running = group.head().map_or(0, |head| state.loads.running(&head.life));
-            *measured.entry(&group.model.name).or_default() += f64::from(running);
-        }
-        let mut report = state.others_report();
-        report.merge(&state.own_report(now));
-        for model in &engine.models {
-            let refused = report.rates.get(&model.name).map_or(0.0, |rate| rate.refused);
-            *measured.entry(&model.name).or_default() += refused * REFUSED_RUN_TIME_S;
-        }
-        for model in &engine.models {
-            let sample = measured.get(&model.name).copied().unwrap_or_default();
-            match work.get_mut(&model.name).filter(|_| *was_measured) {
-                Some(known) => *known += WORK_WEIGHT * (sample - *known),
-                None => {
-                    work.insert(model.name.clone(), sample);
-                }
-            }
-        }
-        *was_measured = true;
-    }
-
     fn record_outcome(&self, service: &ServiceName, order: &FleetOrder, outcome: OrderOutcome) {
         if let Some(planner) = self.plans.borrow_mut().planners.get_mut(service) {
             planner.record_outcome(order, outcome);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -11,26 +11,16 @@
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
     RetryBudgetSettings, ShareRetryBudget, return_delay,
 };
-use comfreyturn_ports::{ServerChange, ServerReading};
-use comfreyturn_types::{
-    FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, MemberRecord, ModelName,
-    ServerLife, ServiceName, ServiceSpec, StoreVersion,
-};
+use comfreyturn_types::{FleetServer, ModelName, ServerLife, ServiceName, ServiceSpec};
 
 use crate::{
-    GatewaySettings, LoadTracker, LoggedChange, ModelRate, NotRunReason, ReportKind, ServerLog,
-    ServerTable, StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
+    GatewaySettings, LoadTracker, ModelRate, NotRunReason, ReportKind, ServerLog, ServerTable,
+    StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// How long servers that left the list are kept.
-const UNLISTED_RETENTION: Duration = Duration::from_secs(20);
-
-/// Groups are not planned if the list of servers was not read within this time.
-const LIST_MAX_AGE: Duration = Duration::from_secs(2);
-
 /// Data heard from a server longer ago than this is not reported.
 const OWN_SEEN_MAX_AGE: Duration = Duration::from_secs(2);
 
@@ -74,7 +64,7 @@
 
     /// When the list of servers was first and last read, by this node or the one from which it
     /// gets the list.
-    list_reads: Cell<Option<(Instant, Instant)>>,
+    pub(crate) list_reads: Cell<Option<(Instant, Instant)>>,
 
     /// Whether the list must be read from the platform, because no other node has the changes that
     /// this one lacks.
@@ -177,73 +167,6 @@
         change(budget)
     }
 
-    /// Applies a reading of the list. With `keep_missing`, servers that are missing from it are
-    /// kept.
-    pub(crate) fn apply_reading(&self, now: Instant, reading: ServerReading, keep_missing: bool) {
-        let version = reading.version;
-        if version < self.list_version() {
-            // Changes that other nodes sent are newer than this answer of the platform.
-            return;
-        }
-        let applied = self.servers.borrow_mut().apply(reading, keep_missing);
-        let servers = self.servers.borrow();
-        let mut log = self.list_log.borrow_mut();
-        for vm in &applied.changed {
-            let server = servers.by_vm(vm).cloned();
-            log.push(LoggedChange { vm: vm.clone(), version, server });
-        }
-        log.complete_at(version);
-        drop((servers, log));
-        self.record_dropped(now, applied.dropped);
-    }
-
-    /// Applies changes of the list that another node sent. They are complete up to `complete`.
-    pub(crate) fn apply_listed(
-        &self,
-        now: Instant,
-        mut changes: Vec<LoggedChange>,
-        complete: Option<StoreVersion>,
-    ) {
-        let log = self.list_log.borrow();
-        changes.retain(|change| change.version > log.version_of(&change.vm));
-        drop(log);
-        let server_change = |change: &LoggedChange| match &change.server {
-            Some(server) => ServerChange::Listed(Box::new(server.clone())),
-            None => ServerChange::Dropped(change.vm.clone()),
-        };
-        let reading = ServerReading {
-            is_whole: false,
-            version: StoreVersion::default(),
-            changes: changes.iter().map(server_change).collect(),
-        };
-        let applied = self.servers.borrow_mut().apply(reading, false);
-        let mut log = self.list_log.borrow_mut();
-        for change in changes.into_iter().filter(|change| applied.changed.contains(&change.vm)) {
-            log.push(change);
-        }
-        if let Some(complete) = complete {
-            log.complete_at(complete);
-        }
-        drop(log);
-        self.record_dropped(now, applied.dropped);
-    }
-
-    /// The version up to which this node has the list of servers.
-    pub(crate) fn list_version(&self) -> StoreVersion {
-        self.list_log.borrow().complete()
-    }
-
-    /// How long ago the list of servers was last read.
-    pub(crate) fn list_age(&self, now: Instant) -> Option<Duration> {
-        self.list_reads.get().map(|(_, last)| now.saturating_duration_since(last))
-    }
-
-    /// Records that the list of servers was read from the platform at `read_at`.
-    pub(crate) fn record_list_read(&self, read_at: Instant) {
-        let (first, last) = self.list_reads.get().unwrap_or((read_at, read_at));
-        self.list_reads.set(Some((first, last.max(read_at))));
-    }
-
     /// Records that callers send requests.
     pub(crate) fn start_traffic(&self, now: Instant) {
         if !self.has_traffic.replace(true) {
@@ -261,52 +184,6 @@
         self.traffic_since.get().map(|since| now.saturating_duration_since(since))
     }
 
-    /// Whether the list of servers is complete enough to plan: it was read recently, and, if groups
-    /// were `restored`, it has been read for long enough that servers whose entries expired have
-    /// registered again.
-    pub(crate) fn list_is_settled(&self, now: Instant, restored: bool) -> bool {
-        let Some((first, last)) = self.list_reads.get() else { return false };
-        let fresh = now.saturating_duration_since(last) < LIST_MAX_AGE;
-        let settled = now.saturating_duration_since(first) >= self.settings.outage_grace;
-        fresh && (settled || !restored)
-    }
-
-    /// Keeps members of groups that left the list, and forgets stalled and lost servers that are
-    /// neither listed nor kept.
-    pub(crate) fn record_dropped(&self, now: Instant, dropped: Vec<FleetServer>) {
-        let mut unlisted = self.unlisted.borrow_mut();
-        let members = dropped.into_iter().filter(|server| server.membership.is_some());
-        for server in members {
-            let group = server.membership.as_ref().map(|membership| membership.group.to_string());
-            log::info!(
-                server:% = server.life, group = group, list_version:% = self.list_version();
-                "servers: member of a group left the list."
-            );
-            unlisted.insert(server.life.clone(), (now, server));
-        }
-        let servers = self.servers.borrow();
-        unlisted.retain(|life, (at, _)| {
-            servers.get(life).is_none() && now.saturating_duration_since(*at) < UNLISTED_RETENTION
-        });
-        let known = |life: &ServerLife| servers.get(life).is_some() || unlisted.contains_key(life);
-        self.stalls.borrow_mut().retain(known);
-        self.lost.borrow_mut().retain(known);
-    }
-
-    /// Keeps the members that a group's row names but the list doesn't. They may still serve if
-    /// they lost their connection to the platform before this node read the list.
-    pub(crate) fn add_unlisted_members(&self, now: Instant, record: &FleetGroupRecord) {
-        let servers = self.servers.borrow();
-        let mut unlisted = self.unlisted.borrow_mut();
-        for (rank, member) in record.members.iter().enumerate() {
-            if servers.get(&member.life).is_some() || unlisted.contains_key(&member.life) {
-                continue;
-            }
-            let server = recorded_server(record, member, rank);
-            unlisted.insert(member.life.clone(), (now, server));
-        }
-    }
-
     pub(crate) fn has_lost<'a>(&self, mut members: impl Iterator<Item = &'a FleetServer>) -> bool {
         let lost = self.lost.borrow();
         members.any(|member| lost.contains(&member.life))
@@ -378,26 +255,3 @@
         }
     }
 }
-
-/// Builds a server from the row of its group. The head is assumed to be open until it reports
-/// another phase.
-fn recorded_server(record: &FleetGroupRecord, member: &MemberRecord, rank: usize) -> FleetServer {
-    let phase = if rank == 0 { MemberPhase::Open } else { MemberPhase::Ready };
-    FleetServer {
-        life: member.life.clone(),
-        service: record.service.clone(),
-        address: member.address,
-        failure_domain: member.failure_domain.clone(),
-        slots: 0,
-        leaving: false,
-        fabric_domain: None,
-        model: Some(record.model.clone()),
-        staged: Vec::new(),
-        membership: Some(GroupMembership {
-            group: record.group.clone(),
-            epoch: record.epoch,
-            rank: u32::try_from(rank).unwrap_or(u32::MAX),
-            phase,
-        }),
-    }
-}
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -8,19 +8,14 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{ConfigAttestation, SuspectLedger};
 use comfreyturn_proto::peer;
-use comfreyturn_types::{Incarnation, NodeId};
+use comfreyturn_types::NodeId;
 use prost::Message;
 
 use crate::{
     Gateway, LogPosition, ReportKind, ViewReport,
-    beat_codec::{
-        decode_age, decode_change, decode_node, decode_report, decode_sender, decode_version,
-        encode_age, encode_change, encode_node, encode_report, encode_sender, encode_version,
-    },
-    peer_table::{PeerProgress, PeerStatus},
-    peer_view::ListCursor,
+    beat_codec::{encode_age, encode_node, encode_report, encode_sender, encode_version},
+    peer_table::PeerStatus,
 };
 
 /// Number of rounds whose send times and reports are kept, so that an echo from another node can
@@ -35,26 +30,19 @@
 /// A node without a sign of life for this time is removed.
 const PEER_RETENTION: Duration = Duration::from_secs(20);
 
-/// A stall reported by another node is ignored if this node received data from the server within
-/// this time.
-const LOCAL_SEEN_MAX_AGE: Duration = Duration::from_millis(250);
-
 /// A digest is sent to several members for this time before it is assembled anew.
 const DIGEST_REUSE_TIME: Duration = Duration::from_millis(40);
 
 /// Descriptions of nodes in a datagram.
 const NODES_PER_DATAGRAM: usize = 64;
 
-/// Changes of the list of servers in a datagram.
-const CHANGES_PER_DATAGRAM: usize = 128;
-
 /// A round of sent datagrams.
-struct SentRound {
-    sequence: u64,
+pub(crate) struct SentRound {
+    pub(crate) sequence: u64,
 
     /// When the content was assembled.
-    assembled_at: Instant,
-    report: Rc<ViewReport>,
+    pub(crate) assembled_at: Instant,
+    pub(crate) report: Rc<ViewReport>,
 }
 
 /// Sends this node's state to other nodes and applies what they send.
@@ -63,27 +51,27 @@
 /// is the member of one relay: it reports to it once in each period, and the relay answers with a
 /// digest of all reports that it has. In a small fleet all nodes are relays.
 pub struct HeartbeatLoop {
-    gateway: Rc<Gateway>,
+    pub(crate) gateway: Rc<Gateway>,
     sequence: Cell<u64>,
 
     /// The latest rounds, oldest first.
-    sent: RefCell<VecDeque<SentRound>>,
+    pub(crate) sent: RefCell<VecDeque<SentRound>>,
 
     /// The encoded report of the latest digest, and when it was assembled.
     digest: RefCell<Option<(Instant, Vec<u8>)>>,
 
     /// What relays asked for; it is sent to them with the next round.
-    requests: RefCell<HashMap<NodeId, RelayRequest>>,
+    pub(crate) requests: RefCell<HashMap<NodeId, RelayRequest>>,
 }
 
 /// What a relay asked for.
 #[derive(Default)]
-struct RelayRequest {
+pub(crate) struct RelayRequest {
     /// The relay's position in the log of the list of servers.
-    position: Option<LogPosition>,
+    pub(crate) position: Option<LogPosition>,
 
     /// Tags of nodes that the relay doesn't know.
-    unknown_nodes: HashSet<u32>,
+    pub(crate) unknown_nodes: HashSet<u32>,
 }
 
 impl HeartbeatLoop {
@@ -269,7 +257,7 @@
     }
 
     /// Whether a node is a relay, as far as this one knows.
-    fn is_relay(&self, node: &NodeId) -> bool {
+    pub(crate) fn is_relay(&self, node: &NodeId) -> bool {
         self.gateway.state.view.borrow().roster.rank(node).is_some()
     }
 
@@ -278,7 +266,7 @@
         self.sequence.get()
     }
 
-    fn own_status(&self) -> PeerStatus {
+    pub(crate) fn own_status(&self) -> PeerStatus {
         let Gateway { identity, state, .. } = &*self.gateway;
         PeerStatus {
             incarnation: identity.incarnation,
@@ -298,7 +286,7 @@
         others ^ self.own_status().tag(&identity.node)
     }
 
-    fn echo(&self, node: &NodeId) -> Option<peer::BeatEcho> {
+    pub(crate) fn echo(&self, node: &NodeId) -> Option<peer::BeatEcho> {
         let view = self.gateway.state.view.borrow();
         let record = view.peers.get(node).filter(|record| record.progress.sequence > 0)?;
         let incarnation = record.status.incarnation.0;
@@ -309,7 +297,12 @@
     // Digests
 
     /// Answers a member with a digest. `echo` is the member's datagram.
-    async fn send_digest(&self, now: Instant, to: SocketAddr, request: &peer::GatewayBeat) {
+    pub(crate) async fn send_digest(
+        &self,
+        now: Instant,
+        to: SocketAddr,
+        request: &peer::GatewayBeat,
+    ) {
         let Gateway { identity, state, .. } = &*self.gateway;
         let mut beat = peer::GatewayBeat {
             sequence: self.next_sequence(),
@@ -354,277 +347,4 @@
         *digest = Some((now, bytes.clone()));
         bytes
     }
-
-    // ---------------------------------------------------------------------------------------
-    // The list of servers
-
-    /// The relay from which this relay gets the list, unless it reads the list itself.
-    fn choose_list_source(&self, now: Instant) -> Option<NodeId> {
-        let state = &self.gateway.state;
-        if self.gateway.reads_list(now) {
-            return None;
-        }
-        let view = state.view.borrow();
-        view.list_source(now, state.settings.peer_timeouts, state.list_version())
-    }
-
-    /// Asks a node for changes; continues at the position in its log, if this node has one.
-    fn list_request(&self, node: &NodeId) -> peer::ListRequest {
-        let state = &self.gateway.state;
-        let complete = state.list_version();
-        let mut view = state.view.borrow_mut();
-        let incarnation = view.peers.get(node).map(|record| record.status.incarnation);
-        let current = view
-            .list_cursor
-            .as_ref()
-            .filter(|cursor| cursor.node == *node && Some(cursor.incarnation) == incarnation);
-        if current.is_none() {
-            let position = LogPosition { complete, position: 0 };
-            let incarnation = incarnation.unwrap_or(Incarnation(0));
-            view.list_cursor = Some(ListCursor { node: node.clone(), incarnation, position });
-        }
-        let cursor = view.list_cursor.as_ref();
-        let position = cursor.map(|cursor| cursor.position).unwrap_or_default();
-        peer::ListRequest {
-            complete: Some(encode_version(position.complete)),
-            incarnation: incarnation.map_or(0, |incarnation| incarnation.0),
-            position: position.position,
-        }
-    }
-
-    /// The position of a relay that didn't ask for changes but has an older list than this node.
-    fn missed_position(&self, relay: &NodeId) -> Option<LogPosition> {
-        let state = &self.gateway.state;
-        let complete = state.view.borrow().peers.get(relay)?.progress.list_version;
-        (complete < state.list_version()).then_some(LogPosition { complete, position: 0 })
-    }
-
-    /// The position of a reader in this node's log.
-    fn log_position(&self, request: &peer::ListRequest) -> LogPosition {
-        let is_own = request.incarnation == self.gateway.identity.incarnation.0;
-        LogPosition {
-            complete: decode_version(request.complete.as_ref()),
-            position: if is_own { request.position } else { 0 },
-        }
-    }
-
-    fn list_changes(&self, position: LogPosition) -> peer::ListChanges {
-        let Gateway { identity, state, .. } = &*self.gateway;
-        let slice = state.list_log.borrow().changes_after(position, CHANGES_PER_DATAGRAM);
-        peer::ListChanges {
-            incarnation: identity.incarnation.0,
-            position: slice.position,
-            complete: slice.complete.map(encode_version),
-            has_hole: slice.has_hole,
-            servers: slice.changes.iter().map(encode_change).collect(),
-        }
-    }
-
-    /// Applies changes of the list. They include all changes since a version that this node has,
-    /// whether it asked for them or not. `read_at` is when the sender's list was read from the
-    /// platform.
-    fn apply_changes(
-        &self,
-        now: Instant,
-        node: &NodeId,
-        changes: &peer::ListChanges,
-        read_at: Option<Instant>,
-    ) {
-        let state = &self.gateway.state;
-        let mut view = state.view.borrow_mut();
-        let cursor = view
-            .list_cursor
-            .as_mut()
-            .filter(|cursor| cursor.node == *node && cursor.incarnation.0 == changes.incarnation);
-        if changes.has_hole {
-            state.needs_whole_list.set(cursor.is_some());
-            return;
-        }
-        if let Some(cursor) = cursor {
-            cursor.position.position = cursor.position.position.max(changes.position);
-        }
-        let complete = changes.complete.as_ref().map(|version| decode_version(Some(version)));
-        drop(view);
-        let mut decoded = Vec::new();
-        for message in &changes.servers {
-            match decode_change(message) {
-                Some(change) => decoded.push(change),
-                None => log::warn!(server = message.vm; "servers: malformed entry from a node."),
-            }
-        }
-        state.apply_listed(now, decoded, complete);
-        if let (Some(_), Some(read_at)) = (complete, read_at) {
-            state.record_list_read(read_at);
-        }
-    }
-
-    // ---------------------------------------------------------------------------------------
-    // Receiving
-
-    /// Receives heartbeats and applies them. Never returns.
-    pub(crate) async fn receive(self: Rc<Self>) {
-        let ports = &self.gateway.ports;
-        loop {
-            match ports.datagrams.receive().await {
-                Ok(bytes) => self.take(&bytes).await,
-                Err(error) => {
-                    log::warn!(cause:% = error; "heartbeats: receive failed.");
-                    ports.clock.sleep(self.gateway.state.settings.heartbeat_period).await;
-                }
-            }
-        }
-    }
-
-    async fn take(&self, bytes: &[u8]) {
-        let now = self.gateway.ports.clock.now();
-        let Some((node, beat)) = decode(bytes) else {
-            log::debug!("heartbeats: malformed datagram of {} bytes.", bytes.len());
-            return;
-        };
-        if node == self.gateway.identity.node {
-            return;
-        }
-        let Some(status) = decode_sender(&beat) else {
-            log::debug!("heartbeats: {node} sent an invalid address.");
-            return;
-        };
-        let address = status.peer_address;
-        if !self.apply(now, &node, status, &beat) {
-            return;
-        }
-        match beat.kind() {
-            peer::BeatKind::Member => self.send_digest(now, address, &beat).await,
-            // A node that takes itself for a relay, because it knows few others, learns of the
-            // relays from the digest.
-            peer::BeatKind::Relay if !self.is_relay(&node) => {
-                self.send_digest(now, address, &beat).await;
-            }
-            peer::BeatKind::Relay => {
-                let position = beat.list_request.as_ref();
-                let request = RelayRequest {
-                    position: position.map(|request| self.log_position(request)),
-                    unknown_nodes: beat.unknown_nodes.iter().copied().collect(),
-                };
-                self.requests.borrow_mut().insert(node, request);
-            }
-            peer::BeatKind::Digest => {}
-        }
-    }
-
-    /// Applies a datagram; returns whether it is newer than the last one of its sender.
-    fn apply(
-        &self,
-        now: Instant,
-        node: &NodeId,
-        status: PeerStatus,
-        beat: &peer::GatewayBeat,
-    ) -> bool {
-        let state = &self.gateway.state;
-        let progress = PeerProgress {
-            sequence: beat.sequence,
-            list_version: decode_version(beat.list_version.as_ref()),
-            reads_config: beat.reads_config,
-        };
-        let mut view = state.view.borrow_mut();
-        if !view.peers.record(now, node.clone(), status, progress) {
-            return false;
-        }
-        let is_digest = beat.kind() == peer::BeatKind::Digest;
-        let is_stray = is_digest && !view.choice.record_digest(now, node);
-        drop(view);
-        state.record_peer_config(beat.newest_config);
-        let echoed_at = self.echoed(beat).map(|(assembled_at, _)| assembled_at);
-        if let Some(attestation) = attestation(beat, echoed_at) {
-            state.apply_attestation(&attestation);
-        }
-        if beat.has_traffic {
-            state.start_traffic(now);
-        }
-        self.apply_nodes(now, node, beat);
-        if is_stray {
-            return true;
-        }
-        self.apply_report(now, node, beat);
-        if let Some(changes) = &beat.list_changes {
-            let age = decode_age(beat.list_age_ms);
-            let read_at = echoed_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
-            self.apply_changes(now, node, changes, read_at);
-        }
-        true
-    }
-
-    /// Applies what the sender tells of other nodes.
-    fn apply_nodes(&self, now: Instant, sender: &NodeId, beat: &peer::GatewayBeat) {
-        let Gateway { identity, state, .. } = &*self.gateway;
-        let timeouts = state.settings.peer_timeouts;
-        let mut view = state.view.borrow_mut();
-        for (node, status) in beat.nodes.iter().filter_map(decode_node) {
-            if node != identity.node {
-                view.peers.record_relayed(now, node, status, timeouts);
-            }
-        }
-        let tags: HashSet<u32> = beat.live_nodes.iter().copied().collect();
-        let is_digest = beat.kind() == peer::BeatKind::Digest;
-        if is_digest && !beat.lists_all_nodes {
-            view.peers.refresh_live(now, timeouts);
-        } else {
-            view.peers.apply_live(now, &tags, beat.lists_all_nodes, timeouts);
-        }
-        let mut unknown = view.peers.unknown_tags(&tags);
-        unknown.remove(&self.own_status().tag(&identity.node));
-        view.unknown_nodes.insert(sender.clone(), unknown);
-    }
-
-    fn apply_report(&self, now: Instant, node: &NodeId, beat: &peer::GatewayBeat) {
-        let state = &self.gateway.state;
-        let servers = state.servers.borrow();
-        let mut report = decode_report(now, beat, |tag| servers.by_tag(tag).cloned());
-        drop(servers);
-        let kind = match beat.kind() {
-            peer::BeatKind::Relay => ReportKind::Relay,
-            peer::BeatKind::Member => ReportKind::Member,
-            peer::BeatKind::Digest => ReportKind::Upstream,
-        };
-        if kind == ReportKind::Upstream
-            && let Some((_, own)) = self.echoed(beat)
-        {
-            report.subtract(&own);
-        }
-        let mut stalls = state.stalls.borrow_mut();
-        for (life, at) in &report.seen {
-            stalls.record_peer_seen(*at, life);
-        }
-        for life in &report.stalls {
-            stalls.record_peer_stall(now, life, LOCAL_SEEN_MAX_AGE);
-        }
-        let mut suspects = state.suspects.borrow_mut();
-        for (fingerprint, crash) in &report.crashes {
-            suspects.record_crash(now, *fingerprint, *crash);
-        }
-        state.view.borrow_mut().reports.record(now, node.clone(), kind, report);
-        state.has_new_reports.set(true);
-    }
-
-    /// The round that a datagram echoes: when it was assembled, and its report. `None` if it
-    /// doesn't echo a recent round of this incarnation, since it can't be dated then.
-    fn echoed(&self, beat: &peer::GatewayBeat) -> Option<(Instant, Rc<ViewReport>)> {
-        let echo = beat.echo?;
-        if echo.incarnation != self.gateway.identity.incarnation.0 {
-            return None;
-        }
-        let sent = self.sent.borrow();
-        let round = sent.iter().find(|round| round.sequence == echo.sequence)?;
-        Some((round.assembled_at, round.report.clone()))
-    }
-}
-
-/// The attestation of the configuration in another node's datagram. `None` if it can't be dated.
-fn attestation(beat: &peer::GatewayBeat, echoed_at: Option<Instant>) -> Option<ConfigAttestation> {
-    let age = decode_age(beat.config_age_ms)?;
-    Some(ConfigAttestation { version: beat.config_version, age, echo_sent_at: echoed_at? })
-}
-
-fn decode(bytes: &[u8]) -> Option<(NodeId, peer::GatewayBeat)> {
-    let beat = peer::GatewayBeat::decode(bytes).ok()?;
-    (!beat.node.is_empty()).then(|| (NodeId::from(beat.node.as_str()), beat))
 }
