Name the argument that the doc comment of the digest describes

Cause: the comment named an argument that does not exist; found on reading the diff. Ruled out: renaming the argument, which says what it is. Change: the comment only. Conclusion: no behaviour changes.

--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -296,7 +296,7 @@
     // ---------------------------------------------------------------------------------------
     // Digests
 
-    /// Answers a member with a digest. `echo` is the member's datagram.
+    /// Answers a member's datagram, `request`, with a digest.
     pub(crate) async fn send_digest(
         &self,
         now: Instant,
