Log and count the rate limits that servers state

Cause: logs and metrics could not tell whether nodes don't read a server's named limit, each keep it for themselves, or learn of it late. The header was read nowhere.

Change: the port to servers returns what a server asks of the nodes beside its answer, also with a refusal; the platform's folder decodes the header. A node logs each change of a limit with server, rate and source, has a gauge of the servers that state one and counts its attempts at them. Nothing decides by it.

Ruled out: to take a malformed limit for zero, which would shut a server out. It counts as none and is logged.

--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -7,7 +7,7 @@
 
 use bytes::BytesMut;
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
-use comfreyturn_ports::{LinkError, ServerCall};
+use comfreyturn_ports::{LinkError, ServerCall, ServerReply};
 use comfreyturn_types::{CustomerName, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, select};
 use xxhash_rust::xxh3::xxh3_64;
@@ -215,8 +215,13 @@
                 priority: self.priority,
                 resume_after: resume_after.clone(),
             };
+            self.state.count_limited_send(&server);
             let sending = self.ports.servers.send(&call);
-            match self.await_server(&server.life, limit, sending).await {
+            let reply = self.await_server(&server.life, limit, sending).await;
+            if let Ok(ServerReply { notice: Some(notice), .. }) = &reply {
+                self.state.record_notice(self.now(), &server.life, *notice);
+            }
+            match reply.map(|reply| reply.answer) {
                 Ok(Ok(answer)) => {
                     self.sent += 1;
                     self.may_have_run = true;
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -9,6 +9,7 @@
 
 const REQUESTS: &str = "comfreyturn_requests_total";
 const ATTEMPTS: &str = "comfreyturn_attempts_total";
+const LIMITED_SENDS: &str = "comfreyturn_limited_sends_total";
 const RESUMES: &str = "comfreyturn_resumes_total";
 const ORDERS: &str = "comfreyturn_orders_total";
 const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
@@ -65,6 +66,11 @@
     counter!(ATTEMPTS, "service" => service.to_string(), "end" => end).increment(1);
 }
 
+/// Counts an attempt at a server that stated a rate limit.
+pub(crate) fn count_limited_send(service: &ServiceName) {
+    counter!(LIMITED_SENDS, "service" => service.to_string()).increment(1);
+}
+
 /// Counts a stream that was resumed at another server.
 pub(crate) fn count_resume(service: &ServiceName) {
     counter!(RESUMES, "service" => service.to_string()).increment(1);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,7 +9,7 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
-    RetryBudgetSettings, ShareRetryBudget, return_delay,
+    RetryBudgetSettings, ShareRetryBudget, StatedLimits, return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, ServerLife, ServiceName, ServiceSpec};
 
@@ -36,6 +36,9 @@
     pub(crate) servers: RefCell<ServerTable>,
     pub(crate) loads: LoadTracker,
     pub(crate) stalls: RefCell<StallTracker>,
+
+    /// The rate limits that servers state.
+    pub(crate) limits: RefCell<StatedLimits>,
     pub(crate) view: RefCell<PeerView>,
 
     /// Changes of the list of servers, for other nodes.
@@ -110,6 +113,7 @@
             servers: RefCell::default(),
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
+            limits: RefCell::default(),
             view: RefCell::new(PeerView::new(settings.relay_choice)),
             list_log: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod relay_stream;
 mod request_trace;
 mod server_choice;
+mod server_limits;
 mod server_list;
 mod server_log;
 mod server_prober;
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -113,6 +113,7 @@
         });
         let known = |life: &ServerLife| servers.get(life).is_some() || unlisted.contains_key(life);
         self.stalls.borrow_mut().retain(known);
+        self.limits.borrow_mut().retain(now, UNLISTED_RETENTION, known);
         self.lost.borrow_mut().retain(known);
     }
 
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use comfreyturn_types::{CustomerName, RequestId, ServerLife};
+use comfreyturn_types::{CustomerName, RequestId, RequestRate, ServerLife};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Why a request got no response from the backend server.
@@ -78,12 +78,34 @@
     pub resume_after: Option<String>,
 }
 
+/// What a server asks of the nodes. Each of its responses says it anew.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// The rate of requests that it takes from all nodes together; `None` for any rate.
+    pub rate_limit: Option<RequestRate>,
+}
+
+/// What came of a request to a server.
+pub struct ServerReply {
+    /// What the server asks of the nodes; `None` if it said nothing about that.
+    pub notice: Option<ServerNotice>,
+
+    /// The response, or why there is none.
+    pub answer: LinkResult<Box<dyn ServerAnswer>>,
+}
+
+impl From<LinkError> for ServerReply {
+    fn from(error: LinkError) -> Self {
+        Self { notice: None, answer: Err(error) }
+    }
+}
+
 /// Sends requests to backend servers.
 #[async_trait(?Send)]
 pub trait ServerLink {
     /// Sends a request and awaits the head of the response. Dropping the call or the response
     /// closes the connection, which makes the server stop.
-    async fn send(&self, call: &ServerCall) -> LinkResult<Box<dyn ServerAnswer>>;
+    async fn send(&self, call: &ServerCall) -> ServerReply;
 }
 
 /// A response whose head has arrived. It was verified to be the response of this server to this
