Reproduce the overrun limit in a test that fails

What was seen: a server that names a limit gets several times as many requests from all nodes together (LIMIT).

Change: nine servers, three of which state a limit, before 7, 9 and 89 nodes with 100 requests a second. The bound is the users': 1.5 times the limit in 4 s and 5 more, here for all nodes, also those that were not told yet. The fake servers answer every request, and record which node sent it and when.

Nothing in the code decides by what a server states.

--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -3,4 +3,5 @@
 mod config_attestation;
 mod fleet_lease;
 mod fleet_view;
+mod rate_limits;
 mod test_nodes;
--- /dev/null
+++ b/crates/gateway/tests/nodes/rate_limits.rs
@@ -0,0 +1,192 @@
+//! Servers that state a rate limit for all nodes together.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use comfreyturn_gateway::ForwardRequest;
+use comfreyturn_ports::{ServerChange, ServerReading};
+use comfreyturn_types::{
+    CallerLimits, FailureDomain, FleetServer, GatewayConfig, HostName, RequestId, RequestKind,
+    RequestRate, RouteName, RouteSpec, RouteTarget, ServerLife, ServiceName, ServiceSpec,
+    StoreVersion, VmId,
+};
+use http::{HeaderMap, Method};
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
+
+use crate::test_nodes::TestNodes;
+
+const SIZES: [u16; 3] = [7, 9, 89];
+
+/// Servers of the service, and how many of them state a limit.
+const SERVERS: usize = 9;
+const LIMITED_SERVERS: usize = 3;
+
+/// Limits in thousandths of a request per second.
+const LIMITS: [u32; LIMITED_SERVERS] = [1400, 2000, 10_000];
+
+/// The limits' users: a server that states a limit may get this many times as many requests, and
+/// some more, within a window, once the time to settle has passed.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+const WINDOW: Duration = Duration::from_secs(4);
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Requests per second from all callers, whatever the number of nodes.
+const CALLER_RATE: u64 = 100;
+
+/// Pause between two requests, in milliseconds.
+const REQUEST_PAUSE_MS: u64 = 1000 / CALLER_RATE;
+
+/// Time after which the nodes of a first start know each other and the servers, in milliseconds.
+const JOIN_MS: u64 = 6000;
+
+fn server_name(index: usize) -> String {
+    format!("s{index}")
+}
+
+fn config() -> GatewayConfig {
+    let service =
+        ServiceSpec { name: ServiceName::from("plain"), max_connections: 100, engine: None };
+    let route = RouteSpec {
+        name: RouteName::from("route"),
+        host: HostName::from("h"),
+        prefix: "/".to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(300),
+        longest_pause: None,
+        priority: 0,
+        max_attempts: 2,
+        public: true,
+        targets: vec![RouteTarget { service: service.name.clone(), weight: 1 }],
+    };
+    GatewayConfig {
+        version: 1,
+        routes: vec![route],
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        customers: None,
+        limits: CallerLimits::default(),
+    }
+}
+
+fn listed(index: usize) -> ServerChange {
+    ServerChange::Listed(Box::new(FleetServer {
+        life: ServerLife { vm: VmId::from(server_name(index)), born: 1 },
+        service: ServiceName::from("plain"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: FailureDomain::from("z"),
+        slots: 16,
+        leaving: false,
+        fabric_domain: None,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }))
+}
+
+/// Nodes that send callers' requests to servers.
+struct LimitedSite {
+    nodes: TestNodes,
+    size: u16,
+    rng: Xoshiro256PlusPlus,
+}
+
+impl LimitedSite {
+    /// Nodes that know each other and the servers, none of which has a limit yet.
+    fn started(size: u16) -> Self {
+        let mut nodes = TestNodes::first_start(size);
+        for feeds in nodes.feeds.values() {
+            feeds.put_config(config());
+            let changes = (0..SERVERS).map(listed).collect();
+            let version = StoreVersion::first_era(1);
+            feeds.add_reading(ServerReading { is_whole: true, version, changes });
+        }
+        nodes.run(JOIN_MS);
+        let rng = Xoshiro256PlusPlus::seed_from_u64(u64::from(size));
+        Self { nodes, size, rng }
+    }
+
+    fn set_limits(&self, limits: impl Fn(usize) -> Option<u32>) {
+        for index in 0..LIMITED_SERVERS {
+            let rate = limits(index).map(|milli| RequestRate { milli });
+            self.nodes.servers.set_rate_limit(&server_name(index), rate);
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.nodes.now(1)
+    }
+
+    /// Sends requests to random nodes among some.
+    fn send_for(&mut self, milliseconds: u64, to: impl Fn(u16) -> bool) {
+        let receivers: Vec<u16> = (1..=self.size).filter(|node| to(*node)).collect();
+        for _ in 0..milliseconds / REQUEST_PAUSE_MS {
+            let number = receivers[self.rng.random_range(0..receivers.len())];
+            self.nodes.send(number, request(self.now()));
+            self.nodes.run(REQUEST_PAUSE_MS);
+        }
+    }
+
+    /// Times of the arrivals at a server since some time.
+    fn arrivals(&self, index: usize, since: Instant) -> Vec<Instant> {
+        let vm = VmId::from(server_name(index));
+        let arrivals = self.nodes.servers.arrivals();
+        let own = arrivals.iter().filter(|arrival| arrival.life.vm == vm && arrival.at >= since);
+        own.map(|arrival| arrival.at).collect()
+    }
+
+    /// Fails if a limited server got too many requests within a window that began after `since`.
+    fn check_limits(&self, since: Instant, why: &str) {
+        for (index, milli) in LIMITS.iter().enumerate() {
+            let limit = RequestRate { milli: *milli };
+            let allowed = LIMIT_FACTOR * limit.within(WINDOW) + LIMIT_SLACK;
+            let most = most_within(&self.arrivals(index, since), WINDOW);
+            let got = most as f64;
+            assert!(
+                got <= allowed,
+                "{why}, {} nodes: a server with a limit of {limit} got {got}, allowed {allowed}",
+                self.size
+            );
+        }
+    }
+}
+
+/// The most arrivals within any span of this length.
+fn most_within(arrivals: &[Instant], span: Duration) -> usize {
+    let count = |(first, at): (usize, &Instant)| {
+        arrivals[first..].iter().take_while(|other| **other - *at < span).count()
+    };
+    arrivals.iter().enumerate().map(count).max().unwrap_or_default()
+}
+
+fn request(now: Instant) -> ForwardRequest {
+    ForwardRequest {
+        id: RequestId::from("r"),
+        host: "h".to_owned(),
+        method: Method::GET,
+        target: "/x".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        key: None,
+        model: None,
+        deadline: Some(Duration::from_secs(3)),
+        resume_after: None,
+        received_at: now,
+    }
+}
+
+/// Guards against all nodes together sending a server more than the rate that it states (LIMIT).
+#[test]
+fn server_with_a_rate_limit_is_not_overrun_by_all_nodes_together() {
+    for size in SIZES {
+        let mut site = LimitedSite::started(size);
+        site.send_for(2000, |_| true);
+        let stated_at = site.now();
+        site.set_limits(|index| Some(LIMITS[index]));
+        site.send_for(16_000, |_| true);
+        site.check_limits(stated_at + SETTLING_TIME, "calm");
+    }
+}
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -5,14 +5,16 @@
     collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
-use comfreyturn_gateway::{Gateway, GatewayIdentity, GatewayPorts, GatewaySettings};
+use comfreyturn_gateway::{
+    ForwardAnswer, ForwardRequest, Gateway, GatewayIdentity, GatewayPorts, GatewaySettings,
+};
 use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, TableResult};
 use comfreyturn_standin::fakes::{
-    FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable, ScriptedServers,
+    AnsweringServers, FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable,
     run_for,
 };
 use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId};
@@ -50,6 +52,9 @@
 
     /// Addresses whose datagrams are held back.
     pub held: Rc<RefCell<HashSet<SocketAddr>>>,
+
+    /// Addresses that are cut off: datagrams from and to them are lost.
+    pub cut: Rc<RefCell<HashSet<SocketAddr>>>,
 }
 
 impl TestNet {
@@ -73,6 +78,10 @@
 impl DatagramLink for NetEndpoint {
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
         self.net.sent.borrow_mut().entry(self.address).or_default().add(&bytes);
+        let is_cut = |address| self.net.cut.borrow().contains(address);
+        if is_cut(&self.address) || is_cut(&to) {
+            return;
+        }
         self.net.received.borrow_mut().entry(to).or_default().add(&bytes);
         self.net.queues.borrow_mut().entry(to).or_default().push_back(bytes);
     }
@@ -118,6 +127,7 @@
     /// The feeds of each node.
     pub feeds: HashMap<u16, FixedFeeds>,
     pub gateways: HashMap<u16, Rc<Gateway>>,
+    pub servers: AnsweringServers,
     last_incarnation: u64,
     settings: GatewaySettings,
 
@@ -159,6 +169,7 @@
             net,
             feeds: HashMap::new(),
             gateways: HashMap::new(),
+            servers: AnsweringServers::default(),
             last_incarnation: 0,
             settings,
             is_first_start,
@@ -183,7 +194,7 @@
         let ports = GatewayPorts {
             spawner: self.plan.spawner(&node),
             table: self.table.for_node(&node),
-            servers: Rc::new(ScriptedServers::new(clock.clone())),
+            servers: self.servers.for_node(&node, clock.clone()),
             fleet: Rc::new(feeds.clone()),
             config_feed: Rc::new(feeds.clone()),
             server_feed: Rc::new(feeds.clone()),
@@ -206,6 +217,22 @@
         self.gateways.insert(number, gateway);
     }
 
+    /// Sends a request to a node. Nobody looks at the answer.
+    pub fn send(&self, number: u16, request: ForwardRequest) {
+        let gateway = self.gateways[&number].clone();
+        let spawner = self.plan.spawner(&name(number));
+        spawner.spawn(Box::pin(async move {
+            if let ForwardAnswer::Stream { mut body, .. } = gateway.forward(request).await {
+                while let Ok(Some(_)) = body.next_events().await {}
+            }
+        }));
+    }
+
+    /// The time at a node.
+    pub fn now(&self, number: u16) -> Instant {
+        self.plan.clock(&name(number)).now()
+    }
+
     pub fn run(&mut self, milliseconds: u64) {
         run_for(&self.clock, &mut self.pool, Duration::from_millis(milliseconds));
     }
--- a/crates/standin/src/fakes/mod.rs
+++ b/crates/standin/src/fakes/mod.rs
@@ -4,6 +4,7 @@
 //! calling node to the plan, which counts the call and injects the faults that the test requested.
 //! Time advances only while no task can run ([`run_until`]), so that a test is deterministic.
 
+mod answering_servers;
 mod call_outcome;
 mod fault_plan;
 mod fault_rule;
@@ -21,6 +22,7 @@
 mod node_gate;
 mod scripted_servers;
 
+pub use answering_servers::*;
 pub use call_outcome::FaultEndpoint;
 pub use fault_plan::*;
 pub use fault_rule::*;
--- a/crates/standin/src/fakes/scripted_servers.rs
+++ b/crates/standin/src/fakes/scripted_servers.rs
@@ -12,7 +12,7 @@
 use comfreyturn_ports::{
     Clock, LinkError, LinkResult, ServerAnswer, ServerCall, ServerLink, ServerNotice, ServerReply,
 };
-use comfreyturn_types::{RequestRate, VmId};
+use comfreyturn_types::VmId;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 /// How a scripted answer ends.
@@ -64,30 +64,12 @@
     /// Scripts for requests to servers without a script of their own.
     common: Rc<RefCell<VecDeque<ServerScript>>>,
     calls: Rc<RefCell<Vec<ServerCall>>>,
-
-    /// The rates that servers name in their answers.
-    rate_limits: Rc<RefCell<HashMap<VmId, RequestRate>>>,
 }
 
 impl ScriptedServers {
     /// Servers without a script: requests to them hang.
     pub fn new(clock: Rc<dyn Clock>) -> Self {
-        Self {
-            clock,
-            scripts: Rc::default(),
-            common: Rc::default(),
-            calls: Rc::default(),
-            rate_limits: Rc::default(),
-        }
-    }
-
-    /// Makes a server name a rate limit in its answers, or none any more.
-    pub fn set_rate_limit(&self, vm: &str, limit: Option<RequestRate>) {
-        let mut limits = self.rate_limits.borrow_mut();
-        match limit {
-            Some(limit) => limits.insert(VmId::from(vm), limit),
-            None => limits.remove(&VmId::from(vm)),
-        };
+        Self { clock, scripts: Rc::default(), common: Rc::default(), calls: Rc::default() }
     }
 
     /// Adds a script for a later request to a server. Scripts are used in order.
@@ -111,9 +93,7 @@
     async fn send(&self, call: &ServerCall) -> ServerReply {
         self.calls.borrow_mut().push(call.clone());
         let answer = self.answer(call).await;
-        let rate_limit = self.rate_limits.borrow().get(&call.life.vm).copied();
-        let notice = answer.is_ok().then_some(ServerNotice { rate_limit });
-        ServerReply { notice, answer }
+        ServerReply { notice: answer.is_ok().then(ServerNotice::default), answer }
     }
 }
 
