Keep a server's rate limit over all nodes together

Cause: what a server asks of the nodes was forwarded to callers and read by nobody. Class of fault: a statement of a server that binds all nodes, known to none of the places that decide where a request goes.

Change: nodes tell each other what servers state, with its age; a few nodes of the server's rendezvous order send to it, each at a part of the limit. Every request passes the choice of a server, where this is checked: first attempts, retries and resumed streams. Senders pick such a server first while it isn't loaded more than the mean. Refusals for this reason have a name of their own.

Ruled out: an equal part for each node, which is one request in minutes at 400 nodes, while one saved request at each is far above any small limit.

Conclusion: the sum holds by the number of senders, not by messages; while views differ there are one or two senders too many, which the bound allows.

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -1,11 +1,15 @@
 //! Conversion between what nodes tell each other and the messages of the peer schema.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
+use comfreyturn_policy::LimitStatement;
 use comfreyturn_proto::peer;
 use comfreyturn_types::{
     FabricDomain, FailureDomain, FleetServer, GroupId, GroupMembership, Incarnation, ModelName,
-    NodeId, ServerLife, ServiceName, StoreVersion, VmId,
+    NodeId, RequestRate, ServerLife, ServiceName, StoreVersion, VmId,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -57,6 +61,38 @@
         death: *death,
     };
     beat.deaths = report.crashes.iter().map(death).collect();
+    beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
+}
+
+fn encode_limits(
+    now: Instant,
+    statements: &HashMap<ServerLife, LimitStatement>,
+) -> peer::ServerLimits {
+    let mut limits = peer::ServerLimits::default();
+    for (life, statement) in statements {
+        let age = now.saturating_duration_since(statement.at).as_millis();
+        limits.servers.push(server_tag(life));
+        limits.limits.push(statement.rate.map_or(0, |rate| u64::from(rate.milli) + 1));
+        limits.ages_ms.push(u32::try_from(age).unwrap_or(u32::MAX));
+    }
+    limits
+}
+
+fn decode_limits(
+    now: Instant,
+    limits: &peer::ServerLimits,
+    find: impl Fn(u32) -> Option<ServerLife>,
+) -> HashMap<ServerLife, LimitStatement> {
+    let entries = limits.servers.iter().zip(&limits.limits).zip(&limits.ages_ms);
+    let decoded = entries.filter_map(|((tag, limit), age)| {
+        let rate = match limit.checked_sub(1) {
+            Some(milli) => Some(RequestRate { milli: u32::try_from(milli).ok()? }),
+            None => None,
+        };
+        let at = now.checked_sub(Duration::from_millis(u64::from(*age)))?;
+        Some((find(*tag)?, LimitStatement { rate, at }))
+    });
+    decoded.collect()
 }
 
 fn encode_rate(model: &ModelName, rate: ModelRate) -> peer::ModelRates {
@@ -98,6 +134,9 @@
         (ModelName::from(rates.model.as_str()), ModelRate { refused, arrived })
     };
     report.rates = beat.rates.iter().map(rate).collect();
+    if let Some(limits) = &beat.limits {
+        report.limits = decode_limits(now, limits, &find);
+    }
     report.crashes = beat.deaths.iter().map(|death| (death.fingerprint, death.death)).collect();
     report
 }
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -24,6 +24,9 @@
     /// All slots of the service's servers are occupied.
     NoRoom,
 
+    /// All servers with free slots stated a rate limit, and this node has used its part of that.
+    RateLimited,
+
     /// The servers that received the request reported that they didn't run it.
     Declined,
 
@@ -38,13 +41,21 @@
 }
 
 impl NotRunReason {
+    /// Whether another server, or one more, could serve the request.
+    pub(crate) fn is_lack_of_capacity(self) -> bool {
+        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited)
+    }
+
     /// Whether another node could serve the request.
     pub(crate) fn cause(self) -> RefusalCause {
         match self {
             Self::NoConfig | Self::StaleConfig | Self::Leaving => RefusalCause::Node,
-            Self::NoServer | Self::NoRoom | Self::Declined | Self::Suspect | Self::TooLate => {
-                RefusalCause::Capacity
-            }
+            Self::NoServer
+            | Self::NoRoom
+            | Self::RateLimited
+            | Self::Declined
+            | Self::Suspect
+            | Self::TooLate => RefusalCause::Capacity,
         }
     }
 }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -215,7 +215,7 @@
                 priority: self.priority,
                 resume_after: resume_after.clone(),
             };
-            self.state.count_limited_send(&server);
+            self.state.record_send(now, &server);
             let sending = self.ports.servers.send(&call);
             let reply = self.await_server(&server.life, limit, sending).await;
             if let Ok(ServerReply { notice: Some(notice), .. }) = &reply {
@@ -378,7 +378,7 @@
     }
 
     pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
-        if matches!(reason, NotRunReason::NoRoom | NotRunReason::NoServer) {
+        if reason.is_lack_of_capacity() {
             self.state.record_refusal(&self.service, self.request.model.as_ref());
         }
         let waited = self.now().saturating_duration_since(self.request.received_at);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,7 +96,8 @@
         ports: GatewayPorts,
         settings: GatewaySettings,
     ) -> Rc<Self> {
-        Rc::new(Self { identity, ports, state: Rc::new(GatewayState::new(settings)) })
+        let state = Rc::new(GatewayState::new(settings, identity.node.clone()));
+        Rc::new(Self { identity, ports, state })
     }
 
     /// Starts the background tasks: polling of the feeds, heartbeats, gauges, and forming of groups
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, RelayChoiceSettings, RelaySettings,
-    ReturnSettings,
+    ReturnSettings, SendQuotaSettings,
 };
 
 use crate::PeerTimeouts;
@@ -142,6 +142,13 @@
     /// Size limit of a buffered answer, in bytes.
     pub whole_answer_limit: usize,
 
+    /// Parts of the rate limits that servers state.
+    pub send_quotas: SendQuotaSettings,
+
+    /// Before this time after its start, a node does not know which other nodes share a limit, and
+    /// sends nothing to servers that state one.
+    pub sender_settling_time: Duration,
+
     /// Choice of servers.
     pub picker: HeadPickerSettings,
 
@@ -197,6 +204,8 @@
             stall_retention: Duration::from_secs(2),
             return_delay: ReturnSettings::default(),
             whole_answer_limit: 1024 * 1024,
+            send_quotas: SendQuotaSettings::default(),
+            sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
             planner: FleetPlannerSettings::default(),
         }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,9 +9,9 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
-    RetryBudgetSettings, ShareRetryBudget, StatedLimits, return_delay,
+    RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, StatedLimits, return_delay,
 };
-use comfreyturn_types::{FleetServer, ModelName, ServerLife, ServiceName, ServiceSpec};
+use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, NotRunReason, ReportKind, ServerLog, ServerTable,
@@ -39,6 +39,12 @@
 
     /// The rate limits that servers state.
     pub(crate) limits: RefCell<StatedLimits>,
+
+    /// This node's part of these limits.
+    pub(crate) quotas: RefCell<SendQuotas>,
+
+    /// The nodes that share these limits.
+    pub(crate) senders: RefCell<SenderRoster>,
     pub(crate) view: RefCell<PeerView>,
 
     /// Changes of the list of servers, for other nodes.
@@ -100,7 +106,7 @@
 }
 
 impl GatewayState {
-    pub(crate) fn new(settings: GatewaySettings) -> Self {
+    pub(crate) fn new(settings: GatewaySettings, node: NodeId) -> Self {
         let suspects = CrashLedgerSettings {
             burst_crashes: 0,
             burst_quarantine_crashes: QUARANTINE_CRASHES,
@@ -114,6 +120,8 @@
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
             limits: RefCell::default(),
+            quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
+            senders: RefCell::default(),
             view: RefCell::new(PeerView::new(settings.relay_choice)),
             list_log: RefCell::default(),
             budgets: RefCell::default(),
@@ -207,6 +215,7 @@
             stalls: stalls.own_stalls(now, retention),
             rates: self.rates.borrow().clone(),
             crashes: crashes.iter().map(|(_, request, crash)| (*request, *crash)).collect(),
+            limits: self.limits.borrow().own_recent(now, self.settings.send_quotas.trial_age),
         }
     }
 
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -125,6 +125,7 @@
             PEER_RETENTION,
         );
         self.gateway.update_roster(now);
+        state.update_senders(now, &self.gateway.identity.node);
         state.update_rates(now, self.period());
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_REPEAT_TIME;
         state.crashes.borrow_mut().retain(|(at, _, _)| is_recent(at));
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -159,6 +159,9 @@
         for life in &report.stalls {
             stalls.record_peer_stall(now, life, LOCAL_SEEN_MAX_AGE);
         }
+        for (life, statement) in &report.limits {
+            state.record_told_limit(life, *statement);
+        }
         let mut suspects = state.suspects.borrow_mut();
         for (fingerprint, crash) in &report.crashes {
             suspects.record_crash(now, *fingerprint, *crash);
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 
 use crate::{
-    EventSplitter, ForwardAnswer, NotRunReason,
+    EventSplitter, ForwardAnswer,
     forward_attempt::{Attempt, AttemptError},
     forward_run::ForwardRun,
 };
@@ -160,7 +160,7 @@
                     self.attempt = attempt;
                     return Ok(());
                 }
-                Err(AttemptError::NotMade(NotRunReason::NoServer | NotRunReason::NoRoom)) => {
+                Err(AttemptError::NotMade(reason)) if reason.is_lack_of_capacity() => {
                     self.run.ports.clock.sleep(RESUME_PAUSE).await;
                 }
                 Ok(_) => return Err(self.broken(AttemptError::Link(LinkError::Foreign))),
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use comfreyturn_policy::{ArrivalMeter, HeadCandidate};
+use comfreyturn_policy::{ArrivalMeter, HeadCandidate, SendPermit};
 use comfreyturn_types::{FleetServer, ModelName, ServerLife, ServiceSpec};
 
 use crate::{NotRunReason, gateway_state::GatewayState};
@@ -41,11 +41,22 @@
         if candidates.is_empty() {
             return Err(NotRunReason::NoServer);
         }
+        let known = candidates.len();
+        candidates.retain_mut(|head| match self.send_permit(now, &head.life) {
+            SendPermit::Unlimited => true,
+            SendPermit::Quota => {
+                head.has_quota = true;
+                true
+            }
+            SendPermit::Withheld => false,
+        });
+        let is_limited = candidates.len() < known;
         let unreported = self.unreported_requests(now, service, model);
         let picked = self.picker.pick(&candidates, unreported, rand::random(), urgent);
         let servers = self.servers.borrow();
         let head = picked.and_then(|picked| servers.get(&picked.life)).cloned();
-        head.ok_or(NotRunReason::NoRoom)
+        let reason = if is_limited { NotRunReason::RateLimited } else { NotRunReason::NoRoom };
+        head.ok_or(reason)
     }
 
     /// Estimates the requests that other nodes have sent and this node doesn't know of yet. For a
@@ -87,6 +98,7 @@
             running: self.loads.running(&head.life),
             slots: slots.max(1),
             distance: Duration::ZERO,
+            has_quota: false,
         };
         let Some(engine) = &service.engine else {
             return servers.plain(&service.name).map(|head| candidate(head, head.slots)).collect();
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,10 +1,10 @@
-//! The rate limits that servers state.
+//! The rate limits that servers state, and this node's part of them.
 
 use std::time::Instant;
 
-use comfreyturn_policy::LimitStatement;
+use comfreyturn_policy::{AnswerReceiver, LimitStatement, SendPermit};
 use comfreyturn_ports::ServerNotice;
-use comfreyturn_types::{FleetServer, ServerLife};
+use comfreyturn_types::{FleetServer, NodeId, ServerLife};
 
 use crate::{gateway_metrics, gateway_state::GatewayState};
 
@@ -12,27 +12,55 @@
     /// Records what a server asked of the nodes in an answer to this one.
     pub(crate) fn record_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
         let statement = LimitStatement { rate: notice.rate_limit, at: now };
-        if self.limits.borrow_mut().record(life, statement) {
-            log_limit(life, statement, "answer");
+        self.record_limit(life, statement, AnswerReceiver::This);
+    }
+
+    /// Records what another node says that a server stated.
+    pub(crate) fn record_told_limit(&self, life: &ServerLife, statement: LimitStatement) {
+        self.record_limit(life, statement, AnswerReceiver::Other);
+    }
+
+    fn record_limit(&self, life: &ServerLife, statement: LimitStatement, receiver: AnswerReceiver) {
+        if self.limits.borrow_mut().record(life, statement, receiver) {
+            log_limit(life, statement, receiver.into());
         }
     }
 
-    /// Counts an attempt at a server, if that has a limit.
-    pub(crate) fn count_limited_send(&self, server: &FleetServer) {
+    /// Records which nodes share the limits.
+    pub(crate) fn update_senders(&self, now: Instant, own: &NodeId) {
+        let view = self.view.borrow();
+        let others = view.peers.alive(now, self.settings.peer_timeouts).map(|(node, _)| node);
+        self.senders.borrow_mut().update(now, own, others);
+    }
+
+    /// Whether this node may send a request to a server now, as far as the server's limit goes.
+    pub(crate) fn send_permit(&self, now: Instant, life: &ServerLife) -> SendPermit {
+        let Some(limit) = self.limits.borrow().limit(life) else { return SendPermit::Unlimited };
+        if !self.was_running_for(now, self.settings.sender_settling_time) {
+            return SendPermit::Withheld;
+        }
+        let senders = self.senders.borrow();
+        self.quotas.borrow_mut().permit(now, life, limit, &senders, rand::random())
+    }
+
+    /// Records that this node sends a request to a server.
+    pub(crate) fn record_send(&self, now: Instant, server: &FleetServer) {
         if self.limits.borrow().limit(&server.life).is_some() {
+            self.quotas.borrow_mut().record_send(now, &server.life);
             gateway_metrics::count_limited_send(&server.service);
         }
     }
 }
 
-fn log_limit(life: &ServerLife, statement: LimitStatement, source: &str) {
+fn log_limit(life: &ServerLife, statement: LimitStatement, receiver: &str) {
     match statement.rate {
         Some(rate) => log::info!(
-            server:% = life, per_second = rate.per_second(), source = source;
+            server:% = life, per_second = rate.per_second(), received_by = receiver;
             "limits: server states a rate limit."
         ),
-        None => {
-            log::info!(server:% = life, source = source; "limits: server has no rate limit any more.");
-        }
+        None => log::info!(
+            server:% = life, received_by = receiver;
+            "limits: server has no rate limit any more."
+        ),
     }
 }
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -113,7 +113,9 @@
         });
         let known = |life: &ServerLife| servers.get(life).is_some() || unlisted.contains_key(life);
         self.stalls.borrow_mut().retain(known);
-        self.limits.borrow_mut().retain(now, UNLISTED_RETENTION, known);
+        let mut limits = self.limits.borrow_mut();
+        limits.retain(now, UNLISTED_RETENTION, known);
+        self.quotas.borrow_mut().retain(|life| limits.limit(life).is_some());
         self.lost.borrow_mut().retain(known);
     }
 
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyturn_policy::LimitStatement;
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
 /// What the sender of a report is to this node.
@@ -47,6 +48,9 @@
 
     /// Recent crashes caused by requests: the fingerprint of the request, and the crash.
     pub crashes: Vec<(u64, u64)>,
+
+    /// What servers said recently about their rate limits.
+    pub limits: HashMap<ServerLife, LimitStatement>,
 }
 
 impl ViewReport {
@@ -74,6 +78,12 @@
                 self.crashes.push(*crash);
             }
         }
+        for (life, statement) in &other.limits {
+            let newest = self.limits.entry(life.clone()).or_insert(*statement);
+            if newest.at < statement.at {
+                *newest = *statement;
+            }
+        }
     }
 
     /// Takes this node's own figures out of a digest that includes them.
@@ -89,6 +99,10 @@
                 sum.arrived = (sum.arrived - rate.arrived).max(0.0);
             }
         }
+        // On its way through other nodes, a statement seems to become younger.
+        self.limits.retain(|life, statement| {
+            own.limits.get(life).is_none_or(|own| own.rate != statement.rate)
+        });
     }
 }
 
--- a/crates/policy/src/head_picker.rs
+++ b/crates/policy/src/head_picker.rs
@@ -18,6 +18,9 @@
 
     /// One-way delay to it.
     pub distance: Duration,
+
+    /// Whether it has a rate limit, of which this node holds a part that it has not used yet.
+    pub has_quota: bool,
 }
 
 /// Settings of a [`HeadPicker`].
@@ -65,6 +68,9 @@
     /// loaded servers up to a common level. This request goes to each server with the probability
     /// with which one of the unseen requests went there. With fresh counts that is the least loaded
     /// server.
+    ///
+    /// A server with a rate limit is picked first, unless it is loaded more than the mean: only a
+    /// few nodes send to it, and chance would lead too few of their requests there.
     pub fn pick<'a>(
         &self,
         candidates: &'a [HeadCandidate],
@@ -77,6 +83,11 @@
         let mut costs: Vec<_> =
             available.map(|candidate| (self.cost(candidate), candidate)).collect();
         costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+        let mean = costs.iter().map(|(cost, _)| cost).sum::<f64>() / costs.len().max(1) as f64;
+        let limited = costs.iter().find(|(_, candidate)| candidate.has_quota);
+        if let Some((_, candidate)) = limited.filter(|(cost, _)| *cost <= mean) {
+            return Some(candidate);
+        }
         let level = fill_level(&costs, unseen.max(MIN_UNSEEN))?;
         let share = |(cost, candidate): &(f64, &HeadCandidate)| {
             (level - cost).max(0.0) * f64::from(candidate.slots)
--- a/crates/policy/src/stated_limits.rs
+++ b/crates/policy/src/stated_limits.rs
@@ -7,6 +7,8 @@
 
 use comfreyturn_types::{RequestRate, ServerLife};
 
+use crate::KnownLimit;
+
 /// What a server said about its rate limit, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitStatement {
@@ -17,45 +19,65 @@
     pub at: Instant,
 }
 
+/// Which node received an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AnswerReceiver {
+    /// This one.
+    This,
+
+    /// Another one, which told this one of it.
+    Other,
+}
+
 /// The newest statement of each server that ever stated a limit. Of two statements the later one
 /// counts, whichever node received it.
 #[derive(Debug, Default)]
 pub struct StatedLimits {
-    statements: HashMap<ServerLife, LimitStatement>,
+    statements: HashMap<ServerLife, (LimitStatement, AnswerReceiver)>,
 }
 
 impl StatedLimits {
     /// Records a statement; returns whether it changed the limit. A server without a limit is
     /// recorded only if it had one.
-    pub fn record(&mut self, life: &ServerLife, statement: LimitStatement) -> bool {
-        let known = self.statements.get(life).copied();
+    pub fn record(
+        &mut self,
+        life: &ServerLife,
+        statement: LimitStatement,
+        receiver: AnswerReceiver,
+    ) -> bool {
+        let known = self.statements.get(life).map(|(known, _)| *known);
         let is_old = known.is_some_and(|known| known.at >= statement.at);
         if is_old || (known.is_none() && statement.rate.is_none()) {
             return false;
         }
-        self.statements.insert(life.clone(), statement);
+        self.statements.insert(life.clone(), (statement, receiver));
         known.and_then(|known| known.rate) != statement.rate
     }
 
-    /// The newest statement of a server, if it stated a limit then.
-    pub fn limit(&self, life: &ServerLife) -> Option<(RequestRate, Instant)> {
-        let statement = self.statements.get(life)?;
-        Some((statement.rate?, statement.at))
+    /// The limit of a server, if its newest statement names one.
+    pub fn limit(&self, life: &ServerLife) -> Option<KnownLimit> {
+        let (statement, _) = self.statements.get(life)?;
+        Some(KnownLimit { rate: statement.rate?, stated_at: statement.at })
     }
 
     /// The number of servers that have a limit.
     pub fn limited(&self) -> usize {
-        self.statements.values().filter(|statement| statement.rate.is_some()).count()
+        self.statements.values().filter(|(statement, _)| statement.rate.is_some()).count()
     }
 
-    /// The statements of at most this age.
-    pub fn recent(
+    /// What servers stated in answers to this node, if nothing newer is known and it is at most
+    /// this old.
+    pub fn own_recent(
         &self,
         now: Instant,
         max_age: Duration,
-    ) -> impl Iterator<Item = (&ServerLife, LimitStatement)> {
-        let statements = self.statements.iter().map(|(life, statement)| (life, *statement));
-        statements.filter(move |(_, said)| now.saturating_duration_since(said.at) < max_age)
+    ) -> HashMap<ServerLife, LimitStatement> {
+        let own = self.statements.iter().filter(|(_, (statement, receiver))| {
+            let age = now.saturating_duration_since(statement.at);
+            *receiver == AnswerReceiver::This && age < max_age
+        });
+        own.map(|(life, (statement, _))| (life.clone(), *statement)).collect()
     }
 
     /// Forgets servers for which `keep` is false, unless they made a statement within `retention`:
@@ -66,7 +88,7 @@
         retention: Duration,
         keep: impl Fn(&ServerLife) -> bool,
     ) {
-        self.statements.retain(|life, statement| {
+        self.statements.retain(|life, (statement, _)| {
             keep(life) || now.saturating_duration_since(statement.at) < retention
         });
     }
--- a/crates/policy/tests/head_picker.rs
+++ b/crates/policy/tests/head_picker.rs
@@ -14,6 +14,7 @@
         running,
         slots: SLOTS,
         distance: Duration::ZERO,
+        has_quota: false,
     }
 }
 
@@ -50,6 +51,19 @@
     assert_eq!(shares(&[0, 10], 30.0), [67, 33], "filled up to twenty");
 }
 
+#[test]
+fn server_with_a_quota_is_picked_first_unless_it_is_loaded_more_than_the_mean() {
+    let mut candidates = candidates(&[3, 1, 2]);
+    let pick = |candidates: &[HeadCandidate]| {
+        let picked = HeadPicker::default().pick(candidates, 0.0, 0.5, false).unwrap();
+        candidates.iter().position(|one| one.life == picked.life).unwrap()
+    };
+    candidates[2].has_quota = true;
+    assert_eq!(pick(&candidates), 2);
+    candidates[2].running = 3;
+    assert_eq!(pick(&candidates), 1);
+}
+
 #[test]
 fn full_server_takes_urgent_requests_only() {
     let full = candidates(&[25, 25]);
