Log the prompt parts of requests whose server failed

Cause: no line named the parts of a prompt, so logs could not tell whether nodes count crashes by request where they should count by part.

Nothing decides by it.

Ruled out: to log parts with each request; only failures need them.

--- a/crates/gateway/src/forward_request.rs
+++ b/crates/gateway/src/forward_request.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use comfreyturn_types::{ModelName, RequestId};
+use comfreyturn_types::{ModelName, PromptPart, RequestId};
 use http::{HeaderMap, Method};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -34,6 +34,9 @@
     /// The requested model.
     pub model: Option<ModelName>,
 
+    /// The parts of the prompt that other requests may have as well.
+    pub shared_parts: Vec<PromptPart>,
+
     /// How long the caller waits, counted from `received_at`.
     pub deadline: Option<Duration>,
 
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -7,7 +7,7 @@
 };
 
 use comfreyturn_ports::Clock;
-use comfreyturn_types::{ModelName, RequestId, ServerLife, ServiceName};
+use comfreyturn_types::{ModelName, PromptPart, RequestId, ServerLife, ServiceName};
 use http::StatusCode;
 
 use crate::{
@@ -25,6 +25,7 @@
     clock: Rc<dyn Clock>,
     request: RequestId,
     model: Option<ModelName>,
+    shared_parts: Vec<PromptPart>,
     service: Option<ServiceName>,
     labels: AnswerLabels,
     received_at: Instant,
@@ -49,6 +50,7 @@
             clock: clock.clone(),
             request: request.id.clone(),
             model: request.model.clone(),
+            shared_parts: request.shared_parts.clone(),
             service: None,
             labels: AnswerLabels::default(),
             received_at: request.received_at,
@@ -104,6 +106,7 @@
             server:% = self.server_text(),
             attempt = sent,
             cause:% = error,
+            parts = self.parts_text(),
             heard_age_ms = age_ms(last_seen),
             elapsed_ms = self.elapsed_ms();
             "forward: server failed."
@@ -254,6 +257,12 @@
         whole_ms(self.elapsed())
     }
 
+    /// The shared parts of the prompt, separated by commas; `None` if there are none.
+    fn parts_text(&self) -> Option<String> {
+        let parts: Vec<String> = self.shared_parts.iter().map(PromptPart::to_string).collect();
+        (!parts.is_empty()).then(|| parts.join(","))
+    }
+
     fn server_text(&self) -> String {
         self.server.borrow().as_ref().map_or_else(String::new, ServerLife::to_string)
     }
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -187,6 +187,7 @@
             body: Bytes::from_static(b"body"),
             key: Some("k".to_owned()),
             model: None,
+            shared_parts: Vec::new(),
             deadline: Some(Duration::from_secs(3)),
             resume_after: None,
             received_at: self.now(),
--- a/crates/gateway/tests/nodes/rate_limits.rs
+++ b/crates/gateway/tests/nodes/rate_limits.rs
@@ -194,6 +194,7 @@
         body: Bytes::new(),
         key: None,
         model: None,
+        shared_parts: Vec::new(),
         deadline: Some(Duration::from_secs(3)),
         resume_after: None,
         received_at: now,
