Reproduce the prompt part that crashes servers in a test that fails

What was seen (BUDGET): requests with one part in their prompts crash server after server, from every node; no two of them are alike.

Change: forty servers before 7, 9 and 89 nodes, 100 requests a second, one in eight with the part; the others share their first part and documents. A crashed server breaks all its streams and comes back after a second under another id. The bound is the users': at most three more requests with the part from 3 s after the fifth crash. Sound requests must go on.

Each request counts one or two crashes, none the three that stop it, since it is known by target, key and body.

--- /dev/null
+++ b/crates/gateway/tests/nodes/crashing_parts.rs
@@ -0,0 +1,241 @@
+//! Prompts with one part in common that crash each server that begins to answer them.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use comfreyturn_gateway::ForwardRequest;
+use comfreyturn_ports::{ServerChange, ServerReading};
+use comfreyturn_standin::fakes::{CRASH_HEADER, FixedFeeds};
+use comfreyturn_types::{
+    CallerLimits, FailureDomain, FleetServer, GatewayConfig, HostName, PromptPart, RequestId,
+    RequestKind, RouteName, RouteSpec, RouteTarget, ServerLife, ServiceName, ServiceSpec,
+    StoreVersion, VmId,
+};
+use http::{HeaderMap, HeaderValue, Method};
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
+
+use crate::test_nodes::TestNodes;
+
+const SIZES: [u16; 3] = [7, 9, 89];
+
+const SERVERS: usize = 40;
+
+/// Events of each answer, one every 40 ms.
+const EVENTS: u32 = 20;
+
+/// Pause between two requests, in milliseconds. One of this many has the part that crashes servers.
+const REQUEST_PAUSE_MS: u64 = 10;
+const CRASHING_SHARE: u64 = 8;
+
+/// A crashed server is back under another id after this time, in milliseconds.
+const RESTART_MS: u64 = 1000;
+
+/// The part that all prompts share, the part that crashes servers, and the first of those that some
+/// prompts share.
+const COMMON_PART: PromptPart = PromptPart(1);
+const CRASHING_PART: PromptPart = PromptPart(2);
+const FIRST_DOCUMENT: u64 = 100;
+const DOCUMENTS: u64 = 12;
+
+/// From this time after this crash, no more than so many requests with the part reach servers.
+const STOPPING_CRASH: usize = 5;
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+const LATE_REQUESTS: usize = 3;
+
+/// Time after which the nodes of a first start know each other and the servers, in milliseconds.
+const JOIN_MS: u64 = 6000;
+
+fn config() -> GatewayConfig {
+    let service =
+        ServiceSpec { name: ServiceName::from("plain"), max_connections: 100, engine: None };
+    let route = RouteSpec {
+        name: RouteName::from("route"),
+        host: HostName::from("h"),
+        prefix: "/".to_owned(),
+        kind: RequestKind::ResumableStream,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(300),
+        longest_pause: Some(Duration::from_millis(200)),
+        priority: 0,
+        max_attempts: 2,
+        public: true,
+        targets: vec![RouteTarget { service: service.name.clone(), weight: 1 }],
+    };
+    GatewayConfig {
+        version: 1,
+        routes: vec![route],
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        customers: None,
+        limits: CallerLimits::default(),
+    }
+}
+
+fn listed(vm: VmId) -> ServerChange {
+    ServerChange::Listed(Box::new(FleetServer {
+        life: ServerLife { vm, born: 1 },
+        service: ServiceName::from("plain"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: FailureDomain::from("z"),
+        slots: 16,
+        leaving: false,
+        fabric_domain: None,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }))
+}
+
+/// Nodes whose callers send some prompts that crash servers.
+struct CrashingSite {
+    nodes: TestNodes,
+    size: u16,
+    rng: Xoshiro256PlusPlus,
+    servers: Vec<VmId>,
+    list_version: u64,
+
+    /// Crashed servers, and when each is replaced.
+    ended: HashMap<VmId, Instant>,
+    replaced: usize,
+
+    /// Sound requests that callers sent, with the time.
+    sound: Vec<Instant>,
+}
+
+impl CrashingSite {
+    fn started(size: u16) -> Self {
+        let servers: Vec<VmId> =
+            (0..SERVERS).map(|index| VmId::from(format!("s{index}"))).collect();
+        let mut site = Self {
+            nodes: TestNodes::first_start(size),
+            size,
+            rng: Xoshiro256PlusPlus::seed_from_u64(u64::from(size)),
+            servers,
+            list_version: 1,
+            ended: HashMap::new(),
+            replaced: 0,
+            sound: Vec::new(),
+        };
+        site.nodes.servers.set_events(EVENTS);
+        site.nodes.feeds.values().for_each(|feeds| site.fill(feeds));
+        site.nodes.run(JOIN_MS);
+        site
+    }
+
+    /// Makes the platform return the configuration and the servers.
+    fn fill(&self, feeds: &FixedFeeds) {
+        feeds.put_config(config());
+        let version = StoreVersion::first_era(self.list_version);
+        let changes = self.servers.iter().cloned().map(listed).collect();
+        feeds.add_reading(ServerReading { is_whole: true, version, changes });
+    }
+
+    fn now(&self) -> Instant {
+        self.nodes.now(1)
+    }
+
+    /// Sends requests to random nodes among some; with `crashing`, some have the part that crashes
+    /// servers.
+    fn send_for(&mut self, milliseconds: u64, crashing: bool, to: impl Fn(u16) -> bool) {
+        let receivers: Vec<u16> = (1..=self.size).filter(|node| to(*node)).collect();
+        for index in 0..milliseconds / REQUEST_PAUSE_MS {
+            let number = receivers[self.rng.random_range(0..receivers.len())];
+            let crashes = crashing && index % CRASHING_SHARE == 0;
+            let request = self.request(crashes);
+            if !crashes {
+                self.sound.push(request.received_at);
+            }
+            self.nodes.send(number, request);
+            self.nodes.run(REQUEST_PAUSE_MS);
+            self.replace_ended();
+        }
+    }
+
+    fn request(&mut self, crashes: bool) -> ForwardRequest {
+        let document = PromptPart(FIRST_DOCUMENT + self.rng.random_range(0..DOCUMENTS));
+        let mut headers = HeaderMap::new();
+        let mut shared_parts = vec![COMMON_PART, document];
+        if crashes {
+            headers.insert(CRASH_HEADER, HeaderValue::from_static("1"));
+            shared_parts.push(CRASHING_PART);
+        }
+        ForwardRequest {
+            id: RequestId::from("r"),
+            host: "h".to_owned(),
+            method: Method::POST,
+            target: "/x".to_owned(),
+            headers,
+            body: Bytes::from(self.rng.random::<u64>().to_string()),
+            key: None,
+            model: None,
+            shared_parts,
+            deadline: Some(Duration::from_secs(3)),
+            resume_after: None,
+            received_at: self.now(),
+        }
+    }
+
+    /// Lists crashed servers as gone, and later their successors.
+    fn replace_ended(&mut self) {
+        let now = self.now();
+        for (life, at) in self.nodes.servers.crashes() {
+            if self.servers.contains(&life.vm) && !self.ended.contains_key(&life.vm) {
+                self.ended.insert(life.vm, at + Duration::from_millis(RESTART_MS));
+            }
+        }
+        let due: Vec<VmId> =
+            self.ended.iter().filter(|(_, at)| **at <= now).map(|(vm, _)| vm.clone()).collect();
+        for vm in due {
+            self.ended.remove(&vm);
+            self.replaced += 1;
+            let successor = VmId::from(format!("r{}", self.replaced));
+            self.servers.retain(|known| *known != vm);
+            self.servers.push(successor.clone());
+            self.list_version += 1;
+            let version = StoreVersion::first_era(self.list_version);
+            let changes = vec![ServerChange::Dropped(vm), listed(successor)];
+            for feeds in self.nodes.feeds.values() {
+                let changes = changes.clone();
+                feeds.add_reading(ServerReading { is_whole: false, version, changes });
+            }
+        }
+    }
+
+    /// When the crash happened after which nodes must stop.
+    fn stopping_crash(&self) -> Instant {
+        self.nodes.servers.crashes()[STOPPING_CRASH - 1].1
+    }
+
+    /// Requests with the part that crashes servers which reached servers since some time.
+    fn crashing_since(&self, since: Instant) -> usize {
+        let arrivals = self.nodes.servers.arrivals();
+        arrivals.iter().filter(|arrival| arrival.crashes && arrival.at >= since).count()
+    }
+
+    /// The share of sound requests since some time that reached servers. Retries count as well.
+    fn sound_share(&self, since: Instant) -> f64 {
+        let arrivals = self.nodes.servers.arrivals();
+        let arrived = arrivals.iter().filter(|arrival| !arrival.crashes && arrival.at >= since);
+        let sent = self.sound.iter().filter(|at| **at >= since).count();
+        arrived.count() as f64 / sent.max(1) as f64
+    }
+}
+
+/// Guards against requests that crash server after server because no two of them are alike but for
+/// one part of their prompts (BUDGET).
+#[test]
+fn prompt_part_that_crashes_servers_is_stopped_whatever_else_requests_hold() {
+    for size in SIZES {
+        let mut site = CrashingSite::started(size);
+        site.send_for(3000, false, |_| true);
+        site.send_for(12_000, true, |_| true);
+        let since = site.stopping_crash() + SETTLING_TIME;
+        let late = site.crashing_since(since);
+        let ended = site.nodes.servers.crashes().len();
+        assert!(late <= LATE_REQUESTS, "{size} nodes: {late} more requests, {ended} servers ended");
+        let share = site.sound_share(since);
+        assert!(share > 0.9, "{size} nodes: {share} of the sound requests reached servers");
+    }
+}
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -1,6 +1,7 @@
 //! Several nodes of one deployment, on virtual time.
 
 mod config_attestation;
+mod crashing_parts;
 mod fleet_lease;
 mod fleet_view;
 mod rate_limits;
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -1,8 +1,8 @@
 //! Backend servers that answer every request, for tests with several nodes.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -10,13 +10,25 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use comfreyturn_ports::{
-    Clock, LinkResult, ServerAnswer, ServerCall, ServerLink, ServerNotice, ServerReply,
+    Clock, LinkError, LinkResult, ServerAnswer, ServerCall, ServerLink, ServerNotice, ServerReply,
 };
 use comfreyturn_types::{NodeId, RequestRate, ServerLife, VmId};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 
-/// Time from a request's arrival to its answer.
-const ANSWER_DELAY: Duration = Duration::from_millis(50);
+/// A request with this header crashes the server that begins to answer it.
+pub const CRASH_HEADER: HeaderName = HeaderName::from_static("x-crash");
+
+/// Time from a request's arrival until the server begins to answer.
+const START_DELAY: Duration = Duration::from_millis(50);
+
+/// Time between two events of an answer.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time from the beginning of an answer until the server crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(50);
+
+/// Time after which a crashed server's address refuses a connection.
+const REFUSAL_DELAY: Duration = Duration::from_millis(2);
 
 /// A request that arrived at a server.
 #[derive(Clone, Debug)]
@@ -29,9 +41,12 @@
 
     /// When it arrived, by the clock of that node.
     pub at: Instant,
+
+    /// Whether it crashes the server.
+    pub crashes: bool,
 }
 
-/// Backend servers that answer every request with an empty body. Clones share them.
+/// Backend servers that answer every request with the same number of events. Clones share them.
 #[derive(Clone, Default)]
 pub struct AnsweringServers {
     state: Rc<ServersState>,
@@ -41,6 +56,23 @@
 struct ServersState {
     arrivals: RefCell<Vec<ServerArrival>>,
     rate_limits: RefCell<HashMap<VmId, RequestRate>>,
+    events: Cell<u32>,
+
+    /// When servers crashed, in order.
+    crashes: RefCell<Vec<(ServerLife, Instant)>>,
+    crashed: RefCell<HashSet<ServerLife>>,
+}
+
+impl ServersState {
+    fn crash(&self, now: Instant, life: &ServerLife) {
+        if self.crashed.borrow_mut().insert(life.clone()) {
+            self.crashes.borrow_mut().push((life.clone(), now));
+        }
+    }
+
+    fn is_crashed(&self, life: &ServerLife) -> bool {
+        self.crashed.borrow().contains(life)
+    }
 }
 
 impl AnsweringServers {
@@ -58,10 +90,20 @@
         };
     }
 
+    /// Sets the number of events of each answer; answers are empty at first.
+    pub fn set_events(&self, events: u32) {
+        self.state.events.set(events);
+    }
+
     /// The requests that arrived, in order.
     pub fn arrivals(&self) -> Vec<ServerArrival> {
         self.state.arrivals.borrow().clone()
     }
+
+    /// The servers that crashed, and when, in order.
+    pub fn crashes(&self) -> Vec<(ServerLife, Instant)> {
+        self.state.crashes.borrow().clone()
+    }
 }
 
 struct AnsweringLink {
@@ -73,24 +115,45 @@
 #[async_trait(?Send)]
 impl ServerLink for AnsweringLink {
     async fn send(&self, call: &ServerCall) -> ServerReply {
-        let at = self.clock.now();
-        let arrival = ServerArrival { life: call.life.clone(), node: self.node.clone(), at };
-        self.state.arrivals.borrow_mut().push(arrival);
-        self.clock.sleep(ANSWER_DELAY).await;
-        let rate_limit = self.state.rate_limits.borrow().get(&call.life.vm).copied();
-        ServerReply {
-            notice: Some(ServerNotice { rate_limit }),
-            answer: Ok(Box::new(EmptyAnswer { headers: HeaderMap::new() })),
+        let Self { state, node, clock } = self;
+        if state.is_crashed(&call.life) {
+            clock.sleep(REFUSAL_DELAY).await;
+            return LinkError::NotSent.into();
+        }
+        let crashes = call.headers.contains_key(&CRASH_HEADER);
+        let (life, at) = (call.life.clone(), clock.now());
+        let arrival = ServerArrival { life: life.clone(), node: node.clone(), at, crashes };
+        state.arrivals.borrow_mut().push(arrival);
+        clock.sleep(START_DELAY).await;
+        if state.is_crashed(&life) {
+            return LinkError::Broken.into();
         }
+        let rate_limit = state.rate_limits.borrow().get(&life.vm).copied();
+        let answer = EventAnswer {
+            state: state.clone(),
+            clock: clock.clone(),
+            life,
+            headers: HeaderMap::new(),
+            sent: 0,
+            crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
+        };
+        ServerReply { notice: Some(ServerNotice { rate_limit }), answer: Ok(Box::new(answer)) }
     }
 }
 
-struct EmptyAnswer {
+struct EventAnswer {
+    state: Rc<ServersState>,
+    clock: Rc<dyn Clock>,
+    life: ServerLife,
     headers: HeaderMap,
+
+    /// Events sent so far.
+    sent: u32,
+    crashes_at: Option<Instant>,
 }
 
 #[async_trait(?Send)]
-impl ServerAnswer for EmptyAnswer {
+impl ServerAnswer for EventAnswer {
     fn status(&self) -> StatusCode {
         StatusCode::OK
     }
@@ -100,6 +163,21 @@
     }
 
     async fn chunk(&mut self) -> LinkResult<Option<Bytes>> {
-        Ok(None)
+        if self.sent >= self.state.events.get() {
+            return Ok(None);
+        }
+        let next_at = self.clock.now() + EVENT_PAUSE;
+        if let Some(crashes_at) = self.crashes_at.filter(|at| *at <= next_at) {
+            let left = crashes_at.saturating_duration_since(self.clock.now());
+            self.clock.sleep(left).await;
+            self.state.crash(self.clock.now(), &self.life);
+        } else {
+            self.clock.sleep(EVENT_PAUSE).await;
+        }
+        if self.state.is_crashed(&self.life) {
+            return Err(LinkError::Broken);
+        }
+        self.sent += 1;
+        Ok(Some(Bytes::from(format!("id: {}\ndata: x\n\n", self.sent))))
     }
 }
