Find the part of a prompt that crashes servers, and refuse it

Cause: nodes know a request that crashes servers by its target, key and body. No two of these are alike, so each counted one or two crashes and was never stopped. Class of fault: the identity by which harm is counted is narrower than its cause.

Change: a crash counts against the parts of the prompts that the server was about to answer, all but the last. An answer clears a part; three crashes without one quarantine it at all nodes. Nodes tell each other of crashes with their parts, of answers to suspects, and of quarantined parts. Requests with one are refused at once, first attempts, retries and resumed streams alike.

Ruled out: the part that most crashes have in common, since the first part of a kind of request is in all of them. Streams that were answered for 150 ms are not counted, since their server died of another request.

New tests: nodes that were cut off, frozen or restarted, and lost servers that quarantine nothing.

Conclusion: what tells the culprit from its company is that it is never answered.

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -13,7 +13,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{LoggedChange, ModelRate, ViewReport, peer_table::PeerStatus};
+use crate::{LoggedChange, ModelRate, PartReport, ViewReport, peer_table::PeerStatus};
 
 /// Data heard from a server longer ago than this is not reported.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(2);
@@ -61,6 +61,7 @@
         death: *death,
     };
     beat.deaths = report.crashes.iter().map(death).collect();
+    report.parts.encode(now, beat);
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
 }
 
@@ -134,6 +135,7 @@
         (ModelName::from(rates.model.as_str()), ModelRate { refused, arrived })
     };
     report.rates = beat.rates.iter().map(rate).collect();
+    report.parts = PartReport::decode(now, beat);
     if let Some(limits) = &beat.limits {
         report.limits = decode_limits(now, limits, &find);
     }
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -33,6 +33,9 @@
     /// The request is quarantined because it crashed servers before.
     Suspect,
 
+    /// A part of the request's prompt is quarantined because it crashed servers before.
+    SuspectPart,
+
     /// The node is shutting down.
     Leaving,
 
@@ -55,6 +58,7 @@
             | Self::RateLimited
             | Self::Declined
             | Self::Suspect
+            | Self::SuspectPart
             | Self::TooLate => RefusalCause::Capacity,
         }
     }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -65,6 +65,9 @@
         if matches!(suspect, SuspectStatus::Quarantined { .. }) {
             return self.not_run(NotRunReason::Suspect);
         }
+        if self.has_quarantined_part(self.now()) {
+            return self.not_run(NotRunReason::SuspectPart);
+        }
         self.state.record_request(self.now(), &self.service.name);
         if self.route.kind.is_stream() { self.run_stream().await } else { self.run_whole().await }
     }
@@ -235,6 +238,7 @@
                     let error = self.attempt_error(error);
                     if let AttemptError::Link(error) = error {
                         self.record_failure(&server.life, error);
+                        self.record_part_crash(&server.life, error);
                     }
                     return Err(error);
                 }
@@ -259,9 +263,30 @@
         if self.customer.is_some() && !self.state.config_is_usable(now) {
             return Err(AttemptError::NotMade(NotRunReason::StaleConfig));
         }
+        if self.has_quarantined_part(now) {
+            return Err(AttemptError::NotMade(NotRunReason::SuspectPart));
+        }
         Ok(())
     }
 
+    fn has_quarantined_part(&self, now: Instant) -> bool {
+        self.state.parts.borrow().has_quarantined(now, &self.request.shared_parts)
+    }
+
+    /// Records that a server answers the request, so that no part of its prompt crashes servers.
+    pub(crate) fn record_answer(&self) {
+        self.state.parts.borrow_mut().record_answer(self.now(), &self.request.shared_parts);
+    }
+
+    /// Records a failed attempt at a server that had not answered yet. A connection that broke counts
+    /// as a possible crash caused by a part of the prompt.
+    pub(crate) fn record_part_crash(&self, life: &ServerLife, error: LinkError) {
+        if error == LinkError::Broken {
+            let parts = &self.request.shared_parts;
+            self.state.parts.borrow_mut().record_crash(self.now(), crash_id(life), parts);
+        }
+    }
+
     /// Awaits `waiting`, which depends on the server, for `limit` or until the caller's deadline. If
     /// there is a limit, gives up early once the server counts as stalled, since another one may be
     /// tried.
@@ -324,7 +349,7 @@
         }
         let now = self.now();
         let fingerprint = self.request.fingerprint();
-        let crash = xxh3_64(life.to_string().as_bytes());
+        let crash = crash_id(life);
         self.state.suspects.borrow_mut().record_crash(now, fingerprint, crash);
         self.state.crashes.borrow_mut().push((now, fingerprint, crash));
     }
@@ -401,3 +426,8 @@
         }
     }
 }
+
+/// Identifies the crash of a server.
+fn crash_id(life: &ServerLife) -> u64 {
+    xxh3_64(life.to_string().as_bytes())
+}
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, NotRunReason, ReportKind, ServerLog, ServerTable,
-    StallTracker, ViewReport, config_view::ConfigView, peer_view::PeerView,
+    StallTracker, ViewReport, config_view::ConfigView, part_suspects::PartSuspects,
+    peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -56,6 +57,9 @@
     /// of the server's life.
     pub(crate) crashes: RefCell<Vec<(Instant, u64, u64)>>,
 
+    /// Which prompt parts may have crashed servers.
+    pub(crate) parts: RefCell<PartSuspects>,
+
     /// Servers that don't answer probes.
     pub(crate) lost: RefCell<HashSet<ServerLife>>,
 
@@ -127,6 +131,7 @@
             budgets: RefCell::default(),
             suspects: RefCell::new(CrashLedger::new(suspects)),
             crashes: RefCell::default(),
+            parts: RefCell::default(),
             lost: RefCell::default(),
             unlisted: RefCell::default(),
             arrivals: RefCell::default(),
@@ -215,6 +220,7 @@
             stalls: stalls.own_stalls(now, retention),
             rates: self.rates.borrow().clone(),
             crashes: crashes.iter().map(|(_, request, crash)| (*request, *crash)).collect(),
+            parts: self.parts.borrow().report(now),
             limits: self.limits.borrow().own_recent(now, self.settings.send_quotas.trial_age),
         }
     }
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -34,6 +34,9 @@
         gauge!("comfreyturn_servers_listed").set(count(state.servers.borrow().all().count()));
         gauge!("comfreyturn_servers_unlisted").set(count(state.unlisted.borrow().len()));
         gauge!("comfreyturn_servers_lost").set(count(state.lost.borrow().len()));
+        let now = self.ports.clock.now();
+        let quarantined = state.parts.borrow().quarantined(now);
+        gauge!("comfreyturn_quarantined_parts").set(count(quarantined));
         gauge!("comfreyturn_suspect_requests").set(count(state.suspects.borrow().len()));
         gauge!("comfreyturn_servers_limited").set(count(state.limits.borrow().limited()));
         gauge!("comfreyturn_peers_heard").set(count(peers));
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -162,6 +162,7 @@
         for (life, statement) in &report.limits {
             state.record_told_limit(life, *statement);
         }
+        state.parts.borrow_mut().apply(&report.parts);
         let mut suspects = state.suspects.borrow_mut();
         for (fingerprint, crash) in &report.crashes {
             suspects.record_crash(now, *fingerprint, *crash);
--- /dev/null
+++ b/crates/gateway/src/part_report.rs
@@ -0,0 +1,105 @@
+//! What nodes tell each other about prompt parts that may crash servers.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+use comfreyturn_proto::peer;
+use comfreyturn_types::PromptPart;
+
+/// The most crashes, and the most quarantined and sound parts, in a datagram. What is left out is
+/// told by the next one, as the order differs each time.
+const MAX_CRASHES: usize = 64;
+const MAX_PARTS: usize = 256;
+
+/// The most parts of one crash in a datagram.
+const MAX_CRASHED_PARTS: usize = 64;
+
+/// The parts of the prompts that a server was about to answer when it crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashedParts {
+    /// When a node first saw the crash.
+    pub at: Instant,
+
+    /// The parts.
+    pub parts: BTreeSet<PromptPart>,
+}
+
+/// What a node, or a set of nodes, knows about prompt parts that may crash servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PartReport {
+    /// Recent crashes.
+    pub crashes: HashMap<u64, CrashedParts>,
+
+    /// Suspects that a server answered recently, and when.
+    pub sound: HashMap<PromptPart, Instant>,
+
+    /// Quarantined parts, and since when.
+    pub quarantined: HashMap<PromptPart, Instant>,
+}
+
+impl PartReport {
+    /// Adds another report to this one.
+    pub fn merge(&mut self, other: &Self) {
+        for (crash, CrashedParts { at, parts }) in &other.crashes {
+            self.add_crash(*at, *crash, parts.iter().copied());
+        }
+        for (part, at) in &other.sound {
+            let known = self.sound.entry(*part).or_insert(*at);
+            *known = (*known).max(*at);
+        }
+        for (part, at) in &other.quarantined {
+            let known = self.quarantined.entry(*part).or_insert(*at);
+            *known = (*known).min(*at);
+        }
+    }
+
+    /// Adds parts to a crash.
+    pub(crate) fn add_crash(
+        &mut self,
+        at: Instant,
+        crash: u64,
+        parts: impl Iterator<Item = PromptPart>,
+    ) {
+        let empty = || CrashedParts { at, parts: BTreeSet::new() };
+        let known = self.crashes.entry(crash).or_insert_with(empty);
+        known.at = known.at.min(at);
+        known.parts.extend(parts);
+    }
+
+    /// Writes the report into a message.
+    pub(crate) fn encode(&self, now: Instant, beat: &mut peer::GatewayBeat) {
+        let crash = |(crash, seen): (&u64, &CrashedParts)| peer::PartCrash {
+            crash: *crash,
+            age_ms: age_ms(now, seen.at),
+            parts: seen.parts.iter().take(MAX_CRASHED_PARTS).map(|part| part.0).collect(),
+        };
+        beat.part_crashes = self.crashes.iter().take(MAX_CRASHES).map(crash).collect();
+        let part = |(part, at): (&PromptPart, &Instant)| peer::PartTime {
+            part: part.0,
+            age_ms: age_ms(now, *at),
+        };
+        beat.sound_parts = self.sound.iter().take(MAX_PARTS).map(part).collect();
+        beat.quarantined_parts = self.quarantined.iter().take(MAX_PARTS).map(part).collect();
+    }
+
+    /// Reads the report in a message.
+    pub(crate) fn decode(now: Instant, beat: &peer::GatewayBeat) -> Self {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
+        let crash = |crash: &peer::PartCrash| {
+            let parts = crash.parts.iter().copied().map(PromptPart).collect();
+            Some((crash.crash, CrashedParts { at: at(crash.age_ms)?, parts }))
+        };
+        let part = |time: &peer::PartTime| Some((PromptPart(time.part), at(time.age_ms)?));
+        Self {
+            crashes: beat.part_crashes.iter().filter_map(crash).collect(),
+            sound: beat.sound_parts.iter().filter_map(part).collect(),
+            quarantined: beat.quarantined_parts.iter().filter_map(part).collect(),
+        }
+    }
+}
+
+fn age_ms(now: Instant, at: Instant) -> u32 {
+    u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -1,6 +1,6 @@
 //! Relaying of a stream of events to the caller.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use comfreyturn_ports::LinkError;
@@ -15,6 +15,20 @@
 /// Pause before another attempt to resume a stream when no server was available.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// A server that still answers this long after its first event was not crashed by the request: one
+/// that is crashes as it begins to answer.
+const PROOF_TIME: Duration = Duration::from_millis(150);
+
+/// How far the answer to one attempt is.
+#[derive(Clone, Copy, Debug, Default)]
+struct AnswerProgress {
+    /// When the first event was received.
+    first_event_at: Option<Instant>,
+
+    /// Whether the server survived the answering of the request.
+    is_proven: bool,
+}
+
 /// The stream broke and can't be resumed; the caller received only a part of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("the stream broke and cannot be resumed")]
@@ -35,6 +49,9 @@
     /// The server ended the stream properly.
     ended: bool,
 
+    /// How far the answer to the current attempt is.
+    progress: AnswerProgress,
+
     /// The status sent to the caller.
     status: StatusCode,
 }
@@ -55,6 +72,7 @@
             splitter: EventSplitter::default(),
             ready: None,
             ended: false,
+            progress: AnswerProgress::default(),
             status,
         };
         match stream.read_events(limit).await {
@@ -108,6 +126,7 @@
     ) -> Result<Option<Bytes>, AttemptError> {
         loop {
             if let Some(events) = self.splitter.take_whole() {
+                self.record_events();
                 return Ok(Some(events));
             }
             let Self { run, attempt, .. } = self;
@@ -121,11 +140,42 @@
                 None if self.splitter.has_partial() => {
                     return Err(self.run.attempt_error(LinkError::Broken));
                 }
-                None => return Ok(None),
+                None => {
+                    self.record_end();
+                    return Ok(None);
+                }
             }
         }
     }
 
+    /// Records that events were received.
+    fn record_events(&mut self) {
+        let now = self.run.now();
+        let first_at = *self.progress.first_event_at.get_or_insert(now);
+        if now.saturating_duration_since(first_at) >= PROOF_TIME {
+            self.record_proof();
+        }
+    }
+
+    /// Records that the answer ended. An end that is not marked may be a crash.
+    fn record_end(&mut self) {
+        if self.progress.first_event_at.is_none() {
+            return;
+        }
+        if self.attempt.answer.is_delimited() {
+            self.record_proof();
+        } else if !self.progress.is_proven {
+            self.run.record_part_crash(&self.attempt.life, LinkError::Broken);
+        }
+    }
+
+    fn record_proof(&mut self) {
+        if !self.progress.is_proven {
+            self.progress.is_proven = true;
+            self.run.record_answer();
+        }
+    }
+
     /// How long to wait for an event before the stream is resumed at another server; `None` if it
     /// may not be resumed.
     fn pause_limit(&self) -> Option<Duration> {
@@ -139,7 +189,12 @@
     fn record_failure(&self, error: AttemptError) {
         match error {
             AttemptError::Unresponsive => self.run.record_stall(&self.attempt.life),
-            AttemptError::Link(error) => self.run.record_failure(&self.attempt.life, error),
+            AttemptError::Link(error) => {
+                self.run.record_failure(&self.attempt.life, error);
+                if !self.progress.is_proven {
+                    self.run.record_part_crash(&self.attempt.life, error);
+                }
+            }
             AttemptError::NotMade(_) | AttemptError::OutOfTime => {}
         }
     }
@@ -158,6 +213,7 @@
                 Ok(attempt) if attempt.answer.status().is_success() => {
                     self.run.trace.resumed(after.as_deref());
                     self.attempt = attempt;
+                    self.progress = AnswerProgress::default();
                     return Ok(());
                 }
                 Err(AttemptError::NotMade(reason)) if reason.is_lack_of_capacity() => {
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -8,6 +8,8 @@
 use comfreyturn_policy::LimitStatement;
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
+use crate::PartReport;
+
 /// What the sender of a report is to this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportKind {
@@ -51,6 +53,9 @@
 
     /// What servers said recently about their rate limits.
     pub limits: HashMap<ServerLife, LimitStatement>,
+
+    /// Which prompt parts may have crashed servers, and which did not.
+    pub parts: PartReport,
 }
 
 impl ViewReport {
@@ -78,6 +83,7 @@
                 self.crashes.push(*crash);
             }
         }
+        self.parts.merge(&other.parts);
         for (life, statement) in &other.limits {
             let newest = self.limits.entry(life.clone()).or_insert(*statement);
             if newest.at < statement.at {
--- a/crates/gateway/tests/nodes/crashing_parts.rs
+++ b/crates/gateway/tests/nodes/crashing_parts.rs
@@ -17,7 +17,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 
-use crate::test_nodes::TestNodes;
+use crate::test_nodes::{TestNodes, address, name};
 
 const SIZES: [u16; 3] = [7, 9, 89];
 
@@ -203,6 +203,21 @@
         }
     }
 
+    /// Crashes some servers at the same moment, without a request that causes it.
+    fn crash_servers(&self, count: usize) {
+        for vm in self.servers.iter().take(count) {
+            let life = ServerLife { vm: vm.clone(), born: 1 };
+            self.nodes.servers.crash(self.now(), &life);
+        }
+    }
+
+    /// Replaces a node by one that knows nothing.
+    fn restart(&mut self, number: u16) {
+        self.nodes.plan.kill(&name(number));
+        self.nodes.start(number);
+        self.fill(&self.nodes.feeds[&number]);
+    }
+
     /// When the crash happened after which nodes must stop.
     fn stopping_crash(&self) -> Instant {
         self.nodes.servers.crashes()[STOPPING_CRASH - 1].1
@@ -239,3 +254,40 @@
         assert!(share > 0.9, "{size} nodes: {share} of the sound requests reached servers");
     }
 }
+
+/// Guards against nodes that send such requests again after they were restarted, frozen or cut off.
+#[test]
+fn quarantined_prompt_part_stays_stopped_at_nodes_that_were_away() {
+    let mut site = CrashingSite::started(9);
+    site.send_for(2000, false, |_| true);
+    // Two nodes hear of nothing while the part is found.
+    site.nodes.net.cut.borrow_mut().extend([address(1), address(2)]);
+    site.nodes.plan.pause(&name(3), Duration::from_secs(6));
+    site.send_for(6000, true, |node| node > 3);
+    site.nodes.net.cut.borrow_mut().clear();
+    site.send_for(1000, false, |node| node > 3);
+    let since = site.now();
+    site.send_for(5000, true, |_| true);
+    assert_eq!(site.crashing_since(since), 0, "nodes that were cut off or frozen");
+    for number in [4, 5, 9] {
+        site.restart(number);
+        site.send_for(3000, true, |node| node != number);
+        site.send_for(2000, true, |_| true);
+    }
+    assert_eq!(site.crashing_since(since), 0, "nodes that were restarted");
+}
+
+/// Guards against sound prompts that are refused because servers fail for another reason.
+#[test]
+fn lost_servers_quarantine_no_prompt_part() {
+    let mut site = CrashingSite::started(9);
+    site.send_for(2000, false, |_| true);
+    for lost in [20, 12, 8] {
+        site.crash_servers(lost);
+        site.send_for(3000, false, |_| true);
+    }
+    let since = site.now();
+    site.send_for(5000, false, |_| true);
+    let share = site.sound_share(since);
+    assert!(share > 0.99, "{share} of the sound requests reached servers");
+}
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -118,6 +118,10 @@
     /// The end-to-end headers.
     fn headers(&self) -> &HeaderMap;
 
+    /// Whether the response says where its body ends, by a length or by chunks. Otherwise a broken
+    /// connection may look like the regular end.
+    fn is_delimited(&self) -> bool;
+
     /// The next bytes of the body; `None` at its regular end.
     async fn chunk(&mut self) -> LinkResult<Option<Bytes>>;
 }
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -90,6 +90,11 @@
         };
     }
 
+    /// Crashes a server.
+    pub fn crash(&self, now: Instant, life: &ServerLife) {
+        self.state.crash(now, life);
+    }
+
     /// Sets the number of events of each answer; answers are empty at first.
     pub fn set_events(&self, events: u32) {
         self.state.events.set(events);
@@ -162,6 +167,10 @@
         &self.headers
     }
 
+    fn is_delimited(&self) -> bool {
+        true
+    }
+
     async fn chunk(&mut self) -> LinkResult<Option<Bytes>> {
         if self.sent >= self.state.events.get() {
             return Ok(None);
--- a/crates/standin/src/fakes/scripted_servers.rs
+++ b/crates/standin/src/fakes/scripted_servers.rs
@@ -139,6 +139,10 @@
         &self.headers
     }
 
+    fn is_delimited(&self) -> bool {
+        true
+    }
+
     async fn chunk(&mut self) -> LinkResult<Option<Bytes>> {
         if let Some((pause, bytes)) = self.pieces.front().cloned() {
             if !pause.is_zero() {
