Take a stream without events and without a marked end for a broken one

What callers saw: an empty answer with status 200, complete by its form, when a server that marks its end neither by a length nor by chunks crashed before the first event.

Cause: such an answer ends with its connection, and that end was taken for the regular one.

Change: an answer tells whether its end is marked; an unmarked end before the first event is a broken connection. After events it is the end, as before; a stream that ends inside an event was a broken one already.

--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -140,6 +140,11 @@
                 None if self.splitter.has_partial() => {
                     return Err(self.run.attempt_error(LinkError::Broken));
                 }
+                None if !self.attempt.answer.is_delimited()
+                    && self.progress.first_event_at.is_none() =>
+                {
+                    return Err(self.run.attempt_error(LinkError::Broken));
+                }
                 None => {
                     self.record_end();
                     return Ok(None);
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -444,6 +444,19 @@
     assert_eq!(calls[1].resume_after.as_deref(), Some("2"));
 }
 
+/// Guards against a crash before the first event that is taken for an empty answer, since the answer
+/// has no marked end.
+#[test]
+fn stream_without_events_and_without_a_marked_end_is_sent_to_another_server() {
+    let mut site = TestSite::started();
+    site.servers.script_next(events(&[], ScriptEnd::Unmarked));
+    site.servers.script_next(events(&["id: 1\n\n", "id: 2\n\n"], ScriptEnd::Unmarked));
+    let answer = site.send_to("/stream/x");
+    let whole = "id: 1\n\nid: 2\n\n";
+    assert_eq!(site.read(answer), (whole.to_owned(), true), "after events, the end is the end");
+    assert_eq!(site.servers.calls().len(), 2);
+}
+
 #[test]
 fn stalled_stream_resumes_at_another_server_within_half_a_second() {
     let mut site = TestSite::started();
--- a/crates/standin/src/fakes/scripted_servers.rs
+++ b/crates/standin/src/fakes/scripted_servers.rs
@@ -24,6 +24,10 @@
     /// The connection breaks.
     Broken,
 
+    /// The connection ends, and the answer has no length and no chunks that would tell whether it is
+    /// complete.
+    Unmarked,
+
     /// No further data arrives, and the connection stays open.
     Hang,
 }
@@ -140,7 +144,7 @@
     }
 
     fn is_delimited(&self) -> bool {
-        true
+        self.end != ScriptEnd::Unmarked
     }
 
     async fn chunk(&mut self) -> LinkResult<Option<Bytes>> {
@@ -152,7 +156,7 @@
             return Ok(Some(Bytes::from_static(bytes.as_bytes())));
         }
         match self.end {
-            ScriptEnd::Whole => Ok(None),
+            ScriptEnd::Whole | ScriptEnd::Unmarked => Ok(None),
             ScriptEnd::Broken => Err(LinkError::Broken),
             ScriptEnd::Hang => std::future::pending().await,
         }
