Let members leave a silent group before they join another one

Class of fault: silence of a head taken for proof that it has stopped.

Change: members are free if their head is known to be out: it left, reports a newer group, is broken, has a successor, or was never ordered to open. Otherwise each member leaves the old group first; a group that a member left runs nothing. The freeing of members is a file of its own now.

Ruled out: to wait longer for silent heads. A cut lasts as long as it lasts, and the members would stand idle.

Checks: one test demanded that members of a silent head join at once, which is the fault; it now demands that they leave first and that refused orders prove nothing. It and two new ones failed before.

--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -13,8 +13,8 @@
 
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
-    FleetGroupRecord, FleetServer, GroupId, MemberPhase, MemberRecord, ModelName, PooledModel,
-    ServerLife, ServiceName,
+    FleetGroupRecord, FleetServer, GroupId, MemberRecord, ModelName, PooledModel, ServerLife,
+    ServiceName,
 };
 
 use crate::{
@@ -23,18 +23,18 @@
     fleet_plan::FleetPlan,
     fleet_state::{ReportedGroup, group_model, group_name, reported_groups},
     fleet_target::{demanded_groups, target_groups},
-    planned_group::{FleetIndex, GroupHealth, PlannedGroup, load_timeout, phase_in_group},
+    planned_group::{FleetIndex, GroupHealth, PlannedGroup, load_timeout},
 };
 
 /// Plans the groups of one service.
 #[derive(Debug)]
 pub struct FleetPlanner {
-    settings: FleetPlannerSettings,
+    pub(crate) settings: FleetPlannerSettings,
 
     /// Epochs are numbered from the fencing number of the lease, so that they only rise.
     next_epoch: u64,
 
-    groups: BTreeMap<GroupId, PlannedGroup>,
+    pub(crate) groups: BTreeMap<GroupId, PlannedGroup>,
 
     /// Servers that are loading weights, with the model and the start of the load.
     pub(crate) staging: HashMap<ServerLife, (ModelName, Instant)>,
@@ -42,11 +42,14 @@
     /// Dissolved groups whose rows are still stored.
     obsolete: Vec<GroupId>,
 
+    /// Servers that confirmed that they left a group.
+    pub(crate) left: HashSet<(ServerLife, GroupId)>,
+
     /// When each order was last sent.
     sent: HashMap<(ServerLife, FleetAction), Instant>,
 
     /// Heads that are neither listed nor reachable, and since when.
-    unreachable_heads: HashMap<ServerLife, Instant>,
+    pub(crate) unreachable_heads: HashMap<ServerLife, Instant>,
 
     /// Starts of loads within the last second.
     pub(crate) load_starts: Vec<Instant>,
@@ -67,6 +70,7 @@
             groups: BTreeMap::new(),
             staging: HashMap::new(),
             obsolete: Vec::new(),
+            left: HashSet::new(),
             sent: HashMap::new(),
             unreachable_heads: HashMap::new(),
             load_starts: Vec::new(),
@@ -84,6 +88,7 @@
         for group in groups {
             self.plan_group(now, &index, &group, &mut plan);
         }
+        self.release_orphans(&index, &mut plan);
         self.form_groups(now, view, &mut plan);
         self.stage_weights(now, view, &mut plan);
         let mut orders = std::mem::take(&mut plan.orders);
@@ -96,12 +101,12 @@
     }
 
     /// Records a server's reply to an order. Unless it refuses the order as outdated, the reply to
-    /// an order to leave proves that the server is no longer the group's head.
+    /// an order to leave proves that the server is no longer in the group.
     pub fn record_outcome(&mut self, order: &FleetOrder, outcome: OrderOutcome) {
-        let FleetAction::Leave { group, .. } = &order.action else { return };
-        let left = outcome != OrderOutcome::Outdated;
-        if let Some(known) = self.groups.get_mut(group) {
-            known.head_left |= left && known.record.head().life == order.life;
+        if let FleetAction::Leave { group, .. } = &order.action
+            && outcome != OrderOutcome::Outdated
+        {
+            self.left.insert((order.life.clone(), group.clone()));
         }
     }
 
@@ -143,6 +148,7 @@
         self.sent.retain(|_, at| now.saturating_duration_since(*at) < retry_interval);
         let second = Duration::from_secs(1);
         self.load_starts.retain(|at| now.saturating_duration_since(*at) < second);
+        self.left.retain(|(life, _)| index.find(life).is_some());
         let limit = |model: &ModelName| load_timeout(view.engine, model);
         self.staging.retain(|life, (model, since)| {
             let waiting = index.find(life).is_some_and(|server| !server.staged.contains(model));
@@ -197,6 +203,8 @@
     ) {
         let Some(group) = self.groups.get_mut(name) else { return };
         let health = group.health(now, index, &self.settings);
+        let is_head_listed = index.is_listed(&group.record.head().life);
+        group.head_was_seen |= is_head_listed && group.head_phase(index).is_some();
         group.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
         group.dissolving |= health == GroupHealth::Failed;
         let group = group.clone();
@@ -209,6 +217,7 @@
         let head = &group.record.head().life;
         match health {
             GroupHealth::Ready if group.is_saved => {
+                self.mark_open_ordered(&name);
                 plan.order(head, FleetAction::Open { group: name, epoch });
             }
             GroupHealth::Forming if group.is_saved => {
@@ -225,38 +234,12 @@
         *plan.active.entry(group.record.model.clone()).or_default() += 1;
     }
 
-    /// Dissolves a group. Its members are held until its head is known to have stopped serving: a
-    /// member that joined another group before that would be in two groups.
-    fn dissolve(
-        &mut self,
-        now: Instant,
-        index: &FleetIndex<'_>,
-        group: &PlannedGroup,
-        plan: &mut FleetPlan,
-    ) {
-        let FleetGroupRecord { group: name, epoch, .. } = &group.record;
-        let head = &group.record.head().life;
-        let phase = index.find(head).and_then(|server| phase_in_group(server, name, *epoch));
-        let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
-        if serves && !group.head_left {
-            plan.order(head, FleetAction::Leave { group: name.clone(), epoch: *epoch });
-        }
-        // A listed head that does not answer may be unreachable from this node only.
-        let listed = index.is_listed(head);
-        let safe = group.head_left
-            || (listed && !serves)
-            || (!listed && !index.is_reachable(head) && self.is_head_gone(now, head));
-        if !safe {
-            plan.hold(group);
+    fn mark_open_ordered(&mut self, name: &GroupId) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.may_be_open = true;
         }
     }
 
-    /// Whether a head has been neither listed nor reachable for the configured time.
-    fn is_head_gone(&mut self, now: Instant, head: &ServerLife) -> bool {
-        let since = *self.unreachable_heads.entry(head.clone()).or_insert(now);
-        now.saturating_duration_since(since) >= self.settings.head_loss_timeout
-    }
-
     // ---------------------------------------------------------------------------------------
     // New groups
 
@@ -282,7 +265,8 @@
                     self.load_starts.push(now);
                 }
             }
-            let group = PlannedGroup::new(record, now, false);
+            let group =
+                PlannedGroup { may_be_open: false, ..PlannedGroup::new(record, now, false) };
             plan.hold(&group);
             *plan.active.entry(model.name.clone()).or_default() += 1;
             self.groups.insert(group.record.group.clone(), group);
--- /dev/null
+++ b/crates/policy/src/fleet_release.rs
@@ -0,0 +1,98 @@
+//! Freeing of the members of groups that are dissolved.
+//!
+//! A server that joins a group while another one that it belongs to may still serve is in two groups.
+//! So members are freed by evidence that the old group has stopped, never by silence alone.
+
+use std::time::Instant;
+
+use comfreyturn_ports::FleetAction;
+use comfreyturn_types::{FleetGroupRecord, GroupId, MemberPhase, ServerLife};
+
+use crate::{
+    FleetPlanner,
+    fleet_plan::FleetPlan,
+    fleet_state::{ReportedGroup, reported_groups},
+    planned_group::{FleetIndex, PlannedGroup, phase_in_group},
+};
+
+impl FleetPlanner {
+    /// Dissolves a group. Its members are held until its head is known to have stopped serving: a
+    /// member that joined another group before that would be in two groups. If the head is silent,
+    /// or the list alone tells that it doesn't serve, each member leaves the group first; a group
+    /// that a member left runs nothing.
+    pub(crate) fn dissolve(
+        &mut self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        group: &PlannedGroup,
+        plan: &mut FleetPlan,
+    ) {
+        let FleetGroupRecord { group: name, epoch, members, .. } = &group.record;
+        let head = &group.record.head().life;
+        let phase = group.head_phase(index);
+        let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
+        let has_left = self.has_left(head, name);
+        if serves && !has_left {
+            plan.order(head, FleetAction::Leave { group: name.clone(), epoch: *epoch });
+        }
+        // A listed head that does not answer may be unreachable from this node only.
+        let is_listed = index.is_listed(head);
+        let is_idle = is_listed && !serves;
+        if has_left || group.is_head_out(index) || (is_idle && !group.may_be_open) {
+            return;
+        }
+        let is_gone = !is_listed && !index.is_reachable(head) && self.is_head_gone(now, head);
+        if is_idle || is_gone {
+            let members = members.iter().map(|member| &member.life);
+            self.release_members(index, name, *epoch, members, plan);
+        } else {
+            plan.hold(group);
+        }
+    }
+
+    /// Members of groups that this planner doesn't know and whose head isn't listed. The head may
+    /// still serve, so they leave before they join another group.
+    pub(crate) fn release_orphans(&self, index: &FleetIndex<'_>, plan: &mut FleetPlan) {
+        let view = index.view;
+        let reported = reported_groups(view.servers.iter().copied(), view.service, view.engine);
+        let is_orphaned = |group: &&ReportedGroup<'_>| {
+            group.head().is_none() && !self.groups.contains_key(&group.group)
+        };
+        for group in reported.iter().filter(is_orphaned) {
+            let members = group.members.iter().flatten().map(|member| &member.life);
+            self.release_members(index, &group.group, group.epoch, members, plan);
+        }
+    }
+
+    /// Orders members to leave a group, and holds those that are in it until they have left.
+    fn release_members<'a>(
+        &self,
+        index: &FleetIndex<'_>,
+        name: &GroupId,
+        epoch: u64,
+        members: impl Iterator<Item = &'a ServerLife>,
+        plan: &mut FleetPlan,
+    ) {
+        for life in members {
+            let server = index.find(life);
+            let is_in = server.is_some_and(|server| phase_in_group(server, name, epoch).is_some());
+            if !is_in || self.has_left(life, name) {
+                continue;
+            }
+            plan.held.insert(life.clone());
+            if index.is_listed(life) {
+                plan.order(life, FleetAction::Leave { group: name.clone(), epoch });
+            }
+        }
+    }
+
+    fn has_left(&self, life: &ServerLife, group: &GroupId) -> bool {
+        self.left.contains(&(life.clone(), group.clone()))
+    }
+
+    /// Whether a head has been neither listed nor reachable for the configured time.
+    fn is_head_gone(&mut self, now: Instant, head: &ServerLife) -> bool {
+        let since = *self.unreachable_heads.entry(head.clone()).or_insert(now);
+        now.saturating_duration_since(since) >= self.settings.head_loss_timeout
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod fleet_match;
 mod fleet_plan;
 mod fleet_planner;
+mod fleet_release;
 mod fleet_staging;
 mod fleet_state;
 mod fleet_summary;
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -35,6 +35,12 @@
         self.find(life).is_some() && !self.view.unlisted.contains(life)
     }
 
+    /// Whether a later life of the server's VM is listed, so that this one has ended.
+    pub(crate) fn has_successor(&self, life: &ServerLife) -> bool {
+        let current = self.servers.get(&life.vm);
+        current.is_some_and(|server| server.life.born > life.born && self.is_listed(&server.life))
+    }
+
     /// Whether the server is known and responds.
     pub(crate) fn is_reachable(&self, life: &ServerLife) -> bool {
         self.find(life).is_some() && !self.view.lost.contains(life)
@@ -59,8 +65,11 @@
     /// stopped serving.
     pub(crate) dissolving: bool,
 
-    /// Whether the head confirmed that it left the group.
-    pub(crate) head_left: bool,
+    /// Whether the planner saw its head in it.
+    pub(crate) head_was_seen: bool,
+
+    /// Whether its head may have been ordered to open, by this planner or an earlier one.
+    pub(crate) may_be_open: bool,
 }
 
 /// State of a group, as the planner sees it.
@@ -84,7 +93,15 @@
 
 impl PlannedGroup {
     pub(crate) fn new(record: FleetGroupRecord, since: Instant, is_saved: bool) -> Self {
-        Self { record, since, is_saved, was_ready: false, dissolving: false, head_left: false }
+        Self {
+            record,
+            since,
+            is_saved,
+            was_ready: false,
+            dissolving: false,
+            head_was_seen: false,
+            may_be_open: true,
+        }
     }
 
     /// Determines the health of the group.
@@ -137,6 +154,30 @@
         }
     }
 
+    /// The phase of its head, as listed or as last listed.
+    pub(crate) fn head_phase(&self, index: &FleetIndex<'_>) -> Option<MemberPhase> {
+        let head = index.find(&self.record.head().life)?;
+        phase_in_group(head, &self.record.group, self.record.epoch)
+    }
+
+    /// Whether its head can't be in it any more: it reports a newer group, its VM runs a later life
+    /// of the server, the group is broken, or the head was in it and now reports that it isn't.
+    pub(crate) fn is_head_out(&self, index: &FleetIndex<'_>) -> bool {
+        let head = &self.record.head().life;
+        if index.has_successor(head) {
+            return true;
+        }
+        let Some(server) = index.find(head).filter(|_| index.is_listed(head)) else { return false };
+        let newer = server.membership.as_ref();
+        if newer.is_some_and(|newer| newer.epoch > self.record.epoch) {
+            return true;
+        }
+        match self.head_phase(index) {
+            Some(phase) => phase == MemberPhase::Broken,
+            None => self.head_was_seen,
+        }
+    }
+
     /// Members that don't report this group and epoch.
     pub(crate) fn missing_members(&self, index: &FleetIndex<'_>) -> Vec<&ServerLife> {
         let lives = self.record.members.iter().map(|member| &member.life);
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -176,6 +176,10 @@
     }
 }
 
+fn is_leave(order: &FleetOrder) -> bool {
+    matches!(order.action, FleetAction::Leave { .. })
+}
+
 fn joins(orders: &[FleetOrder]) -> Vec<&FleetOrder> {
     let is_join = |order: &&FleetOrder| matches!(order.action, FleetAction::Join { .. });
     orders.iter().filter(is_join).collect()
@@ -243,8 +247,7 @@
     });
     fleet.lost.insert(member.unwrap().life.clone());
     let orders = fleet.orders();
-    let leave = |order: &FleetOrder| matches!(order.action, FleetAction::Leave { .. });
-    assert!(orders.iter().any(|order| order.life == head && leave(order)));
+    assert!(orders.iter().any(|order| order.life == head && is_leave(order)));
     assert!(joins(&orders).is_empty(), "members wait until the head has left");
     fleet.carry_out(&orders);
     let orders = fleet.orders();
@@ -266,17 +269,75 @@
     }
 }
 
+/// Guards against a server in two groups: a head that nobody hears may still be open (TWO).
 #[test]
-fn head_that_is_neither_listed_nor_reachable_frees_its_members() {
+fn head_that_is_neither_listed_nor_reachable_frees_its_members_once_they_have_left() {
     let mut fleet = staged_fleet(8, 8);
     fleet.settle();
     let head = fleet.in_phase(MemberPhase::Open)[0].clone();
     fleet.lost.insert(head.clone());
-    fleet.unlisted.insert(head);
+    fleet.unlisted.insert(head.clone());
     fleet.servers.extend((8..10).map(|index| server(index, &["big"])));
     let mut orders = fleet.orders();
     orders.extend(fleet.orders());
-    assert_eq!(joins(&orders).len(), 4);
+    assert!(joins(&orders).is_empty(), "the members have not left");
+    let left: Vec<FleetOrder> =
+        orders.into_iter().filter(|order| is_leave(order) && order.life != head).collect();
+    assert_eq!(left.len(), 3);
+    for order in &left {
+        fleet.planner.record_outcome(order, OrderOutcome::Outdated);
+    }
+    assert!(joins(&fleet.orders()).is_empty(), "refused orders prove nothing");
+    for order in &left {
+        fleet.planner.record_outcome(order, OrderOutcome::Taken);
+    }
+    assert_eq!(joins(&fleet.orders()).len(), 4);
+}
+
+/// Guards against a server in two groups: a planner that does not know the group of a member, and
+/// does not hear its head, must not take the member for free (TWO).
+#[test]
+fn member_of_an_unknown_group_without_a_listed_head_leaves_it_first() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    fleet.servers.retain(|server| server.life != head);
+    // The row was lost, or removed while all members were unlisted.
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    let orders = fleet.orders();
+    assert!(joins(&orders).is_empty(), "the members have not left");
+    assert_eq!(orders.iter().filter(|order| is_leave(order)).count(), 3);
+    assert!(joins(&fleet.orders()).is_empty(), "nor have they on the second look");
+    fleet.carry_out(&orders);
+    assert_eq!(joins(&fleet.orders()).len(), 4);
+}
+
+/// Guards against members that are freed by a list that is older than an order to open (TWO).
+#[test]
+fn head_that_an_earlier_planner_may_have_opened_frees_no_member_by_the_list_alone() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let records = fleet.records();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    let group = fleet.servers.iter().find(|server| server.life == head).unwrap();
+    let group = group.membership.clone().unwrap().group;
+    let in_group = |server: &&mut FleetServer| {
+        server.membership.as_ref().is_some_and(|own| own.group == group)
+    };
+    for server in fleet.servers.iter_mut().filter(in_group) {
+        if server.life == head {
+            set_phase(server, MemberPhase::Ready);
+        } else if server.membership.as_ref().is_some_and(|own| own.rank == 3) {
+            server.membership = None;
+        }
+    }
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    fleet.planner.restore(fleet.now, records);
+    let orders = fleet.orders();
+    assert!(joins(&orders).is_empty(), "the list may be older than an order to open");
+    assert_eq!(orders.iter().filter(|order| is_leave(order)).count(), 3);
+    fleet.carry_out(&orders);
+    assert_eq!(joins(&fleet.orders()).len(), 4);
 }
 
 #[test]
