Place a server that only rows name in the newest of its groups

What was seen: after all nodes had lost power, a new lease holder took an unlisted server for the open head of a group that it had left 18 s before, and ordered it to leave that one.

Cause: rows of dissolved groups may be left until the next new group is written, rows are read in the order of their names, and the first one that names a server counted.

Change: of the rows that name a server, the one with the highest epoch counts.

Ruled out: to remove rows as soon as a group is dissolved; a write for each, and a holder may still die before it.

The test checks the new function, so it could not fail on the code before; there the first row counted by construction.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -196,9 +196,7 @@
         let now = self.gateway.ports.clock.now();
         let state = &self.gateway.state;
         log::info!(groups = records.len(), fencing = fencing.0; "fleet: groups restored.");
-        for record in &records {
-            state.add_unlisted_members(now, record);
-        }
+        state.add_unlisted_members(now, &records);
         let restored = !records.is_empty();
         let mut plans = FleetPlans { fencing, restored, ..FleetPlans::default() };
         for record in records {
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use comfreyturn_policy::newest_places;
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_types::{
-    FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, MemberRecord, ServerLife,
-    StoreVersion,
+    FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, ServerLife, StoreVersion,
 };
 
 use crate::{LoggedChange, gateway_state::GatewayState};
@@ -119,24 +119,23 @@
         self.lost.borrow_mut().retain(known);
     }
 
-    /// Keeps the members that a group's row names but the list doesn't. They may still serve if
-    /// they lost their connection to the platform before this node read the list.
-    pub(crate) fn add_unlisted_members(&self, now: Instant, record: &FleetGroupRecord) {
+    /// Keeps the members that rows of groups name but the list doesn't. They may still serve if they
+    /// lost their connection to the platform before this node read the list.
+    pub(crate) fn add_unlisted_members(&self, now: Instant, records: &[FleetGroupRecord]) {
         let servers = self.servers.borrow();
         let mut unlisted = self.unlisted.borrow_mut();
-        for (rank, member) in record.members.iter().enumerate() {
-            if servers.get(&member.life).is_some() || unlisted.contains_key(&member.life) {
-                continue;
+        for (life, (record, rank)) in newest_places(records) {
+            if servers.get(life).is_none() && !unlisted.contains_key(life) {
+                unlisted.insert(life.clone(), (now, recorded_server(record, rank)));
             }
-            let server = recorded_server(record, member, rank);
-            unlisted.insert(member.life.clone(), (now, server));
         }
     }
 }
 
 /// Builds a server from the row of its group. The head is assumed to be open until it reports
 /// another phase.
-fn recorded_server(record: &FleetGroupRecord, member: &MemberRecord, rank: usize) -> FleetServer {
+fn recorded_server(record: &FleetGroupRecord, rank: usize) -> FleetServer {
+    let member = &record.members[rank];
     let phase = if rank == 0 { MemberPhase::Open } else { MemberPhase::Ready };
     FleetServer {
         life: member.life.clone(),
--- a/crates/policy/src/fleet_state.rs
+++ b/crates/policy/src/fleet_state.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use comfreyturn_types::{
-    EngineSpec, FleetServer, GroupId, GroupMembership, MemberPhase, ModelName, PooledModel,
-    ServiceName,
+    EngineSpec, FleetGroupRecord, FleetServer, GroupId, GroupMembership, MemberPhase, ModelName,
+    PooledModel, ServerLife, ServiceName,
 };
 
 /// Names a group after its model, so that a server's entry shows which model the group runs.
@@ -90,3 +90,20 @@
         members: vec![None; model.group_size as usize],
     }
 }
+
+/// The newest group of each server that rows of groups name, with its rank there. Rows of dissolved
+/// groups may be left, so an older row says nothing of a server that a newer one names.
+pub fn newest_places(
+    records: &[FleetGroupRecord],
+) -> BTreeMap<&ServerLife, (&FleetGroupRecord, usize)> {
+    let mut places: BTreeMap<&ServerLife, (&FleetGroupRecord, usize)> = BTreeMap::new();
+    for record in records {
+        for (rank, member) in record.members.iter().enumerate() {
+            let place = places.entry(&member.life).or_insert((record, rank));
+            if place.0.epoch < record.epoch {
+                *place = (record, rank);
+            }
+        }
+    }
+    places
+}
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -5,11 +5,14 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView};
+use comfreyturn_policy::{
+    FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, newest_places,
+};
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
-    EngineSpec, FabricDomain, FailureDomain, FleetGroupRecord, FleetServer, GroupMembership,
-    MemberPhase, ModelName, PooledModel, ServerLife, ServiceName, VmId,
+    EngineSpec, FabricDomain, FailureDomain, FleetGroupRecord, FleetServer, GroupId,
+    GroupMembership, MemberPhase, MemberRecord, ModelName, PooledModel, ServerLife, ServiceName,
+    VmId,
 };
 
 /// A fleet whose servers carry out orders immediately.
@@ -312,6 +315,34 @@
     assert_eq!(joins(&fleet.orders()).len(), 4);
 }
 
+/// Guards against a server that is taken for a member of an older group whose row was left (TWO).
+#[test]
+fn server_that_only_rows_name_is_in_the_newest_of_its_groups() {
+    let member = |index: usize| MemberRecord {
+        life: server(index, &[]).life,
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: FailureDomain::from("z"),
+    };
+    let record = |name: &str, epoch: u64, members: &[usize]| FleetGroupRecord {
+        group: GroupId::from(name),
+        service: ServiceName::from("pool"),
+        epoch,
+        model: ModelName::from("big"),
+        members: members.iter().copied().map(member).collect(),
+    };
+    // The older group's row comes first, as rows are sorted by name.
+    let records =
+        [record("big.1000007", 1_000_007, &[5, 6]), record("big.3000003", 3_000_003, &[7, 5])];
+    let places = newest_places(&records);
+    let place = |index: usize| {
+        let (record, rank) = places[&server(index, &[]).life];
+        (record.group.as_str().to_owned(), rank)
+    };
+    assert_eq!(place(5), ("big.3000003".to_owned(), 1));
+    assert_eq!(place(6), ("big.1000007".to_owned(), 1));
+    assert_eq!(place(7), ("big.3000003".to_owned(), 0));
+}
+
 /// Guards against members that are freed by a list that is older than an order to open (TWO).
 #[test]
 fn head_that_an_earlier_planner_may_have_opened_frees_no_member_by_the_list_alone() {
