Tell the newest crashes first, and take in senders twice a second

A comment said that what a datagram leaves out comes with the next one; the order never differed, so with more than 64 crashes or 64 parts of a crash some were never told. Nodes took in all senders with each heartbeat, which costs a small node of a large fleet a hundredth of its share.

Change: the newest crashes, answers and quarantined parts go first, and a crash has room for the parts of 128. Senders are taken in every half second. The node tests share one service of plain servers.

--- a/crates/gateway/src/part_report.rs
+++ b/crates/gateway/src/part_report.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other about prompt parts that may crash servers.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
@@ -8,13 +9,12 @@
 use comfreyturn_proto::peer;
 use comfreyturn_types::PromptPart;
 
-/// The most crashes, and the most quarantined and sound parts, in a datagram. What is left out is
-/// told by the next one, as the order differs each time.
-const MAX_CRASHES: usize = 64;
+/// The most crashes, and the most quarantined and sound parts, in a datagram; the newest go first.
+const MAX_CRASHES: usize = 32;
 const MAX_PARTS: usize = 256;
 
-/// The most parts of one crash in a datagram.
-const MAX_CRASHED_PARTS: usize = 64;
+/// The most parts of one crash in a datagram, enough for the requests that a server runs at once.
+const MAX_CRASHED_PARTS: usize = 128;
 
 /// The parts of the prompts that a server was about to answer when it crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,13 +75,11 @@
             age_ms: age_ms(now, seen.at),
             parts: seen.parts.iter().take(MAX_CRASHED_PARTS).map(|part| part.0).collect(),
         };
-        beat.part_crashes = self.crashes.iter().take(MAX_CRASHES).map(crash).collect();
-        let part = |(part, at): (&PromptPart, &Instant)| peer::PartTime {
-            part: part.0,
-            age_ms: age_ms(now, *at),
-        };
-        beat.sound_parts = self.sound.iter().take(MAX_PARTS).map(part).collect();
-        beat.quarantined_parts = self.quarantined.iter().take(MAX_PARTS).map(part).collect();
+        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        crashes.sort_by_key(|(_, seen)| Reverse(seen.at));
+        beat.part_crashes = crashes.into_iter().take(MAX_CRASHES).map(crash).collect();
+        beat.sound_parts = encode_times(now, &self.sound);
+        beat.quarantined_parts = encode_times(now, &self.quarantined);
     }
 
     /// Reads the report in a message.
@@ -100,6 +98,16 @@
     }
 }
 
+fn encode_times(now: Instant, times: &HashMap<PromptPart, Instant>) -> Vec<peer::PartTime> {
+    let mut times: Vec<_> = times.iter().collect();
+    times.sort_by_key(|(_, at)| Reverse(**at));
+    let time = |(part, at): (&PromptPart, &Instant)| peer::PartTime {
+        part: part.0,
+        age_ms: age_ms(now, *at),
+    };
+    times.into_iter().take(MAX_PARTS).map(time).collect()
+}
+
 fn age_ms(now: Instant, at: Instant) -> u32 {
     u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/tests/nodes/crashing_parts.rs
+++ b/crates/gateway/tests/nodes/crashing_parts.rs
@@ -1,7 +1,7 @@
 //! Prompts with one part in common that crash each server that begins to answer them.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
@@ -9,15 +9,14 @@
 use comfreyturn_gateway::ForwardRequest;
 use comfreyturn_ports::{ServerChange, ServerReading};
 use comfreyturn_standin::fakes::{CRASH_HEADER, FixedFeeds};
-use comfreyturn_types::{
-    CallerLimits, FailureDomain, FleetServer, GatewayConfig, HostName, PromptPart, RequestId,
-    RequestKind, RouteName, RouteSpec, RouteTarget, ServerLife, ServiceName, ServiceSpec,
-    StoreVersion, VmId,
-};
-use http::{HeaderMap, HeaderValue, Method};
+use comfreyturn_types::{PromptPart, RequestKind, ServerLife, StoreVersion, VmId};
+use http::{HeaderMap, HeaderValue};
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 
-use crate::test_nodes::{TestNodes, address, name};
+use crate::{
+    plain_service::{listed, plain_config, plain_request},
+    test_nodes::{TestNodes, address, name},
+};
 
 const SIZES: [u16; 3] = [7, 9, 89];
 
@@ -48,46 +47,6 @@
 /// Time after which the nodes of a first start know each other and the servers, in milliseconds.
 const JOIN_MS: u64 = 6000;
 
-fn config() -> GatewayConfig {
-    let service =
-        ServiceSpec { name: ServiceName::from("plain"), max_connections: 100, engine: None };
-    let route = RouteSpec {
-        name: RouteName::from("route"),
-        host: HostName::from("h"),
-        prefix: "/".to_owned(),
-        kind: RequestKind::ResumableStream,
-        timeout: Duration::from_secs(4),
-        objective: Duration::from_millis(300),
-        longest_pause: Some(Duration::from_millis(200)),
-        priority: 0,
-        max_attempts: 2,
-        public: true,
-        targets: vec![RouteTarget { service: service.name.clone(), weight: 1 }],
-    };
-    GatewayConfig {
-        version: 1,
-        routes: vec![route],
-        services: BTreeMap::from([(service.name.clone(), service)]),
-        customers: None,
-        limits: CallerLimits::default(),
-    }
-}
-
-fn listed(vm: VmId) -> ServerChange {
-    ServerChange::Listed(Box::new(FleetServer {
-        life: ServerLife { vm, born: 1 },
-        service: ServiceName::from("plain"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: FailureDomain::from("z"),
-        slots: 16,
-        leaving: false,
-        fabric_domain: None,
-        model: None,
-        staged: Vec::new(),
-        membership: None,
-    }))
-}
-
 /// Nodes whose callers send some prompts that crash servers.
 struct CrashingSite {
     nodes: TestNodes,
@@ -126,9 +85,9 @@
 
     /// Makes the platform return the configuration and the servers.
     fn fill(&self, feeds: &FixedFeeds) {
-        feeds.put_config(config());
+        feeds.put_config(plain_config(RequestKind::ResumableStream));
         let version = StoreVersion::first_era(self.list_version);
-        let changes = self.servers.iter().cloned().map(listed).collect();
+        let changes = self.servers.iter().map(|vm| listed(vm.as_str())).collect();
         feeds.add_reading(ServerReading { is_whole: true, version, changes });
     }
 
@@ -162,18 +121,10 @@
             shared_parts.push(CRASHING_PART);
         }
         ForwardRequest {
-            id: RequestId::from("r"),
-            host: "h".to_owned(),
-            method: Method::POST,
-            target: "/x".to_owned(),
             headers,
             body: Bytes::from(self.rng.random::<u64>().to_string()),
-            key: None,
-            model: None,
             shared_parts,
-            deadline: Some(Duration::from_secs(3)),
-            resume_after: None,
-            received_at: self.now(),
+            ..plain_request(self.now())
         }
     }
 
@@ -195,7 +146,7 @@
             self.servers.push(successor.clone());
             self.list_version += 1;
             let version = StoreVersion::first_era(self.list_version);
-            let changes = vec![ServerChange::Dropped(vm), listed(successor)];
+            let changes = vec![ServerChange::Dropped(vm), listed(successor.as_str())];
             for feeds in self.nodes.feeds.values() {
                 let changes = changes.clone();
                 feeds.add_reading(ServerReading { is_whole: false, version, changes });
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -4,5 +4,6 @@
 mod crashing_parts;
 mod fleet_lease;
 mod fleet_view;
+mod plain_service;
 mod rate_limits;
 mod test_nodes;
--- a/crates/gateway/tests/nodes/rate_limits.rs
+++ b/crates/gateway/tests/nodes/rate_limits.rs
@@ -1,23 +1,19 @@
 //! Servers that state a rate limit for all nodes together.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::HashSet,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use comfreyturn_gateway::ForwardRequest;
-use comfreyturn_ports::{ServerChange, ServerReading};
+use comfreyturn_ports::ServerReading;
 use comfreyturn_standin::fakes::FixedFeeds;
-use comfreyturn_types::{
-    CallerLimits, FailureDomain, FleetServer, GatewayConfig, HostName, RequestId, RequestKind,
-    RequestRate, RouteName, RouteSpec, RouteTarget, ServerLife, ServiceName, ServiceSpec,
-    StoreVersion, VmId,
-};
-use http::{HeaderMap, Method};
+use comfreyturn_types::{RequestKind, RequestRate, StoreVersion, VmId};
 use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
 
-use crate::test_nodes::{TestNodes, address, name};
+use crate::{
+    plain_service::{listed, plain_config, plain_request},
+    test_nodes::{TestNodes, address, name},
+};
 
 const SIZES: [u16; 3] = [7, 9, 89];
 
@@ -54,50 +50,10 @@
     format!("s{index}")
 }
 
-fn config() -> GatewayConfig {
-    let service =
-        ServiceSpec { name: ServiceName::from("plain"), max_connections: 100, engine: None };
-    let route = RouteSpec {
-        name: RouteName::from("route"),
-        host: HostName::from("h"),
-        prefix: "/".to_owned(),
-        kind: RequestKind::Idempotent,
-        timeout: Duration::from_secs(4),
-        objective: Duration::from_millis(300),
-        longest_pause: None,
-        priority: 0,
-        max_attempts: 2,
-        public: true,
-        targets: vec![RouteTarget { service: service.name.clone(), weight: 1 }],
-    };
-    GatewayConfig {
-        version: 1,
-        routes: vec![route],
-        services: BTreeMap::from([(service.name.clone(), service)]),
-        customers: None,
-        limits: CallerLimits::default(),
-    }
-}
-
-fn listed(index: usize) -> ServerChange {
-    ServerChange::Listed(Box::new(FleetServer {
-        life: ServerLife { vm: VmId::from(server_name(index)), born: 1 },
-        service: ServiceName::from("plain"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        failure_domain: FailureDomain::from("z"),
-        slots: 16,
-        leaving: false,
-        fabric_domain: None,
-        model: None,
-        staged: Vec::new(),
-        membership: None,
-    }))
-}
-
 /// Makes the platform return the configuration and the servers.
 fn fill(feeds: &FixedFeeds) {
-    feeds.put_config(config());
-    let changes = (0..SERVERS).map(listed).collect();
+    feeds.put_config(plain_config(RequestKind::Idempotent));
+    let changes = (0..SERVERS).map(|index| listed(&server_name(index))).collect();
     let version = StoreVersion::first_era(1);
     feeds.add_reading(ServerReading { is_whole: true, version, changes });
 }
@@ -147,7 +103,7 @@
         let receivers: Vec<u16> = (1..=self.size).filter(|node| to(*node)).collect();
         for _ in 0..milliseconds / REQUEST_PAUSE_MS {
             let number = receivers[self.rng.random_range(0..receivers.len())];
-            self.nodes.send(number, request(self.now()));
+            self.nodes.send(number, plain_request(self.now()));
             self.nodes.run(REQUEST_PAUSE_MS);
         }
     }
@@ -184,23 +140,6 @@
     arrivals.iter().enumerate().map(count).max().unwrap_or_default()
 }
 
-fn request(now: Instant) -> ForwardRequest {
-    ForwardRequest {
-        id: RequestId::from("r"),
-        host: "h".to_owned(),
-        method: Method::GET,
-        target: "/x".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        key: None,
-        model: None,
-        shared_parts: Vec::new(),
-        deadline: Some(Duration::from_secs(3)),
-        resume_after: None,
-        received_at: now,
-    }
-}
-
 /// Guards against all nodes together sending a server more than the rate that it states (LIMIT).
 #[test]
 fn server_with_a_rate_limit_is_not_overrun_by_all_nodes_together() {
--- a/crates/policy/src/sender_roster.rs
+++ b/crates/policy/src/sender_roster.rs
@@ -10,6 +10,9 @@
 /// A node that was last alive longer ago than this has no share any more.
 const SENDER_RETENTION: Duration = Duration::from_secs(60);
 
+/// Interval at which the nodes are taken in.
+const UPDATE_PERIOD: Duration = Duration::from_millis(500);
+
 /// The nodes that share what a server with a rate limit takes.
 ///
 /// A node that seems to have crashed may only be cut off, and then still sends. So it keeps its
@@ -18,16 +21,23 @@
 pub struct SenderRoster {
     /// When each node was last known to be alive.
     nodes: BTreeMap<NodeId, Instant>,
+
+    updated_at: Option<Instant>,
 }
 
 impl SenderRoster {
-    /// Records which other nodes are alive, and this one, `own`.
+    /// Records which other nodes are alive, and this one, `own`, unless that was done shortly before.
     pub fn update<'a>(
         &mut self,
         now: Instant,
         own: &NodeId,
         others: impl Iterator<Item = &'a NodeId>,
     ) {
+        let since = self.updated_at.map(|at| now.saturating_duration_since(at));
+        if since.is_some_and(|since| since < UPDATE_PERIOD) {
+            return;
+        }
+        self.updated_at = Some(now);
         let mut is_alone = true;
         for node in others {
             is_alone = false;
