Reproduce too little being served in two tests that fail

The tests play the production planner before a fleet in virtual time: 162 servers in 9 fabric domains of 18, groups of eight and of two, loads from a weight store with limits, losses every three seconds, a dark domain.

Ruled out: the measuring of demand (both needs are fixed in the test) and the rate limits of servers (there are none).

Conclusion: the planner alone brings it about.

--- /dev/null
+++ b/crates/policy/tests/fleet_share/main.rs
@@ -0,0 +1,110 @@
+//! The share of the servers that each model gets while servers are lost one after the other: small
+//! groups and large ones in the same fabric domains.
+
+mod sim_fleet;
+
+use std::time::Duration;
+
+use comfreyturn_policy::target_groups;
+use comfreyturn_types::{EngineSpec, ModelName};
+
+use crate::sim_fleet::{SimFleet, SimSettings, model};
+
+/// 162 servers in 9 fabric domains; groups of eight and of two; more work than servers.
+fn mixed_fleet(seed: u64) -> SimSettings {
+    SimSettings {
+        domains: 9,
+        domain_size: 18,
+        models: vec![model("large", 8, 0.5), model("small", 2, 0.5)],
+        work: vec![100.0, 420.0],
+        loads_at_once: 20,
+        loads_per_second: 14.0,
+        lead: Duration::from_secs(14),
+        seed,
+    }
+}
+
+/// Groups of each model if the servers that are left were divided by work, and none were stranded.
+fn fair_groups(settings: &SimSettings, servers: usize) -> Vec<f64> {
+    let engine = EngineSpec {
+        slots: 20,
+        models: settings.models.clone(),
+        loads_per_second: settings.loads_per_second,
+        loads_at_once: settings.loads_at_once,
+        kept_models: 1,
+        open_time: Duration::ZERO,
+    };
+    let names: Vec<ModelName> = engine.models.iter().map(|model| model.name.clone()).collect();
+    let work = names.iter().cloned().zip(settings.work.iter().copied()).collect();
+    let targets = target_groups(&engine, &work, servers, SPARE_SHARE);
+    names.iter().map(|name| f64::from(targets.get(name).copied().unwrap_or(0))).collect()
+}
+
+/// The share of the servers that the planner keeps for losses.
+const SPARE_SHARE: f64 = 0.15;
+
+/// The least share of its fair number of groups that a model keeps over a day with losses.
+const MIN_SHARE: f64 = 0.85;
+
+/// Mean number of groups that serve, over the fair number, for each model, while two or three
+/// servers in groups are lost every three seconds and as many are added elsewhere.
+fn mean_shares(settings: &SimSettings, dark_domain: bool) -> Vec<f64> {
+    let mut fleet = SimFleet::new(settings.clone());
+    fleet.run_until(0.0, |_| {});
+    let mut serving = vec![0.0; settings.models.len()];
+    let mut fair = vec![0.0; settings.models.len()];
+    for round in 0..10 {
+        if round > 0 {
+            fleet.lose_grouped(2 + round % 2);
+            let domain = fleet.any_domain();
+            (0..2).for_each(|_| fleet.add_server(domain));
+        }
+        if dark_domain && round == 4 {
+            fleet.lose_domain(1);
+        }
+        fleet.run_until(f64::from(u32::try_from(round).unwrap() + 1) * 3.0, |fleet| {
+            let alive = fleet.free().0;
+            for (sum, groups) in serving.iter_mut().zip(fleet.serving()) {
+                *sum += groups as f64;
+            }
+            for (sum, groups) in fair.iter_mut().zip(fair_groups(settings, alive)) {
+                *sum += groups;
+            }
+        });
+    }
+    serving.iter().zip(&fair).map(|(serving, fair)| serving / fair).collect()
+}
+
+/// Guards against too little being served (SHORT): small groups take the room of the large ones
+/// before the first request.
+#[test]
+fn model_with_large_groups_has_its_share_of_servers_before_traffic() {
+    for seed in 0..4 {
+        let settings = mixed_fleet(seed);
+        let mut fleet = SimFleet::new(settings.clone());
+        fleet.run_until(-1.0, |_| {});
+        let (alive, free) = fleet.free();
+        let (serving, fair) = (fleet.serving(), fair_groups(&settings, alive));
+        for (serving, fair) in serving.iter().zip(&fair) {
+            assert!(
+                *serving as f64 >= *fair,
+                "seed {seed}: {serving} of {fair} groups, {free} servers free"
+            );
+        }
+    }
+}
+
+/// Guards against too little being served (SHORT): losses strand the members of large groups
+/// beside servers of small ones.
+#[test]
+fn model_with_large_groups_keeps_its_share_of_servers_while_servers_are_lost() {
+    for seed in 0..4 {
+        for dark_domain in [false, true] {
+            let shares = mean_shares(&mixed_fleet(seed), dark_domain);
+            assert!(
+                shares.iter().all(|share| *share >= MIN_SHARE),
+                "seed {seed}, a dark domain: {dark_domain}: {shares:.2?} of the fair groups"
+            );
+        }
+    }
+}
