Leave room for large groups when small ones are placed

Callers saw requests of the model with groups of eight refused or late from the first seconds on: it had 6 of 8 groups, and never got the others.

Cause: a group of two was placed in the domain with the fewest servers in groups, so all domains filled up alike and none had eight free servers left. Small groups also took the places at the weight store one by one, so eight were never free at once.

Class: a resource that only some requesters can use in small pieces is handed out without keeping it whole for those that need it whole.

Change: a small group goes where it costs no room for the large groups that are still lacking, and a group waits for its places at the weight store before smaller ones take them. Servers whose last group ran a model count as holding its weights, as the order to join does.

Ruled out: the weight store's rate (loads were over 7 s before traffic), the measuring of demand (declared shares are used until then).

Test: model_with_large_groups_has_its_share_of_servers_before_traffic failed with 3 of 8 groups and 34 free servers; it passes now. It looks at the first request, which is the moment that counts, in place of a second before: the weight store needs 13 of the 14 s for all servers.

--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -21,7 +21,7 @@
     fn has_weights(&self, model: &ModelName) -> bool {
         match &self.loading {
             Some(loading) => loading == model,
-            None => self.server.staged.contains(model),
+            None => holds_weights(self.server, model),
         }
     }
 
@@ -30,6 +30,12 @@
     }
 }
 
+/// Whether a server joins a group of the model without a load: the weights are staged on its host,
+/// or the model is that of its last group.
+pub(crate) fn holds_weights(server: &FleetServer, model: &ModelName) -> bool {
+    server.model.as_ref() == Some(model) || server.staged.contains(model)
+}
+
 /// The free servers of one fabric domain.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FreePool<'a> {
@@ -86,10 +92,9 @@
 
 /// How long a server takes to join a group of the model.
 fn join_time(server: &FleetServer, model: &PooledModel) -> Duration {
-    let staged = server.staged.contains(&model.name);
-    if staged && server.model.as_ref() == Some(&model.name) {
+    if server.model.as_ref() == Some(&model.name) {
         REJOIN_TIME
-    } else if staged {
+    } else if server.staged.contains(&model.name) {
         model.warm_time
     } else {
         model.load_time
@@ -109,7 +114,38 @@
 
 impl GroupShortage<'_> {
     pub(crate) fn is_short(&self, model: &ModelName) -> bool {
-        self.active.get(model).unwrap_or(&0) < self.targets.get(model).unwrap_or(&0)
+        self.lacking(model) > 0
+    }
+
+    /// Number of groups that the model lacks.
+    fn lacking(&self, model: &ModelName) -> u32 {
+        let target = self.targets.get(model).copied().unwrap_or(0);
+        target.saturating_sub(self.active.get(model).copied().unwrap_or(0))
+    }
+
+    /// Whether a group of `model` in this domain leaves room for the groups that models with larger
+    /// groups lack.
+    ///
+    /// A large group needs many free servers of one domain, a small one finds room everywhere. So a
+    /// small group goes where it costs no room for a large one, as long as there is no more of it
+    /// than needed.
+    pub(crate) fn leaves_room(
+        &self,
+        pool: &FreePool<'_>,
+        pools: &[FreePool<'_>],
+        model: &PooledModel,
+    ) -> bool {
+        let larger = self.view.engine.models.iter();
+        let mut larger = larger.filter(|larger| larger.group_size > model.group_size);
+        larger.all(|larger| {
+            let room = |pool: &FreePool<'_>, taken: usize| {
+                let usable = pool.usable(larger, self.view.before_traffic);
+                usable.saturating_sub(taken) / larger.group_size as usize
+            };
+            let cost = room(pool, 0) - room(pool, model.group_size as usize);
+            let total: usize = pools.iter().map(|pool| room(pool, 0)).sum();
+            cost == 0 || total - cost >= self.lacking(&larger.name) as usize
+        })
     }
 
     /// Work per active group.
@@ -149,6 +185,12 @@
         self.servers.len() >= model.group_size as usize + reserve
     }
 
+    /// Number of free servers that can become members of a group of the model; before the first
+    /// request that is any, since loads are short then.
+    fn usable(&self, model: &PooledModel, before_traffic: bool) -> usize {
+        if before_traffic { self.servers.len() } else { self.ready(&model.name) }
+    }
+
     fn soonest(&self, model: &PooledModel, size: usize) -> Option<Vec<&'a FleetServer>> {
         let idle = self.servers.iter().filter(|server| server.loading.is_none());
         let mut servers: Vec<&FleetServer> = idle.map(|server| server.server).collect();
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     FleetOrder, FleetPlannerSettings, FleetView,
-    fleet_match::{FreePool, GroupShortage, choose_members},
+    fleet_match::{FreePool, GroupShortage, choose_members, holds_weights},
     fleet_plan::FleetPlan,
     fleet_state::{ReportedGroup, group_model, group_name, reported_groups},
     fleet_target::{demanded_groups, target_groups},
@@ -251,26 +251,35 @@
             let loading = self.loading(view);
             let next = self.next_group(view, &targets, &plan.active, &pools, loading);
             let Some((model, members)) = next else { return };
-            let record = FleetGroupRecord {
-                group: group_name(&model.name, self.next_epoch),
-                service: view.service.clone(),
-                epoch: self.next_epoch,
-                model: model.name.clone(),
-                members: members.iter().map(|server| member_record(server)).collect(),
-            };
-            self.next_epoch += 1;
-            for server in &members {
-                if !server.staged.contains(&model.name) {
-                    self.staging.insert(server.life.clone(), (model.name.clone(), now));
-                    self.load_starts.push(now);
-                }
-            }
-            let group =
-                PlannedGroup { may_be_open: false, ..PlannedGroup::new(record, now, false) };
-            plan.hold(&group);
-            *plan.active.entry(model.name.clone()).or_default() += 1;
-            self.groups.insert(group.record.group.clone(), group);
+            self.add_group(now, view, &model.name, &members, plan);
+        }
+    }
+
+    /// Adds a group of free servers.
+    pub(crate) fn add_group(
+        &mut self,
+        now: Instant,
+        view: &FleetView<'_>,
+        model: &ModelName,
+        members: &[&FleetServer],
+        plan: &mut FleetPlan,
+    ) {
+        let record = FleetGroupRecord {
+            group: group_name(model, self.next_epoch),
+            service: view.service.clone(),
+            epoch: self.next_epoch,
+            model: model.clone(),
+            members: members.iter().map(|server| member_record(server)).collect(),
+        };
+        self.next_epoch += 1;
+        for server in members.iter().filter(|server| !holds_weights(server, model)) {
+            self.staging.insert(server.life.clone(), (model.clone(), now));
+            self.load_starts.push(now);
         }
+        let group = PlannedGroup { may_be_open: false, ..PlannedGroup::new(record, now, false) };
+        plan.hold(&group);
+        *plan.active.entry(model.clone()).or_default() += 1;
+        self.groups.insert(group.record.group.clone(), group);
     }
 
     pub(crate) fn targets(&self, view: &FleetView<'_>) -> HashMap<ModelName, u32> {
@@ -297,32 +306,36 @@
         )]
         let limit =
             (f64::from(view.engine.loads_at_once) * self.settings.first_load_factor) as usize;
-        let free_loads = limit.saturating_sub(loading);
+        let free_loads = if loading == 0 { usize::MAX } else { limit.saturating_sub(loading) };
         let shortage = GroupShortage { view, targets, active };
         let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
         models.sort_by(|a, b| shortage.need(&b.name).total_cmp(&shortage.need(&a.name)));
-        let formable = |model: &PooledModel, pools: &[FreePool<'a>]| {
-            let members = choose_members(pools, model)?;
-            let loads = members.iter().filter(|server| !server.staged.contains(&model.name));
+        let choose = |model: &PooledModel, reserve_share: Option<f64>| {
+            let has_room = |pool: &&FreePool<'a>| {
+                reserve_share.is_none_or(|share| pool.has_room(model, share))
+                    && shortage.leaves_room(pool, pools, model)
+            };
+            let roomy: Vec<FreePool<'a>> = pools.iter().filter(has_room).cloned().collect();
+            let members = choose_members(&roomy, model)?;
+            let loads = members.iter().filter(|server| !holds_weights(server, &model.name));
             let loads = loads.count();
-            let may_load = view.before_traffic && loads <= free_loads;
-            (loads == 0 || may_load).then_some(members)
+            (loads == 0 || view.before_traffic).then_some((members, loads <= free_loads))
         };
         for model in models.iter().filter(|model| shortage.is_short(&model.name)) {
-            if let Some(members) = formable(model, pools) {
-                return Some((model, members));
+            match choose(model, None) {
+                Some((members, true)) => return Some((model, members)),
+                // Models with smaller groups would take the next places at the weight store.
+                Some((_, false)) => return None,
+                None => {}
             }
         }
         // Domains that can hold no group of the models that lack one, but have more free servers
         // than they need as spares, serve other models.
-        for model in models {
-            let has_room = |pool: &&FreePool<'a>| pool.has_room(model, self.settings.spare_share);
-            let roomy: Vec<FreePool<'a>> = pools.iter().filter(has_room).cloned().collect();
-            if let Some(members) = formable(model, &roomy) {
-                return Some((model, members));
-            }
-        }
-        None
+        models.into_iter().find_map(|model| {
+            let (members, _) =
+                choose(model, Some(self.settings.spare_share)).filter(|(_, may_load)| *may_load)?;
+            Some((model, members))
+        })
     }
 
     fn is_due(&self, now: Instant, order: &FleetOrder) -> bool {
