Give up small groups for the members that a loss strands

Cause: a group of eight that loses a member leaves seven servers that only an eighth one of their domain can use. The spares of a domain are soon gone, a group in service was never given up for another one, and each host held the weights of its own model only.

Class: what was put together stays as it is, whatever is needed later.

Change: where a model is short and its work per group exceeds by a quarter that of another one after it gave up groups, groups of that one in a domain with stranded servers close, run what they have to its end, leave, and their servers join. Before the first request half of the members of each small group get the weights of the larger model too: a member needs none on its host to join its own model again. A large group goes to the domain with the fewest of its model.

--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -48,21 +48,22 @@
     grouped_by_model: HashMap<ModelName, usize>,
 }
 
-/// Sorts servers by fabric domain. Servers without a fabric domain share a pool of their own.
+/// Sorts servers by fabric domain: free ones, and those in groups with the models of these. Servers
+/// without a fabric domain share a pool of their own.
 pub(crate) fn pool_servers<'a>(
     free: impl Iterator<Item = PoolServer<'a>>,
-    grouped: impl Iterator<Item = &'a FleetServer>,
+    grouped: impl Iterator<Item = (&'a FleetServer, Option<ModelName>)>,
 ) -> Vec<FreePool<'a>> {
     let mut domains: BTreeMap<Option<&FabricDomain>, FreePool<'a>> = BTreeMap::new();
     for server in free {
         let domain = domains.entry(server.server.fabric_domain.as_ref()).or_default();
         domain.servers.push(server);
     }
-    for server in grouped {
+    for (server, model) in grouped {
         let pool = domains.entry(server.fabric_domain.as_ref()).or_default();
         pool.grouped += 1;
-        if let Some(model) = &server.model {
-            *pool.grouped_by_model.entry(model.clone()).or_default() += 1;
+        if let Some(model) = model {
+            *pool.grouped_by_model.entry(model).or_default() += 1;
         }
     }
     let mut pools: Vec<FreePool<'a>> = domains.into_values().collect();
@@ -73,7 +74,8 @@
 }
 
 /// Selects the members of a new group of a model: from the domain where they are ready soonest, and
-/// among equals from the one with the fewest servers in groups, so that every domain keeps spares.
+/// among equals from the one with the fewest servers in groups of the model, then in any, so that every
+/// domain keeps spares, and servers of other models beside a group that may need them.
 pub(crate) fn choose_members<'a>(
     pools: &[FreePool<'a>],
     model: &PooledModel,
@@ -82,7 +84,8 @@
     let candidates = pools.iter().filter_map(|pool| Some((pool, pool.soonest(model, size)?)));
     let best = candidates.min_by_key(|(pool, members)| {
         let ready = members.iter().map(|server| join_time(server, model)).max();
-        (ready, pool.grouped, std::cmp::Reverse(pool.servers.len()))
+        let own = pool.grouped_by_model.get(&model.name).copied().unwrap_or_default();
+        (ready, own, pool.grouped, std::cmp::Reverse(pool.servers.len()))
     });
     best.map(|(_, members)| members)
 }
@@ -112,7 +115,7 @@
 /// without a group stays finite.
 const MIN_GROUP_COUNT: f64 = 0.5;
 
-impl GroupShortage<'_> {
+impl<'a> GroupShortage<'a> {
     pub(crate) fn is_short(&self, model: &ModelName) -> bool {
         self.lacking(model) > 0
     }
@@ -123,6 +126,19 @@
         target.saturating_sub(self.active.get(model).copied().unwrap_or(0))
     }
 
+    /// The model that members of groups of `own` should be able to serve besides: one with larger
+    /// groups, and once there is traffic one in greater need.
+    pub(crate) fn second_model(&self, own: &ModelName) -> Option<&'a PooledModel> {
+        let models = &self.view.engine.models;
+        let size = models.iter().find(|model| model.name == *own)?.group_size;
+        let larger = models.iter().filter(|model| model.group_size > size);
+        let useful = larger.filter(|model| {
+            let is_needed = self.is_short(&model.name) && self.need(&model.name) > self.need(own);
+            self.view.before_traffic || is_needed
+        });
+        useful.max_by(|a, b| self.need(&a.name).total_cmp(&self.need(&b.name)))
+    }
+
     /// Whether a group of `model` in this domain leaves room for the groups that models with larger
     /// groups lack.
     ///
@@ -142,7 +158,8 @@
                 let usable = pool.usable(larger, self.view.before_traffic);
                 usable.saturating_sub(taken) / larger.group_size as usize
             };
-            let cost = room(pool, 0) - room(pool, model.group_size as usize);
+            let taken = pool.taken(model, larger, self.view.before_traffic);
+            let cost = room(pool, 0) - room(pool, taken);
             let total: usize = pools.iter().map(|pool| room(pool, 0)).sum();
             cost == 0 || total - cost >= self.lacking(&larger.name) as usize
         })
@@ -150,9 +167,14 @@
 
     /// Work per active group.
     pub(crate) fn need(&self, model: &ModelName) -> f64 {
+        self.need_without(model, 0)
+    }
+
+    /// Work per active group if there were `fewer` groups less.
+    pub(crate) fn need_without(&self, model: &ModelName, fewer: usize) -> f64 {
         let work = self.view.work.get(model).copied().unwrap_or_default();
-        let groups = f64::from(self.active.get(model).copied().unwrap_or_default());
-        work / groups.max(MIN_GROUP_COUNT)
+        let groups = self.active.get(model).copied().unwrap_or_default() as usize;
+        work / (groups.saturating_sub(fewer) as f64).max(MIN_GROUP_COUNT)
     }
 }
 
@@ -191,6 +213,18 @@
         if before_traffic { self.servers.len() } else { self.ready(&model.name) }
     }
 
+    /// Number of servers that a new group of `model` takes of those that `other` could use.
+    fn taken(&self, model: &PooledModel, other: &PooledModel, before_traffic: bool) -> usize {
+        let size = model.group_size as usize;
+        if before_traffic {
+            return size;
+        }
+        let is_own = |server: &&PoolServer<'_>| {
+            server.has_weights(&model.name) && !server.has_weights(&other.name)
+        };
+        size.saturating_sub(self.servers.iter().filter(is_own).count())
+    }
+
     fn soonest(&self, model: &PooledModel, size: usize) -> Option<Vec<&'a FleetServer>> {
         let idle = self.servers.iter().filter(|server| server.loading.is_none());
         let mut servers: Vec<&FleetServer> = idle.map(|server| server.server).collect();
@@ -270,10 +304,11 @@
                 return true;
             };
             let ready = self.ready(staged);
-            let is_remainder = !ready.is_multiple_of(model.group_size as usize);
-            let in_greater_need =
-                shortage.need(&other.name) > shortage.need(staged) * TAKEOVER_RATIO;
-            (!shortage.is_short(staged) && ready > MIN_SPARES) || (is_remainder && in_greater_need)
+            let remainder = ready % model.group_size as usize;
+            let (other_need, own_need) = (shortage.need(&other.name), shortage.need(staged));
+            let is_spare = !shortage.is_short(staged) && ready > MIN_SPARES;
+            let is_scarcer = remainder > 0 && other_need > own_need * TAKEOVER_RATIO;
+            is_spare || is_scarcer
         })
     }
 
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     FleetOrder, FleetPlannerSettings, FleetView,
+    fleet_conversion::GroupConversion,
     fleet_match::{FreePool, GroupShortage, choose_members, holds_weights},
     fleet_plan::FleetPlan,
     fleet_state::{ReportedGroup, group_model, group_name, reported_groups},
@@ -54,6 +55,9 @@
     /// Starts of loads within the last second.
     pub(crate) load_starts: Vec<Instant>,
 
+    /// Groups that wait for servers that other groups give up.
+    pub(crate) conversions: Vec<GroupConversion>,
+
     /// The last plan, without its orders.
     pub(crate) last_plan: FleetPlan,
 }
@@ -74,6 +78,7 @@
             sent: HashMap::new(),
             unreachable_heads: HashMap::new(),
             load_starts: Vec::new(),
+            conversions: Vec::new(),
             last_plan: FleetPlan::default(),
         }
     }
@@ -89,8 +94,10 @@
             self.plan_group(now, &index, &group, &mut plan);
         }
         self.release_orphans(&index, &mut plan);
+        self.advance_conversions(now, &index, &mut plan);
         self.form_groups(now, view, &mut plan);
-        self.stage_weights(now, view, &mut plan);
+        self.start_conversions(now, &index, &mut plan);
+        self.stage_weights(now, &index, &mut plan);
         let mut orders = std::mem::take(&mut plan.orders);
         self.last_plan = plan;
         orders.retain(|order| self.is_due(now, order));
@@ -206,7 +213,8 @@
         let is_head_listed = index.is_listed(&group.record.head().life);
         group.head_was_seen |= is_head_listed && group.head_phase(index).is_some();
         group.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
-        group.dissolving |= health == GroupHealth::Failed;
+        group.dissolving |=
+            health == GroupHealth::Failed || (group.yielding && health == GroupHealth::Ready);
         let group = group.clone();
         if group.dissolving {
             self.dissolve(now, index, &group, plan);
@@ -225,7 +233,8 @@
                     plan.order(life, join_action(&group.record));
                 }
             }
-            GroupHealth::Shrinking => {
+            GroupHealth::Serving if !group.yielding => {}
+            GroupHealth::Serving | GroupHealth::Shrinking => {
                 plan.order(head, FleetAction::Close { group: name, epoch });
                 return;
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod fair_queue;
 mod fair_schedule;
 mod first_fit_planner;
+mod fleet_conversion;
 mod fleet_match;
 mod fleet_plan;
 mod fleet_planner;
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -70,6 +70,9 @@
 
     /// Whether its head may have been ordered to open, by this planner or an earlier one.
     pub(crate) may_be_open: bool,
+
+    /// Whether it is being closed so that its servers can serve another model.
+    pub(crate) yielding: bool,
 }
 
 /// State of a group, as the planner sees it.
@@ -101,9 +104,15 @@
             dissolving: false,
             head_was_seen: false,
             may_be_open: true,
+            yielding: false,
         }
     }
 
+    /// Its members.
+    pub(crate) fn lives(&self) -> impl Iterator<Item = &ServerLife> {
+        self.record.members.iter().map(|member| &member.life)
+    }
+
     /// Determines the health of the group.
     pub(crate) fn health(
         &self,
--- a/crates/policy/tests/fleet_share/main.rs
+++ b/crates/policy/tests/fleet_share/main.rs
@@ -98,13 +98,12 @@
 /// beside servers of small ones.
 #[test]
 fn model_with_large_groups_keeps_its_share_of_servers_while_servers_are_lost() {
-    for seed in 0..4 {
-        for dark_domain in [false, true] {
-            let shares = mean_shares(&mixed_fleet(seed), dark_domain);
-            assert!(
-                shares.iter().all(|share| *share >= MIN_SHARE),
-                "seed {seed}, a dark domain: {dark_domain}: {shares:.2?} of the fair groups"
-            );
-        }
-    }
+    let plays = (0..4).flat_map(|seed| [(seed, false), (seed, true)]);
+    let shares: Vec<(u64, bool, Vec<f64>)> =
+        plays.map(|(seed, dark)| (seed, dark, mean_shares(&mixed_fleet(seed), dark))).collect();
+    let all = shares.iter().flat_map(|(_, _, shares)| shares);
+    assert!(
+        all.into_iter().all(|share| *share >= MIN_SHARE),
+        "of the fair groups, by seed and whether a domain is dark: {shares:.2?}"
+    );
 }
