Reproduce callers of nodes without a path to servers in a test that fails

The test cuts one, a third and all but one of 7 and of 89 nodes from all servers.

Ruled out: that the cut nodes' reports stop the others, whose share does not fall.

--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -30,6 +30,9 @@
 /// Time after which a crashed server's address refuses a connection.
 const REFUSAL_DELAY: Duration = Duration::from_millis(2);
 
+/// Time after which a node without a path to the servers gives up opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A request that arrived at a server.
 #[derive(Clone, Debug)]
 pub struct ServerArrival {
@@ -61,6 +64,9 @@
     /// When servers crashed, in order.
     crashes: RefCell<Vec<(ServerLife, Instant)>>,
     crashed: RefCell<HashSet<ServerLife>>,
+
+    /// Nodes that have no path to any server.
+    cut: RefCell<HashSet<NodeId>>,
 }
 
 impl ServersState {
@@ -90,6 +96,16 @@
         };
     }
 
+    /// Cuts a node's paths to all servers, or mends them.
+    pub fn set_cut(&self, node: &NodeId, is_cut: bool) {
+        let mut cut = self.state.cut.borrow_mut();
+        if is_cut {
+            cut.insert(node.clone());
+        } else {
+            cut.remove(node);
+        }
+    }
+
     /// Crashes a server.
     pub fn crash(&self, now: Instant, life: &ServerLife) {
         self.state.crash(now, life);
@@ -121,6 +137,10 @@
 impl ServerLink for AnsweringLink {
     async fn send(&self, call: &ServerCall) -> ServerReply {
         let Self { state, node, clock } = self;
+        if state.cut.borrow().contains(node) {
+            clock.sleep(CONNECT_TIMEOUT).await;
+            return LinkError::NotSent.into();
+        }
         if state.is_crashed(&call.life) {
             clock.sleep(REFUSAL_DELAY).await;
             return LinkError::NotSent.into();
