Send requests through other nodes when a node lost its paths to servers

Callers of nodes that lost their paths to all backend servers were refused: 5 of 434 first tries served against 428 of 463 at the other nodes.

Cause: a node had one way to each server, its own, and could not tell a lost path from failed servers. Evidence: all its refusals name no server with all heads stalled, while the others serve from the same heads.

Class: one node's view of a server is taken for the state of the server. The same made its stalls, its broken connections and its probes speak against sound servers; these are mended with it.

Change: a node's own paths count as lost once three servers that it did not reach answered other nodes afterwards. Then its requests go through another node, which connects to the server and passes bytes on unchanged: one hop, since a tunnel leads to listed servers only and a node without paths opens none. The node that got the request decides as before: attempts, retries, limits, customers. It is left out of the addresses for callers, gives the fleet's lease back, and probes one server each half second until it reaches one.

Ruled out: judging by the node's own failures alone. Twenty servers that crash together made all nodes refuse everything (lost_servers_quarantine_no_prompt_part failed).

Tests: callers_of_nodes_without_a_path_to_servers_are_served_like_the_others failed before (none served), and passes at 7 and 89 nodes with one, a third and all but one cut; path_monitor and tunnel are new.

--- a/crates/adapters/src/http_connection.rs
+++ b/crates/adapters/src/http_connection.rs
@@ -11,7 +11,7 @@
     client::conn::http1::{self, SendRequest},
 };
 
-use crate::{ByteMeter, HttpError, HttpResult, metered_stream::MeteredStream};
+use crate::{ByteMeter, HttpError, HttpResult, metered_stream::MeteredStream, tunnel::open_tunnel};
 
 /// A request with its complete body.
 pub(crate) type WholeRequest = Request<Full<Bytes>>;
@@ -42,7 +42,22 @@
     ) -> HttpResult<Self> {
         let connecting = timeout(limit, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connecting else { return Err(HttpError::NotSent) };
-        let stream = MeteredStream::new(stream, meter);
+        Self::start(address, MeteredStream::new(stream, meter)).await
+    }
+
+    /// Opens a connection through another node.
+    pub(crate) async fn open_through(
+        helper: SocketAddr,
+        address: SocketAddr,
+        limit: Duration,
+        meter: ByteMeter,
+    ) -> HttpResult<Self> {
+        let opening = timeout(limit, open_tunnel(helper, address, meter)).await;
+        let Ok(Ok(stream)) = opening else { return Err(HttpError::NotSent) };
+        Self::start(address, stream).await
+    }
+
+    async fn start(address: SocketAddr, stream: MeteredStream) -> HttpResult<Self> {
         let handshake = http1::handshake(stream).await;
         let (sender, connection) = handshake.map_err(|_| HttpError::NotSent)?;
         let task = compio::runtime::spawn(async move {
--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -110,6 +110,32 @@
         }
     }
 
+    /// Sends a request through another node, on a new connection that isn't kept.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpPool::send`]; [`HttpError::NotSent`] also if the other node doesn't pass it on.
+    pub async fn send_through(
+        self: &Rc<Self>,
+        helper: SocketAddr,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> HttpResult<HttpAnswer> {
+        set_host(&mut request, address);
+        let permit = self.acquire_permit(address)?;
+        // The other node needs up to the same time for its own connection.
+        let connect_limit = self.settings.connect_timeout * 2;
+        let opening =
+            HttpConnection::open_through(helper, address, connect_limit, self.meter.clone());
+        match attempt(opening.await?, request, limit).await? {
+            Attempt::Answered(connection, response) => {
+                Ok(HttpAnswer::new(response, permit.attach(connection)))
+            }
+            Attempt::Returned(_) => Err(HttpError::NotSent),
+        }
+    }
+
     /// Acquires a permit for one of the connections that the limit of an address allows.
     fn acquire_permit(self: &Rc<Self>, address: SocketAddr) -> HttpResult<ConnectionPermit> {
         self.close_expired(Instant::now());
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`HttpPool`] keeps connections to HTTP servers alive. [`TableClient`], [`DirectoryClient`],
 //!   [`EngineClient`] and [`BackendClient`] call the platform and backend servers through it.
 //! - [`GrpcChannel`] is the transport of the generated client for operator calls.
+//! - [`TunnelServer`] connects other nodes to backend servers.
 //! - [`PeerClient`] sends questions to other nodes, and [`PeerServer`] answers them: one connection
 //!   and one task for each peer, one protobuf envelope in each length-delimited frame.
 //!
@@ -34,6 +35,7 @@
 mod peer_settings;
 mod system_clock;
 mod table_client;
+mod tunnel;
 
 pub use backend_client::*;
 pub use byte_meter::*;
@@ -50,3 +52,4 @@
 pub use peer_settings::*;
 pub use system_clock::*;
 pub use table_client::*;
+pub use tunnel::*;
--- /dev/null
+++ b/crates/adapters/src/tunnel.rs
@@ -0,0 +1,177 @@
+//! Connections to backend servers through another node.
+//!
+//! A node that has no path to the servers opens a connection to another node and names the server.
+//! The other node connects to the server and passes bytes on, both ways and unchanged, until either
+//! side closes. It opens connections to servers only, so a request takes one hop at most.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compio::{
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+use futures_util::{
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, SinkExt, StreamExt, future::select,
+};
+use prost::Message;
+use tokio_util::{
+    codec::{Framed, LengthDelimitedCodec},
+    compat::{Compat, FuturesAsyncReadCompatExt},
+};
+
+use crate::{ByteMeter, metered_stream::MeteredStream};
+
+/// Pause after a failure to accept a connection, for example when the process is out of file
+/// descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Size limit of a frame that opens a tunnel, in bytes.
+const MAX_FRAME_BYTES: usize = 256;
+
+/// Size of the buffer of each direction, in bytes.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Asks another node for a tunnel.
+#[derive(Clone, PartialEq, Message)]
+struct TunnelRequest {
+    /// The address of the server.
+    #[prost(string, tag = "1")]
+    server: String,
+}
+
+/// The answer: whether the tunnel is open.
+#[derive(Clone, PartialEq, Message)]
+struct TunnelAnswer {
+    #[prost(bool, tag = "1")]
+    is_open: bool,
+}
+
+type Frames = Framed<Compat<MeteredStream>, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream, meter: ByteMeter) -> Frames {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(MeteredStream::new(stream, meter).compat(), codec)
+}
+
+async fn send<M: Message>(frames: &mut Frames, message: &M) -> io::Result<()> {
+    frames.send(Bytes::from(message.encode_to_vec())).await
+}
+
+async fn receive<M: Message + Default>(frames: &mut Frames) -> io::Result<M> {
+    let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    M::decode(frame).map_err(io::Error::other)
+}
+
+/// The connection, once both sides know that the tunnel is open. Neither has sent anything beyond
+/// its frame by then.
+fn into_stream(frames: Frames) -> io::Result<MeteredStream> {
+    let parts = frames.into_parts();
+    if parts.read_buf.is_empty() { Ok(parts.io.into_inner()) } else { Err(unexpected_bytes()) }
+}
+
+fn unexpected_bytes() -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, "bytes before the tunnel was open")
+}
+
+/// Opens a connection to a server through another node.
+///
+/// # Errors
+///
+/// If the other node isn't reached, opens no tunnel, or doesn't reach the server itself.
+pub(crate) async fn open_tunnel(
+    helper: SocketAddr,
+    server: SocketAddr,
+    meter: ByteMeter,
+) -> io::Result<MeteredStream> {
+    let mut frames = frames(TcpStream::connect(helper).await?, meter);
+    send(&mut frames, &TunnelRequest { server: server.to_string() }).await?;
+    let answer: TunnelAnswer = receive(&mut frames).await?;
+    if answer.is_open { into_stream(frames) } else { Err(io::ErrorKind::ConnectionRefused.into()) }
+}
+
+/// Opens connections to servers for other nodes.
+#[derive(Clone)]
+pub struct TunnelServer {
+    /// Timeout for opening a connection to a server.
+    pub connect_timeout: Duration,
+
+    /// Counts the bytes of the connections.
+    pub meter: ByteMeter,
+}
+
+impl TunnelServer {
+    /// Accepts connections of other nodes; never returns. `admit` returns a permit if this node
+    /// opens a connection to a server now; the permit is held as long as the connection is open.
+    pub async fn serve<F, P>(self, listener: TcpListener, admit: F)
+    where
+        F: Fn(SocketAddr) -> Option<P> + Clone + 'static,
+        P: 'static,
+    {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let serving = self.clone().serve_connection(stream, admit.clone());
+                    compio::runtime::spawn(serving).detach();
+                }
+                Err(error) => {
+                    log::warn!(cause:% = error; "tunnels: accept failed.");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection<P>(self, stream: TcpStream, admit: impl Fn(SocketAddr) -> Option<P>) {
+        if let Err(error) = self.pass_on(stream, admit).await {
+            log::debug!("tunnels: connection ended: {error}.");
+        }
+    }
+
+    async fn pass_on<P>(
+        self,
+        stream: TcpStream,
+        admit: impl Fn(SocketAddr) -> Option<P>,
+    ) -> io::Result<()> {
+        let mut frames = frames(stream, self.meter.clone());
+        let asked = timeout(self.connect_timeout, receive::<TunnelRequest>(&mut frames)).await;
+        let request = asked.map_err(|_| io::ErrorKind::TimedOut)??;
+        let server: SocketAddr = request.server.parse().map_err(io::Error::other)?;
+        let permit = admit(server);
+        let connecting = async {
+            permit.as_ref()?;
+            timeout(self.connect_timeout, TcpStream::connect(server)).await.ok()?.ok()
+        };
+        let Some(connection) = connecting.await else {
+            return send(&mut frames, &TunnelAnswer { is_open: false }).await;
+        };
+        send(&mut frames, &TunnelAnswer { is_open: true }).await?;
+        let server = MeteredStream::new(connection, self.meter);
+        exchange(into_stream(frames)?, server).await
+    }
+}
+
+/// Passes bytes on in both directions until one of them ends.
+async fn exchange(node: MeteredStream, server: MeteredStream) -> io::Result<()> {
+    let (from_node, mut to_node) = node.split();
+    let (from_server, to_server) = server.split();
+    let forth = copy(from_node, to_server);
+    let back = copy(from_server, &mut to_node);
+    select(std::pin::pin!(forth), std::pin::pin!(back)).await.factor_first().0
+}
+
+/// Passes bytes on as they arrive, each piece before the next one is read.
+async fn copy(
+    mut reader: impl AsyncRead + Unpin,
+    mut writer: impl AsyncWrite + Unpin,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = reader.read(&mut chunk).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        writer.write_all(&chunk[..count]).await?;
+        writer.flush().await?;
+    }
+}
--- /dev/null
+++ b/crates/adapters/tests/tunnel.rs
@@ -0,0 +1,127 @@
+//! Requests to servers through another node.
+
+mod support;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use comfreyturn_adapters::{ByteMeter, HttpAnswer, HttpError, HttpPool, HttpResult, TunnelServer};
+use compio::net::TcpListener;
+use http::Request;
+use http_body_util::Full;
+use support::{Action, ScriptServer, closed_address, pool};
+
+const LIMIT: Duration = Duration::from_secs(2);
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Time after which both sides know of a closed connection.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// A node that opens tunnels, and how many are open.
+struct Helper {
+    address: SocketAddr,
+    open: Rc<Cell<usize>>,
+}
+
+/// Counts an open tunnel until dropped.
+struct Permit(Rc<Cell<usize>>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Helper {
+    async fn start(admits: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let open = Rc::new(Cell::new(0));
+        let count = open.clone();
+        let admit = move |_: SocketAddr| {
+            admits.then(|| {
+                count.set(count.get() + 1);
+                Permit(count.clone())
+            })
+        };
+        let server = TunnelServer { connect_timeout: LIMIT, meter: ByteMeter::default() };
+        compio::runtime::spawn(server.serve(listener, admit)).detach();
+        Self { address, open }
+    }
+
+    async fn send(&self, pool: &Rc<HttpPool>, server: SocketAddr) -> HttpResult<HttpAnswer> {
+        let request = Request::post("/x").body(Full::new(Bytes::from("body"))).unwrap();
+        pool.send_through(self.address, server, request, LIMIT).await
+    }
+}
+
+#[compio::test]
+async fn request_and_answer_pass_unchanged() {
+    let server = ScriptServer::answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let mut answer = helper.send(&pool, server.address).await.unwrap();
+    assert_eq!(answer.chunk().await.unwrap().unwrap(), "ok");
+    assert_eq!(answer.chunk().await.unwrap(), None);
+    let request = &server.requests()[0];
+    assert!(request.starts_with("POST /x HTTP/1.1\r\n"), "{request}");
+    assert!(request.contains(&format!("host: {}\r\n", server.address)), "{request}");
+    assert!(request.ends_with("\r\n\r\nbody"), "{request}");
+}
+
+#[compio::test]
+async fn events_pass_as_they_arrive() {
+    let server = ScriptServer::start(vec![vec![
+        Action::Read,
+        Action::Write(format!("{HEAD}1\r\na\r\n")),
+        Action::AwaitClose,
+    ]]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let mut answer = helper.send(&pool, server.address).await.unwrap();
+    let chunk = compio::time::timeout(CLOSE_TIME, answer.chunk()).await;
+    assert_eq!(chunk.expect("the event waits for no other").unwrap().unwrap(), "a");
+}
+
+#[compio::test]
+async fn leaving_of_the_caller_reaches_the_server_and_frees_the_tunnel() {
+    let server = ScriptServer::start(vec![vec![
+        Action::Read,
+        Action::Write(format!("{HEAD}1\r\na\r\n")),
+        Action::AwaitClose,
+    ]]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let answer = helper.send(&pool, server.address).await.unwrap();
+    assert_eq!(helper.open.get(), 1);
+    drop(answer);
+    compio::time::sleep(CLOSE_TIME).await;
+    assert_eq!((server.closes(), helper.open.get()), (1, 0));
+}
+
+#[compio::test]
+async fn answer_that_breaks_off_is_not_complete() {
+    let server =
+        ScriptServer::start(vec![vec![Action::Read, Action::Write(format!("{HEAD}5\r\nab"))]]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let mut answer = helper.send(&pool, server.address).await.unwrap();
+    let mut chunk = answer.chunk().await;
+    while let Ok(Some(_)) = chunk {
+        chunk = answer.chunk().await;
+    }
+    assert_eq!(chunk.unwrap_err(), HttpError::NoAnswer);
+}
+
+#[compio::test]
+async fn request_is_not_sent_if_no_tunnel_opens() {
+    let server = ScriptServer::answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let pool = pool();
+    let refusing = Helper::start(false).await;
+    let refused = refusing.send(&pool, server.address).await;
+    assert_eq!(refused.err(), Some(HttpError::NotSent), "the other node refuses");
+    assert_eq!(server.connections(), 0);
+    let helper = Helper::start(true).await;
+    let unreached = helper.send(&pool, closed_address()).await;
+    assert_eq!(unreached.err(), Some(HttpError::NotSent), "nobody listens there");
+    let gone = Helper { address: closed_address(), open: Rc::default() };
+    let missing = gone.send(&pool, server.address).await;
+    assert_eq!(missing.err(), Some(HttpError::NotSent), "the other node is gone");
+    assert_eq!((server.connections(), helper.open.get()), (0, 0));
+}
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -99,7 +99,7 @@
             let unresponsive =
                 self.unresponsive_holder(now).filter(|_| state.settings.fencing_checked);
             let result = match unresponsive {
-                _ if state.leaving.get() => self.lease.release().await,
+                _ if state.leaving.get() || !self.gateway.has_paths() => self.lease.release().await,
                 Some(holder) => self.lease.take_over(&holder).await,
                 None => self.lease.keep().await,
             };
@@ -135,7 +135,8 @@
     fn should_try_lease(&self, now: Instant, waited: Duration) -> bool {
         let Gateway { identity, state, .. } = &*self.gateway;
         let settings = &state.settings;
-        if state.joined_at.get().is_none() || state.leaving.get() {
+        let may_hold = !state.leaving.get() && self.gateway.has_paths();
+        if state.joined_at.get().is_none() || !may_hold {
             return false;
         }
         let mut view = state.view.borrow_mut();
--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -13,6 +13,9 @@
 pub(crate) struct Attempt {
     pub(crate) life: ServerLife,
     pub(crate) answer: Box<dyn ServerAnswer>,
+
+    /// Whether it took this node's own path.
+    pub(crate) is_direct: bool,
     pub(crate) _load_guard: LoadGuard,
 }
 
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -7,7 +7,7 @@
 
 use bytes::BytesMut;
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
-use comfreyturn_ports::{LinkError, ServerCall, ServerReply};
+use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
 use comfreyturn_types::{CustomerName, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, select};
 use xxhash_rust::xxh3::xxh3_64;
@@ -199,6 +199,7 @@
             let model = self.request.model.as_ref();
             let server = self.state.pick(now, &self.service, model, &self.tried, urgent);
             let server = server.map_err(AttemptError::NotMade)?;
+            let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
             self.tried.push(server.life.clone());
             self.trace.attempt_started(&server.life);
             let load_guard = self.state.loads.start(&server.life);
@@ -216,6 +217,7 @@
                     .saturating_sub(RESPONSE_MARGIN),
                 customer: self.customer.clone(),
                 priority: self.priority,
+                helper,
                 resume_after: resume_after.clone(),
             };
             self.state.record_send(now, &server);
@@ -224,12 +226,19 @@
             if let Ok(ServerReply { notice: Some(notice), .. }) = &reply {
                 self.state.record_notice(self.now(), &server.life, *notice);
             }
-            match reply.map(|reply| reply.answer) {
+            let reply = reply.map(|reply| reply.answer);
+            if helper.is_none() {
+                self.record_path(&server.life, &reply);
+            }
+            match reply {
                 Ok(Ok(answer)) => {
                     self.sent += 1;
                     self.may_have_run = true;
+                    self.state.stalls.borrow_mut().record_seen(self.now(), &server.life);
                     self.trace.answered(self.sent);
-                    return Ok(Attempt { life: server.life, answer, _load_guard: load_guard });
+                    let is_direct = helper.is_none();
+                    let life = server.life;
+                    return Ok(Attempt { life, answer, is_direct, _load_guard: load_guard });
                 }
                 Ok(Err(LinkError::NotSent)) => self.trace.not_reached(),
                 Ok(Err(error)) => {
@@ -255,6 +264,21 @@
         Err(AttemptError::NotMade(NotRunReason::NoServer))
     }
 
+    /// Records what an attempt over this node's own path tells about that path.
+    fn record_path(
+        &self,
+        life: &ServerLife,
+        reply: &Result<LinkResult<Box<dyn ServerAnswer>>, AttemptError>,
+    ) {
+        match reply {
+            Ok(Ok(_) | Err(LinkError::NotRun | LinkError::Foreign)) => self.state.record_reached(),
+            Ok(Err(LinkError::NotSent | LinkError::Broken)) | Err(AttemptError::Unresponsive) => {
+                self.state.record_unreached(self.now(), life);
+            }
+            Err(_) => {}
+        }
+    }
+
     /// Whether the request may be sent now.
     fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
         if now + RESPONSE_MARGIN >= self.deadline_at {
@@ -281,7 +305,7 @@
     /// Records a failed attempt at a server that had not answered yet. A connection that broke counts
     /// as a possible crash caused by a part of the prompt.
     pub(crate) fn record_part_crash(&self, life: &ServerLife, error: LinkError) {
-        if error == LinkError::Broken {
+        if error == LinkError::Broken && !self.state.paths.borrow().is_lost() {
             let parts = &self.request.shared_parts;
             self.state.parts.borrow_mut().record_crash(self.now(), crash_id(life), parts);
         }
@@ -325,8 +349,12 @@
         lost || self.state.stalls.borrow().is_stalled(now, life, retention)
     }
 
+    /// Records that a server was silent, unless this node's own path is at fault.
     pub(crate) fn record_stall(&self, life: &ServerLife) {
         self.trace.failed(self.sent, AttemptError::Unresponsive);
+        if self.state.paths.borrow().is_lost() {
+            return;
+        }
         self.state.stalls.borrow_mut().record_stall(self.now(), life);
     }
 
@@ -344,7 +372,7 @@
     /// possible crash caused by the request.
     pub(crate) fn record_failure(&self, life: &ServerLife, error: LinkError) {
         self.trace.failed(self.sent, AttemptError::Link(error));
-        if error != LinkError::Broken {
+        if error != LinkError::Broken || self.state.paths.borrow().is_lost() {
             return;
         }
         let now = self.now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,8 +100,8 @@
         Rc::new(Self { identity, ports, state })
     }
 
-    /// Starts the background tasks: polling of the feeds, heartbeats, gauges, and forming of groups
-    /// while this node holds the fleet's lease.
+    /// Starts the background tasks: polling of the feeds, heartbeats, gauges, watching of lost
+    /// paths, and forming of groups while this node holds the fleet's lease.
     pub fn start(self: &Rc<Self>) {
         let spawn = |task| self.ports.spawner.spawn(task);
         spawn(Box::pin(self.clone().keep_node_rows()));
@@ -112,6 +112,7 @@
         spawn(Box::pin(heartbeats.receive()));
         spawn(Box::pin(FleetLoop::new(self.clone()).run()));
         spawn(Box::pin(self.clone().keep_gauges()));
+        spawn(Box::pin(self.clone().watch_paths()));
     }
 
     /// Answers a request.
@@ -191,6 +192,11 @@
             && self.state.config_is_usable(now)
     }
 
+    /// Whether this node's own paths to the servers work.
+    pub(crate) fn has_paths(&self) -> bool {
+        !self.state.paths.borrow().is_lost()
+    }
+
     /// The addresses of the nodes that callers of a failure domain should use, at most `limit`.
     pub fn caller_addresses(
         &self,
@@ -209,7 +215,8 @@
                 address: peer.status.caller_address,
             })
             .collect();
-        if self.is_ready() {
+        // Callers of a node without paths to the servers are better off at another one.
+        if self.is_ready() && (self.has_paths() || nodes.is_empty()) {
             nodes.push(CallerNode {
                 node: identity.node.clone(),
                 failure_domain: identity.failure_domain.clone(),
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use comfreyturn_policy::{
-    FleetPlannerSettings, HeadPickerSettings, LeaseTerm, RelayChoiceSettings, RelaySettings,
-    ReturnSettings, SendQuotaSettings,
+    FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
+    RelaySettings, ReturnSettings, SendQuotaSettings,
 };
 
 use crate::PeerTimeouts;
@@ -139,6 +139,16 @@
     /// When refused callers should come back.
     pub return_delay: ReturnSettings,
 
+    /// When this node's own paths to the servers count as lost.
+    pub paths: PathSettings,
+
+    /// Pause between two probes while they do.
+    pub path_probe_period: Duration,
+
+    /// Requests in flight, those of its own callers included, from which on a node sends none for
+    /// other nodes.
+    pub helped_requests: usize,
+
     /// Size limit of a buffered answer, in bytes.
     pub whole_answer_limit: usize,
 
@@ -203,6 +213,9 @@
             answer_factor: 3.0,
             stall_retention: Duration::from_secs(2),
             return_delay: ReturnSettings::default(),
+            paths: PathSettings::default(),
+            path_probe_period: Duration::from_millis(500),
+            helped_requests: 400,
             whole_answer_limit: 1024 * 1024,
             send_quotas: SendQuotaSettings::default(),
             sender_settling_time: Duration::from_secs(1),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,8 +8,9 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, RetryBudget,
-    RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, StatedLimits, return_delay,
+    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
+    RetryBudget, RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, StatedLimits,
+    return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
@@ -38,6 +39,9 @@
     pub(crate) loads: LoadTracker,
     pub(crate) stalls: RefCell<StallTracker>,
 
+    /// Whether this node's own paths to the servers work.
+    pub(crate) paths: RefCell<PathMonitor>,
+
     /// The rate limits that servers state.
     pub(crate) limits: RefCell<StatedLimits>,
 
@@ -123,6 +127,7 @@
             servers: RefCell::default(),
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
+            paths: RefCell::new(PathMonitor::new(settings.paths)),
             limits: RefCell::default(),
             quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
             senders: RefCell::default(),
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -33,6 +33,7 @@
         gauge!("comfreyturn_server_list_age_seconds").set(seconds(list_age));
         gauge!("comfreyturn_servers_listed").set(count(state.servers.borrow().all().count()));
         gauge!("comfreyturn_servers_unlisted").set(count(state.unlisted.borrow().len()));
+        gauge!("comfreyturn_paths_lost").set(if self.has_paths() { 0.0 } else { 1.0 });
         gauge!("comfreyturn_servers_lost").set(count(state.lost.borrow().len()));
         let now = self.ports.clock.now();
         let quarantined = state.parts.borrow().quarantined(now);
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -276,7 +276,7 @@
             caller_address: identity.caller_address,
             failure_domain: identity.failure_domain.clone(),
             capacity: identity.capacity,
-            ready: self.gateway.is_ready(),
+            ready: self.gateway.is_ready() && self.gateway.has_paths(),
             lease_fencing: state.lease_fencing.get(),
         }
     }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -39,7 +39,7 @@
     /// Its share of processors, in thousandths of a core.
     pub capacity: u32,
 
-    /// Whether callers should use it.
+    /// Whether callers should use it: it serves, and has paths to the servers.
     pub ready: bool,
 
     /// The fencing number of the fleet's lease while it holds the lease, else zero.
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -192,6 +192,13 @@
     }
 
     fn record_failure(&self, error: AttemptError) {
+        let Attempt { life, is_direct, .. } = &self.attempt;
+        let now = self.run.now();
+        if *is_direct
+            && matches!(error, AttemptError::Unresponsive | AttemptError::Link(LinkError::Broken))
+        {
+            self.run.state.record_unreached(now, life);
+        }
         match error {
             AttemptError::Unresponsive => self.run.record_stall(&self.attempt.life),
             AttemptError::Link(error) => {
--- /dev/null
+++ b/crates/gateway/src/server_paths.rs
@@ -0,0 +1,129 @@
+//! Which way requests take to the servers: this node's own paths, or through another node.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{FleetServer, ServerLife};
+use futures_util::future::{Either, select};
+use rand::seq::{IndexedRandom as _, IteratorRandom as _};
+
+use crate::{Gateway, NotRunReason, forward_attempt::InFlightGuard, gateway_state::GatewayState};
+
+/// A server that answered another node longer ago than this may have failed since.
+const ANSWER_MAX_AGE: Duration = Duration::from_secs(1);
+
+impl GatewayState {
+    /// The node through which a request must be sent; `None` if this node's own paths work, or no
+    /// other node is alive. One hop at most is taken: a node that lost its own paths opens no
+    /// tunnels.
+    ///
+    /// # Errors
+    ///
+    /// If other nodes are alive, and none has a path to the servers.
+    pub(crate) fn helper(&self, now: Instant) -> Result<Option<SocketAddr>, NotRunReason> {
+        self.update_paths(now);
+        if !self.paths.borrow().is_lost() {
+            return Ok(None);
+        }
+        let view = self.view.borrow();
+        let mut alive = view.peers.alive(now, self.settings.peer_timeouts).peekable();
+        if alive.peek().is_none() {
+            return Ok(None);
+        }
+        let helpers: Vec<(SocketAddr, u32)> = alive
+            .filter(|(_, peer)| peer.status.ready)
+            .map(|(_, peer)| (peer.status.peer_address, peer.status.capacity.max(1)))
+            .collect();
+        // By capacity, so that no node gets all requests of the others.
+        let helper = helpers.choose_weighted(&mut rand::rng(), |(_, capacity)| *capacity);
+        helper.map(|(address, _)| Some(*address)).map_err(|_| NotRunReason::NoServer)
+    }
+
+    /// Records that a new connection of this node reached a server.
+    pub(crate) fn record_reached(&self) {
+        if self.paths.borrow_mut().record_reached() {
+            log::info!("paths: servers are reached again.");
+        }
+    }
+
+    /// Records that this node did not reach a server, that the server was silent, or broke off.
+    pub(crate) fn record_unreached(&self, now: Instant, life: &ServerLife) {
+        self.paths.borrow_mut().record_unreached(now, life);
+        self.update_paths(now);
+    }
+
+    /// Decides whether this node's own paths are lost. If so, what it saw of servers meanwhile says
+    /// nothing about them.
+    fn update_paths(&self, now: Instant) {
+        let mut stalls = self.stalls.borrow_mut();
+        let is_new = self
+            .paths
+            .borrow_mut()
+            .update(now, |life, at| stalls.peer_seen_at(life).is_some_and(|seen| seen > at));
+        if is_new {
+            stalls.forget_own_stalls();
+            log::warn!("paths: no server is reached; requests go through other nodes.");
+        }
+    }
+
+    /// A random server that answered another node lately.
+    fn answering_server(&self, now: Instant) -> Option<FleetServer> {
+        let (servers, stalls) = (self.servers.borrow(), self.stalls.borrow());
+        let answering = servers.all().filter(|server| {
+            let seen_at = stalls.peer_seen_at(&server.life);
+            seen_at.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MAX_AGE)
+        });
+        answering.choose(&mut rand::rng()).cloned()
+    }
+
+    /// Whether this node opens a connection to a server for another node.
+    fn helps(&self, now: Instant, server: SocketAddr) -> bool {
+        let has_place = self.in_flight.get() < self.settings.helped_requests;
+        let is_usable = !self.refusing.get() && self.config_is_usable(now);
+        let has_path = !self.paths.borrow().is_lost();
+        let is_server = || self.servers.borrow().all().any(|listed| listed.address == server);
+        has_place && is_usable && has_path && is_server()
+    }
+}
+
+/// A permit for one connection to a server for another node. The node doesn't stop before the
+/// connection is closed.
+pub struct TunnelPermit {
+    _in_flight: InFlightGuard,
+}
+
+impl Gateway {
+    /// A permit to connect to a server for another node; `None` if this node doesn't do so now.
+    pub fn admit_tunnel(&self, server: SocketAddr) -> Option<TunnelPermit> {
+        let helps = self.state.helps(self.ports.clock.now(), server);
+        helps.then(|| TunnelPermit { _in_flight: InFlightGuard::start(&self.state) })
+    }
+
+    /// Probes a server from time to time while this node's own paths count as lost. Never returns.
+    pub(crate) async fn watch_paths(self: Rc<Self>) {
+        let Self { ports, state, .. } = &*self;
+        loop {
+            ports.clock.sleep(state.settings.path_probe_period).await;
+            if !state.paths.borrow().is_lost() {
+                continue;
+            }
+            let server = state.answering_server(ports.clock.now());
+            if let Some(server) = server
+                && self.responds(&server).await
+            {
+                state.record_reached();
+            }
+        }
+    }
+
+    /// Whether a server answers a probe of this node in time.
+    pub(crate) async fn responds(&self, server: &FleetServer) -> bool {
+        let Self { ports, state, .. } = self;
+        let limit = ports.clock.sleep(state.settings.probe_timeout);
+        let answer = select(ports.fleet.probe(server), limit).await;
+        matches!(answer, Either::Left((Ok(()), _)))
+    }
+}
--- a/crates/gateway/src/server_prober.rs
+++ b/crates/gateway/src/server_prober.rs
@@ -8,7 +8,7 @@
 };
 
 use comfreyturn_types::{FleetServer, ServerLife};
-use futures_util::future::{Either, join_all, select};
+use futures_util::future::join_all;
 
 use crate::{Gateway, node_snapshot::age_ms};
 
@@ -33,7 +33,7 @@
     pub(crate) async fn run(self) {
         let Gateway { ports, state, .. } = &*self.gateway;
         loop {
-            if state.forms_groups.get() {
+            if state.forms_groups.get() && self.gateway.has_paths() {
                 self.probe_suspects().await;
             }
             ports.clock.sleep(state.settings.planner_period).await;
@@ -44,12 +44,14 @@
         let Gateway { ports, state, .. } = &*self.gateway;
         let suspects = self.suspects(ports.clock.now());
         let probes = suspects.into_iter().map(|server| async move {
-            let limit = ports.clock.sleep(state.settings.probe_timeout);
-            let answer = select(ports.fleet.probe(&server), limit).await;
-            let responds = matches!(answer, Either::Left((Ok(()), _)));
+            let responds = self.gateway.responds(&server).await;
             (server.life.clone(), responds)
         });
-        for (life, responds) in join_all(probes).await {
+        let results = join_all(probes).await;
+        if results.iter().any(|(_, responds)| *responds) {
+            state.record_reached();
+        }
+        for (life, responds) in results {
             let seen = state.stalls.borrow().was_seen(ports.clock.now(), &life, SEEN_MAX_AGE);
             self.record_probe(life, responds || seen);
         }
--- a/crates/gateway/src/stall_tracker.rs
+++ b/crates/gateway/src/stall_tracker.rs
@@ -42,6 +42,15 @@
         activity.own_stall_at = Some(now);
     }
 
+    /// Forgets the stalls that this node observed.
+    pub fn forget_own_stalls(&mut self) {
+        for activity in self.activities.values_mut() {
+            if activity.own_stall_at.take().is_some() {
+                activity.stalled_at = None;
+            }
+        }
+    }
+
     /// Records a stall reported by another node, unless this node received data from the server
     /// within `max_age`.
     pub fn record_peer_stall(&mut self, now: Instant, life: &ServerLife, max_age: Duration) {
@@ -59,6 +68,11 @@
         activity.peer_last_seen_at = activity.peer_last_seen_at.max(Some(at));
     }
 
+    /// When another node last received data from the server.
+    pub fn peer_seen_at(&self, life: &ServerLife) -> Option<Instant> {
+        self.activities.get(life)?.peer_last_seen_at
+    }
+
     /// When this node's streams last received data, by server, if that is at most `max_age` ago.
     pub fn own_seen(&self, now: Instant, max_age: Duration) -> HashMap<ServerLife, Instant> {
         let seen = self.activities.iter().filter_map(|(life, activity)| {
--- a/crates/gateway/tests/nodes/lost_paths.rs
+++ b/crates/gateway/tests/nodes/lost_paths.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     plain_service::{listed, plain_config, plain_request},
-    test_nodes::{TestNodes, name},
+    test_nodes::{TestNodes, address, name},
 };
 
 const SIZES: [u16; 2] = [7, 89];
@@ -78,7 +78,8 @@
             let mut nodes = TestNodes::first_start(size);
             nodes.feeds.values().for_each(fill);
             nodes.run(JOIN_MS);
-            (1..=cut).for_each(|number| nodes.servers.set_cut(&name(number), true));
+            (1..=cut)
+                .for_each(|number| nodes.servers.set_cut(&name(number), address(number), true));
             let (cut_off, others) = (Tally::default(), Tally::default());
             for round in 0..(SETTLING_MS + COUNTED_MS) / REQUEST_PAUSE_MS {
                 let is_counted = round * REQUEST_PAUSE_MS >= SETTLING_MS;
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -342,7 +342,7 @@
                 let membership = member.entry.membership.as_ref();
                 membership.is_some_and(|own| own.rank == 0 && own.phase == MemberPhase::Open)
             };
-            if whole && members.iter().any(|member| is_open(&member)) {
+            if whole && members.iter().any(is_open) {
                 let index = self.engine.models.iter().position(|other| other.name == model.name);
                 counts[index.unwrap()] += 1;
             }
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -74,6 +74,10 @@
     /// Priority among the requests at the server; 0 is the highest.
     pub priority: Option<u8>,
 
+    /// Another node that passes the request on, if this node has no path to the server: where it
+    /// accepts tunnels.
+    pub helper: Option<SocketAddr>,
+
     /// The last event that the caller received, if the stream is to be resumed after it.
     pub resume_after: Option<String>,
 }
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -65,8 +66,8 @@
     crashes: RefCell<Vec<(ServerLife, Instant)>>,
     crashed: RefCell<HashSet<ServerLife>>,
 
-    /// Nodes that have no path to any server.
-    cut: RefCell<HashSet<NodeId>>,
+    /// Nodes that have no path to any server, with their addresses for other nodes.
+    cut: RefCell<HashMap<NodeId, SocketAddr>>,
 }
 
 impl ServersState {
@@ -97,10 +98,10 @@
     }
 
     /// Cuts a node's paths to all servers, or mends them.
-    pub fn set_cut(&self, node: &NodeId, is_cut: bool) {
+    pub fn set_cut(&self, node: &NodeId, address: SocketAddr, is_cut: bool) {
         let mut cut = self.state.cut.borrow_mut();
         if is_cut {
-            cut.insert(node.clone());
+            cut.insert(node.clone(), address);
         } else {
             cut.remove(node);
         }
@@ -137,8 +138,13 @@
 impl ServerLink for AnsweringLink {
     async fn send(&self, call: &ServerCall) -> ServerReply {
         let Self { state, node, clock } = self;
-        if state.cut.borrow().contains(node) {
-            clock.sleep(CONNECT_TIMEOUT).await;
+        let is_cut = match call.helper {
+            Some(helper) => state.cut.borrow().values().any(|cut| *cut == helper),
+            None => state.cut.borrow().contains_key(node),
+        };
+        if is_cut {
+            let is_direct = call.helper.is_none();
+            clock.sleep(if is_direct { CONNECT_TIMEOUT } else { REFUSAL_DELAY }).await;
             return LinkError::NotSent.into();
         }
         if state.is_crashed(&call.life) {
