Give up a server whose event grows without end

A faulty server may send bytes that are no answer without end, until its caller closes. A node gathered them as one unfinished event of a stream: until the route's limits on time, at the speed of its link, with nothing that bounded its memory of 260 MB.

Cause: whole answers and heads of responses have a size limit, an event had none. Ruled out: the head of a response, which the client library bounds (a test shows so).

Change: an event beyond 256 KB counts as bytes that belong to no answer, and another server is tried.

Test: bytes_without_end_within_a_stream_are_given_up_for_another_server failed before (another server after 1.95 s and 64 MB), and passes.

Conclusion: memory for one stream is bounded.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -50,6 +50,11 @@
         !self.input.is_empty()
     }
 
+    /// The size of the partial event, in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.input.len()
+    }
+
     /// Discards the partial event.
     pub fn drop_partial(&mut self) {
         self.input.clear();
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -19,6 +19,9 @@
 /// that is crashes as it begins to answer.
 const PROOF_TIME: Duration = Duration::from_millis(150);
 
+/// A server whose event grows beyond this size sends bytes that are no answer.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// How far the answer to one attempt is.
 #[derive(Clone, Copy, Debug, Default)]
 struct AnswerProgress {
@@ -129,6 +132,9 @@
                 self.record_events();
                 return Ok(Some(events));
             }
+            if self.splitter.partial_len() > MAX_EVENT_BYTES {
+                return Err(self.run.attempt_error(LinkError::Foreign));
+            }
             let Self { run, attempt, .. } = self;
             let chunk = run.await_server(&attempt.life, limit, attempt.answer.chunk()).await?;
             match chunk.map_err(|error| self.run.attempt_error(error))? {
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -457,6 +457,27 @@
     assert_eq!(site.servers.calls().len(), 2);
 }
 
+/// Guards against a node that gathers bytes without end, which are no answer, until its memory is
+/// used up.
+#[test]
+fn bytes_without_end_within_a_stream_are_given_up_for_another_server() {
+    const JUNK: &str = match std::str::from_utf8(&[b'x'; 64 * 1024]) {
+        Ok(junk) => junk,
+        Err(_) => "",
+    };
+    let mut site = TestSite::started();
+    let junk = vec![(Duration::from_millis(1), JUNK); 1000];
+    let endless = ServerScript::Answer { status: 200, pieces: junk, end: ScriptEnd::Hang };
+    site.servers.script_next(endless);
+    site.servers.script_next(events(&["id: 1\ndata: a\n\n"], ScriptEnd::Whole));
+    let started_at = site.now();
+    let answer = site.send_to("/stream/x");
+    let waited = site.now().saturating_duration_since(started_at);
+    assert!(waited < Duration::from_millis(200), "another server is tried after {waited:?}");
+    assert_eq!(site.read(answer), ("id: 1\ndata: a\n\n".to_owned(), true));
+    assert_eq!(site.servers.calls().len(), 2);
+}
+
 #[test]
 fn stalled_stream_resumes_at_another_server_within_half_a_second() {
     let mut site = TestSite::started();
