Part the forming of groups and the records of attempts from their large files

The forming of new groups and what attempts tell about servers stand in files of their own now, moved without a change of logic. The sending on a new connection stood twice in the pool, the engine's settings twice in the tests of the fleet's shares.

--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -102,12 +102,7 @@
         }
         let fresh =
             HttpConnection::open(address, self.settings.connect_timeout, self.meter.clone());
-        match attempt(fresh.await?, request, limit).await? {
-            Attempt::Answered(connection, response) => {
-                Ok(HttpAnswer::new(response, permit.attach(connection)))
-            }
-            Attempt::Returned(_) => Err(HttpError::NotSent),
-        }
+        permit.send(fresh.await?, request, limit).await
     }
 
     /// Sends a request through another node, on a new connection that isn't kept.
@@ -128,12 +123,7 @@
         let connect_limit = self.settings.connect_timeout * 2;
         let opening =
             HttpConnection::open_through(helper, address, connect_limit, self.meter.clone());
-        match attempt(opening.await?, request, limit).await? {
-            Attempt::Answered(connection, response) => {
-                Ok(HttpAnswer::new(response, permit.attach(connection)))
-            }
-            Attempt::Returned(_) => Err(HttpError::NotSent),
-        }
+        permit.send(opening.await?, request, limit).await
     }
 
     /// Acquires a permit for one of the connections that the limit of an address allows.
@@ -218,6 +208,21 @@
 }
 
 impl ConnectionPermit {
+    /// Sends a request on a new connection.
+    async fn send(
+        self,
+        connection: HttpConnection,
+        request: WholeRequest,
+        limit: Duration,
+    ) -> HttpResult<HttpAnswer> {
+        match attempt(connection, request, limit).await? {
+            Attempt::Answered(connection, response) => {
+                Ok(HttpAnswer::new(response, self.attach(connection)))
+            }
+            Attempt::Returned(_) => Err(HttpError::NotSent),
+        }
+    }
+
     fn attach(self, connection: HttpConnection) -> PooledConnection {
         PooledConnection { connection, permit: self }
     }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -7,10 +7,9 @@
 
 use bytes::BytesMut;
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
-use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
+use comfreyturn_ports::{LinkError, ServerCall, ServerReply};
 use comfreyturn_types::{CustomerName, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, select};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream, UnknownReason,
@@ -28,10 +27,6 @@
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
-/// A connection that breaks less than this before the caller's deadline was closed by the server
-/// because the time given to it had passed.
-const SERVER_DEADLINE_MARGIN: Duration = Duration::from_millis(30);
-
 /// Processing of one request: attempts, retries and the answer.
 pub(crate) struct ForwardRun {
     pub(crate) state: Rc<GatewayState>,
@@ -264,21 +259,6 @@
         Err(AttemptError::NotMade(NotRunReason::NoServer))
     }
 
-    /// Records what an attempt over this node's own path tells about that path.
-    fn record_path(
-        &self,
-        life: &ServerLife,
-        reply: &Result<LinkResult<Box<dyn ServerAnswer>>, AttemptError>,
-    ) {
-        match reply {
-            Ok(Ok(_) | Err(LinkError::NotRun | LinkError::Foreign)) => self.state.record_reached(),
-            Ok(Err(LinkError::NotSent | LinkError::Broken)) | Err(AttemptError::Unresponsive) => {
-                self.state.record_unreached(self.now(), life);
-            }
-            Err(_) => {}
-        }
-    }
-
     /// Whether the request may be sent now.
     fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
         if now + RESPONSE_MARGIN >= self.deadline_at {
@@ -297,20 +277,6 @@
         self.state.parts.borrow().has_quarantined(now, &self.request.shared_parts)
     }
 
-    /// Records that a server answers the request, so that no part of its prompt crashes servers.
-    pub(crate) fn record_answer(&self) {
-        self.state.parts.borrow_mut().record_answer(self.now(), &self.request.shared_parts);
-    }
-
-    /// Records a failed attempt at a server that had not answered yet. A connection that broke counts
-    /// as a possible crash caused by a part of the prompt.
-    pub(crate) fn record_part_crash(&self, life: &ServerLife, error: LinkError) {
-        if error == LinkError::Broken && !self.state.paths.borrow().is_lost() {
-            let parts = &self.request.shared_parts;
-            self.state.parts.borrow_mut().record_crash(self.now(), crash_id(life), parts);
-        }
-    }
-
     /// Awaits `waiting`, which depends on the server, for `limit` or until the caller's deadline. If
     /// there is a limit, gives up early once the server counts as stalled, since another one may be
     /// tried.
@@ -349,39 +315,6 @@
         lost || self.state.stalls.borrow().is_stalled(now, life, retention)
     }
 
-    /// Records that a server was silent, unless this node's own path is at fault.
-    pub(crate) fn record_stall(&self, life: &ServerLife) {
-        self.trace.failed(self.sent, AttemptError::Unresponsive);
-        if self.state.paths.borrow().is_lost() {
-            return;
-        }
-        self.state.stalls.borrow_mut().record_stall(self.now(), life);
-    }
-
-    /// Classifies an error of a connection. A server closes the connection when the time given to
-    /// it has passed; that isn't a failure of the server.
-    pub(crate) fn attempt_error(&self, error: LinkError) -> AttemptError {
-        let left = self.deadline_at.saturating_duration_since(self.now());
-        if error == LinkError::Broken && left <= SERVER_DEADLINE_MARGIN {
-            return AttemptError::OutOfTime;
-        }
-        AttemptError::Link(error)
-    }
-
-    /// Records a failed attempt. A connection that broke while the request may have run counts as a
-    /// possible crash caused by the request.
-    pub(crate) fn record_failure(&self, life: &ServerLife, error: LinkError) {
-        self.trace.failed(self.sent, AttemptError::Link(error));
-        if error != LinkError::Broken || self.state.paths.borrow().is_lost() {
-            return;
-        }
-        let now = self.now();
-        let fingerprint = self.request.fingerprint();
-        let crash = crash_id(life);
-        self.state.suspects.borrow_mut().record_crash(now, fingerprint, crash);
-        self.state.crashes.borrow_mut().push((now, fingerprint, crash));
-    }
-
     // ---------------------------------------------------------------------------------------
     // Retries and failures
 
@@ -454,8 +387,3 @@
         }
     }
 }
-
-/// Identifies the crash of a server.
-fn crash_id(life: &ServerLife) -> u64 {
-    xxh3_64(life.to_string().as_bytes())
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod fair_schedule;
 mod first_fit_planner;
 mod fleet_conversion;
+mod fleet_forming;
 mod fleet_match;
 mod fleet_plan;
 mod fleet_planner;
--- a/crates/policy/tests/fleet_share/main.rs
+++ b/crates/policy/tests/fleet_share/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use comfreyturn_policy::target_groups;
-use comfreyturn_types::{EngineSpec, ModelName};
+use comfreyturn_types::ModelName;
 
 use crate::sim_fleet::{SimFleet, SimSettings, model};
 
@@ -26,14 +26,7 @@
 
 /// Groups of each model if the servers that are left were divided by work, and none were stranded.
 fn fair_groups(settings: &SimSettings, servers: usize) -> Vec<f64> {
-    let engine = EngineSpec {
-        slots: 20,
-        models: settings.models.clone(),
-        loads_per_second: settings.loads_per_second,
-        loads_at_once: settings.loads_at_once,
-        kept_models: 1,
-        open_time: Duration::ZERO,
-    };
+    let engine = settings.engine();
     let names: Vec<ModelName> = engine.models.iter().map(|model| model.name.clone()).collect();
     let work = names.iter().cloned().zip(settings.work.iter().copied()).collect();
     let targets = target_groups(&engine, &work, servers, SPARE_SHARE);
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -14,6 +14,9 @@
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _};
 
+/// Requests that a group runs at a time.
+const SLOTS: u32 = 20;
+
 /// Time between two plans.
 const PLAN_PERIOD: Duration = Duration::from_millis(150);
 
@@ -47,6 +50,20 @@
     pub seed: u64,
 }
 
+impl SimSettings {
+    /// How the servers run models.
+    pub fn engine(&self) -> EngineSpec {
+        EngineSpec {
+            slots: SLOTS,
+            models: self.models.clone(),
+            loads_per_second: self.loads_per_second,
+            loads_at_once: self.loads_at_once,
+            kept_models: 1,
+            open_time: Duration::from_millis(300),
+        }
+    }
+}
+
 pub fn model(name: &str, group_size: u32, share: f64) -> PooledModel {
     PooledModel {
         name: ModelName::from(name),
@@ -92,14 +109,7 @@
 
 impl SimFleet {
     pub fn new(settings: SimSettings) -> Self {
-        let engine = EngineSpec {
-            slots: 20,
-            models: settings.models.clone(),
-            loads_per_second: settings.loads_per_second,
-            loads_at_once: settings.loads_at_once,
-            kept_models: 1,
-            open_time: Duration::from_millis(300),
-        };
+        let engine = settings.engine();
         let now = Instant::now();
         let mut fleet = Self {
             engine,
@@ -127,7 +137,7 @@
             service: self.service.clone(),
             address: "127.0.0.1:1".parse().unwrap(),
             failure_domain: FailureDomain::from("z"),
-            slots: 20,
+            slots: SLOTS,
             leaving: false,
             fabric_domain: Some(FabricDomain::from(format!("d{domain:02}"))),
             model: None,
