--- a/crates/policy/src/fleet_forming.rs
+++ b/crates/policy/src/fleet_forming.rs
@@ -82,6 +82,8 @@
         let shortage = GroupShortage { view, targets, active };
         let mut models: Vec<&PooledModel> = view.engine.models.iter().collect();
         models.sort_by(|a, b| shortage.need(&b.name).total_cmp(&shortage.need(&a.name)));
+        // The members of a group of the model, and whether the weight store has places for their loads.
+        // With a reserve share, each domain keeps that share of its servers free.
         let choose = |model: &PooledModel, reserve_share: Option<f64>| {
             let has_room = |pool: &&FreePool<'a>| {
                 reserve_share.is_none_or(|share| pool.has_room(model, share))
--- a/crates/policy/src/fleet_match.rs
+++ b/crates/policy/src/fleet_match.rs
@@ -73,9 +73,9 @@
     pools
 }
 
-/// Selects the members of a new group of a model: from the domain where they are ready soonest, and
-/// among equals from the one with the fewest servers in groups of the model, then in any, so that every
-/// domain keeps spares, and servers of other models beside a group that may need them.
+/// Selects the members of a new group of a model: from the domain where they are ready soonest. Among
+/// equals it is the one with the fewest servers in groups of the model, then in any group, so that
+/// every domain keeps spares, and servers of other models beside a group that may need them.
 pub(crate) fn choose_members<'a>(
     pools: &[FreePool<'a>],
     model: &PooledModel,
@@ -126,17 +126,13 @@
         target.saturating_sub(self.active.get(model).copied().unwrap_or(0))
     }
 
-    /// The model that members of groups of `own` should be able to serve besides: one with larger
-    /// groups, and once there is traffic one in greater need.
+    /// The model that members of groups of `own` should be able to serve besides: the one in greatest
+    /// need of those with larger groups.
     pub(crate) fn second_model(&self, own: &ModelName) -> Option<&'a PooledModel> {
         let models = &self.view.engine.models;
         let size = models.iter().find(|model| model.name == *own)?.group_size;
         let larger = models.iter().filter(|model| model.group_size > size);
-        let useful = larger.filter(|model| {
-            let is_needed = self.is_short(&model.name) && self.need(&model.name) > self.need(own);
-            self.view.before_traffic || is_needed
-        });
-        useful.max_by(|a, b| self.need(&a.name).total_cmp(&self.need(&b.name)))
+        larger.max_by(|a, b| self.need(&a.name).total_cmp(&self.need(&b.name)))
     }
 
     /// Whether a group of `model` in this domain leaves room for the groups that models with larger
@@ -304,11 +300,10 @@
                 return true;
             };
             let ready = self.ready(staged);
-            let remainder = ready % model.group_size as usize;
-            let (other_need, own_need) = (shortage.need(&other.name), shortage.need(staged));
-            let is_spare = !shortage.is_short(staged) && ready > MIN_SPARES;
-            let is_scarcer = remainder > 0 && other_need > own_need * TAKEOVER_RATIO;
-            is_spare || is_scarcer
+            let is_remainder = !ready.is_multiple_of(model.group_size as usize);
+            let in_greater_need =
+                shortage.need(&other.name) > shortage.need(staged) * TAKEOVER_RATIO;
+            (!shortage.is_short(staged) && ready > MIN_SPARES) || (is_remainder && in_greater_need)
         })
     }
 
--- a/crates/policy/src/fleet_staging.rs
+++ b/crates/policy/src/fleet_staging.rs
@@ -38,6 +38,7 @@
             let Some(LoadChoice { server, model, .. }) = best else { break };
             self.stage(now, server, model, plan);
         }
+        // Under traffic the few places at the weight store are left to spares.
         if !view.before_traffic {
             return;
         }
