Log what a stopping node takes, and what its end cuts

The logs of the lost request cannot tell whether a request came after the stop signal, over which connection, how much time was left, and which requests the end of a process cuts.

For it the gateway keeps what is in flight by start in place of a count. No time or decision changes.

--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -1,13 +1,11 @@
 //! One attempt to run a request at one server.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use comfreyturn_ports::{LinkError, ServerAnswer};
 use comfreyturn_types::ServerLife;
 use http::{HeaderMap, StatusCode};
 
-use crate::{ForwardAnswer, NotRunReason, gateway_state::GatewayState, load_tracker::LoadGuard};
+use crate::{ForwardAnswer, NotRunReason, load_tracker::LoadGuard};
 
 /// A server's answer to one attempt.
 pub(crate) struct Attempt {
@@ -63,19 +61,3 @@
         ForwardAnswer::Whole { status, headers, body }
     }
 }
-
-/// Counts a caller's request as in flight until dropped.
-pub(crate) struct InFlightGuard(Rc<GatewayState>);
-
-impl InFlightGuard {
-    pub(crate) fn start(state: &Rc<GatewayState>) -> Self {
-        state.in_flight.set(state.in_flight.get() + 1);
-        Self(state.clone())
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream, UnknownReason,
-    forward_attempt::{Attempt, AttemptError, InFlightGuard, WholeAnswer},
+    forward_attempt::{Attempt, AttemptError, WholeAnswer},
     gateway_state::GatewayState,
+    in_flight::InFlightGuard,
     request_trace::RequestTrace,
 };
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,8 +16,11 @@
 
 use crate::{
     DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings, HeartbeatLoop,
-    NotRunReason, forward_attempt::InFlightGuard, forward_run::ForwardRun,
-    gateway_state::GatewayState, request_trace::RequestTrace,
+    NotRunReason,
+    forward_run::ForwardRun,
+    gateway_state::GatewayState,
+    in_flight::{InFlightGuard, InFlightWork},
+    request_trace::RequestTrace,
 };
 
 /// Assumed time left of a caller that states no deadline.
@@ -152,6 +155,9 @@
         let label = view.customer_label(customer.map(|customer| &customer.name));
         trace.routed(&service.name, label, customer.and_then(|customer| customer.priority));
         let limit = request.deadline.map_or(route.timeout, |limit| limit.min(route.timeout));
+        let now = self.ports.clock.now();
+        state.log_late_request(now, &request, &route.name, limit);
+        let work = InFlightWork::Request { request: request.id.clone(), route: route.name.clone() };
         let run = ForwardRun {
             state: state.clone(),
             ports: self.ports.clone(),
@@ -163,7 +169,7 @@
             tried: Vec::new(),
             sent: 0,
             may_have_run: false,
-            _in_flight: InFlightGuard::start(state),
+            _in_flight: InFlightGuard::start(state, now, work),
             trace,
             request,
         };
@@ -274,7 +280,12 @@
 
     /// Requests of callers that are in flight.
     pub fn in_flight(&self) -> usize {
-        self.state.in_flight.get()
+        self.state.in_flight.borrow().len()
+    }
+
+    /// Whether callers should use other nodes, because this one stops.
+    pub fn is_leaving(&self) -> bool {
+        self.state.leaving.get()
     }
 
     /// Announces that callers should use other nodes. New requests are still answered.
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,15 +9,15 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RetryBudget, RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, StatedLimits,
-    return_delay,
+    RetryBudget, RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, ShutdownTerm,
+    StatedLimits, return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, NotRunReason, ReportKind, ServerLog, ServerTable,
-    StallTracker, ViewReport, config_view::ConfigView, part_suspects::PartSuspects,
-    peer_view::PeerView,
+    StallTracker, ViewReport, config_view::ConfigView, in_flight::InFlightTable,
+    part_suspects::PartSuspects, peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -103,7 +103,10 @@
     pub(crate) joined_at: Cell<Option<Instant>>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) refusing: Cell<bool>,
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) in_flight: RefCell<InFlightTable>,
+
+    /// When the node ends, once it received a stop signal.
+    pub(crate) shutdown: Cell<Option<ShutdownTerm>>,
 
     /// The fencing number of the fleet's lease while this node holds it, else zero.
     pub(crate) lease_fencing: Cell<u64>,
@@ -152,7 +155,8 @@
             joined_at: Cell::new(None),
             leaving: Cell::new(false),
             refusing: Cell::new(false),
-            in_flight: Cell::new(0),
+            in_flight: RefCell::default(),
+            shutdown: Cell::new(None),
             lease_fencing: Cell::new(0),
             forms_groups: Cell::new(false),
             settings,
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -24,7 +24,7 @@
         let state = &self.state;
         let snapshot = state.snapshot(self.ports.clock.now());
         let NodeSnapshot { config_version, config_age, list_version, list_age, peers } = snapshot;
-        gauge!("comfreyturn_requests_in_flight").set(count(state.in_flight.get()));
+        gauge!("comfreyturn_requests_in_flight").set(count(state.in_flight.borrow().len()));
         gauge!("comfreyturn_fleet_lease_fencing_number").set(float(state.lease_fencing.get()));
         gauge!("comfreyturn_config_version").set(config_version.map_or(f64::NAN, float));
         gauge!("comfreyturn_config_age_seconds").set(seconds(config_age));
--- /dev/null
+++ b/crates/gateway/src/in_flight.rs
@@ -0,0 +1,81 @@
+//! Work in flight at this node.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::{RequestId, RouteName};
+
+use crate::gateway_state::GatewayState;
+
+/// What a node does for somebody.
+#[derive(Clone, Debug, derive_more::Display)]
+pub(crate) enum InFlightWork {
+    /// A caller's request.
+    #[display("request {request}")]
+    Request {
+        /// The request's id.
+        request: RequestId,
+        /// Its route.
+        route: RouteName,
+    },
+
+    /// A connection to a server for another node.
+    #[display("tunnel to {server}")]
+    Tunnel {
+        /// The server.
+        server: SocketAddr,
+    },
+}
+
+/// Work in flight, and since when.
+#[derive(Debug, Default)]
+pub(crate) struct InFlightTable {
+    next: u64,
+
+    /// By number, so the oldest one comes first.
+    entries: BTreeMap<u64, (InFlightWork, Instant)>,
+}
+
+impl InFlightTable {
+    /// The number of requests and tunnels.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// All work with its age, the oldest first.
+    pub(crate) fn oldest(&self, now: Instant) -> impl Iterator<Item = (&InFlightWork, Duration)> {
+        self.entries
+            .values()
+            .map(move |(work, since)| (work, now.saturating_duration_since(*since)))
+    }
+
+    fn add(&mut self, now: Instant, work: InFlightWork) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.entries.insert(number, (work, now));
+        number
+    }
+}
+
+/// Counts work as in flight until dropped.
+pub(crate) struct InFlightGuard {
+    state: Rc<GatewayState>,
+    number: u64,
+}
+
+impl InFlightGuard {
+    pub(crate) fn start(state: &Rc<GatewayState>, now: Instant, work: InFlightWork) -> Self {
+        let number = state.in_flight.borrow_mut().add(now, work);
+        Self { state: state.clone(), number }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.state.in_flight.borrow_mut().entries.remove(&self.number);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod group_rows;
 mod heartbeat_loop;
 mod heartbeat_receive;
+mod in_flight;
 mod list_exchange;
 mod load_tracker;
 mod node_rows;
@@ -45,6 +46,7 @@
 mod server_paths;
 mod server_prober;
 mod server_table;
+mod shutdown;
 mod stall_tracker;
 mod view_reports;
 
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -10,7 +10,11 @@
 use futures_util::future::{Either, select};
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 
-use crate::{Gateway, NotRunReason, forward_attempt::InFlightGuard, gateway_state::GatewayState};
+use crate::{
+    Gateway, NotRunReason,
+    gateway_state::GatewayState,
+    in_flight::{InFlightGuard, InFlightWork},
+};
 
 /// A server that answered another node longer ago than this may have failed since.
 const ANSWER_MAX_AGE: Duration = Duration::from_secs(1);
@@ -81,7 +85,7 @@
 
     /// Whether this node opens a connection to a server for another node.
     fn helps(&self, now: Instant, server: SocketAddr) -> bool {
-        let has_place = self.in_flight.get() < self.settings.helped_requests;
+        let has_place = self.in_flight.borrow().len() < self.settings.helped_requests;
         let is_usable = !self.refusing.get() && self.config_is_usable(now);
         let has_path = !self.paths.borrow().is_lost();
         let is_server = || self.servers.borrow().all().any(|listed| listed.address == server);
@@ -98,8 +102,9 @@
 impl Gateway {
     /// A permit to connect to a server for another node; `None` if this node doesn't do so now.
     pub fn admit_tunnel(&self, server: SocketAddr) -> Option<TunnelPermit> {
-        let helps = self.state.helps(self.ports.clock.now(), server);
-        helps.then(|| TunnelPermit { _in_flight: InFlightGuard::start(&self.state) })
+        let now = self.ports.clock.now();
+        let start = || InFlightGuard::start(&self.state, now, InFlightWork::Tunnel { server });
+        self.state.helps(now, server).then(|| TunnelPermit { _in_flight: start() })
     }
 
     /// Probes a server from time to time while this node's own paths count as lost. Never returns.
--- /dev/null
+++ b/crates/gateway/src/shutdown.rs
@@ -0,0 +1,69 @@
+//! Stopping of a node after a stop signal.
+
+use std::time::{Duration, Instant};
+
+use comfreyturn_policy::{ShutdownSettings, ShutdownTerm};
+use comfreyturn_types::RouteName;
+
+use crate::{ForwardRequest, Gateway, gateway_state::GatewayState, node_snapshot::whole_ms};
+
+/// Interval between checks whether requests are still in flight.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+
+/// The most log lines on work that is cut when the node ends.
+const CUT_LOG_LIMIT: usize = 20;
+
+impl Gateway {
+    /// Announces the shutdown, still answers new requests while callers may use a cached address,
+    /// then calls `close`, refuses new requests, and returns when none is in flight or the node
+    /// must end.
+    pub async fn shut_down(
+        &self,
+        stopped_at: Instant,
+        settings: &ShutdownSettings,
+        close: impl FnOnce(),
+    ) {
+        let clock = &self.ports.clock;
+        let term = ShutdownTerm::new(stopped_at, settings);
+        self.state.shutdown.set(Some(term));
+        self.announce_leaving();
+        clock.sleep(term.closes_at.saturating_duration_since(clock.now())).await;
+        self.refuse_new();
+        close();
+        while self.in_flight() > 0 && clock.now() < term.ends_at {
+            clock.sleep(DRAIN_PERIOD).await;
+        }
+        self.log_cut(clock.now());
+        clock.sleep(DRAIN_PERIOD).await;
+    }
+
+    /// Logs the work that ends with the node, the oldest first.
+    fn log_cut(&self, now: Instant) {
+        let in_flight = self.state.in_flight.borrow();
+        for (work, age) in in_flight.oldest(now).take(CUT_LOG_LIMIT) {
+            log::warn!(work:% = work, age_ms = whole_ms(age); "gateway: work is cut.");
+        }
+        log::info!(cut = in_flight.len(); "gateway: ends.");
+    }
+}
+
+impl GatewayState {
+    /// Logs a request that arrives after the stop signal.
+    pub(crate) fn log_late_request(
+        &self,
+        now: Instant,
+        request: &ForwardRequest,
+        route: &RouteName,
+        limit: Duration,
+    ) {
+        let Some(term) = self.shutdown.get() else { return };
+        log::info!(
+            request:% = request.id,
+            route:% = route,
+            since_stop_ms = whole_ms(now.saturating_duration_since(term.stopped_at)),
+            left_ms = whole_ms(term.time_left(now)),
+            limit_ms = whole_ms(limit);
+            "gateway: request taken while leaving."
+        );
+    }
+}
