Take no request that a stopping node cannot finish

What callers saw: a node took a request 3.7 s after its stop signal and ended 3.9 s later, in the middle of the answer.

Cause: the window for new requests was one time for all of them, half of the grace, and nothing compared what a request may take with the time left. The class of the fault is work that is accepted without the time to finish it before a known end. Ruled out: a wait at the node or in a queue (the record: at the server after 9 ms, running after 185 ms).

Change: a stopping node has a term. It takes a request only if one and a half times the longest run of its route lately, or of one that still runs, fits into what is left; with too little to go by, the time its caller waits. The rest is refused at once, as not run. The same check stands before retries of what has not run, and tunnels for other nodes end with the signal.

--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -39,6 +39,9 @@
     /// The node is shutting down.
     Leaving,
 
+    /// The node is shutting down, and ends before the request would be answered.
+    EndsTooSoon,
+
     /// The caller's deadline or the route's timeout has passed.
     TooLate,
 }
@@ -52,7 +55,9 @@
     /// Whether another node could serve the request.
     pub(crate) fn cause(self) -> RefusalCause {
         match self {
-            Self::NoConfig | Self::StaleConfig | Self::Leaving => RefusalCause::Node,
+            Self::NoConfig | Self::StaleConfig | Self::Leaving | Self::EndsTooSoon => {
+                RefusalCause::Node
+            }
             Self::NoServer
             | Self::NoRoom
             | Self::RateLimited
--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -69,7 +69,7 @@
     /// Classifies an error of a connection. A server closes the connection when the time given to
     /// it has passed; that isn't a failure of the server.
     pub(crate) fn attempt_error(&self, error: LinkError) -> AttemptError {
-        let left = self.deadline_at.saturating_duration_since(self.now());
+        let left = self.ends_at().saturating_duration_since(self.now());
         if error == LinkError::Broken && left <= SERVER_DEADLINE_MARGIN {
             return AttemptError::OutOfTime;
         }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -25,6 +25,9 @@
 /// Pause between two checks whether the server of a pending request has stalled.
 const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Pause between two checks whether the node must end before a pending request.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -38,7 +41,8 @@
     pub(crate) customer: Option<CustomerName>,
     pub(crate) priority: Option<u8>,
 
-    /// When the caller's deadline or the route's timeout passes.
+    /// When the caller's deadline or the route's timeout passes. The node may end before; see
+    /// [`Self::ends_at`].
     pub(crate) deadline_at: Instant,
 
     /// Servers that were tried, in order.
@@ -72,6 +76,24 @@
         self.ports.clock.now()
     }
 
+    /// When the request must end: by its deadline, or before the node does.
+    pub(crate) fn ends_at(&self) -> Instant {
+        let shutdown = self.state.shutdown.get();
+        shutdown.map_or(self.deadline_at, |term| term.ends_at.min(self.deadline_at))
+    }
+
+    /// Why a request that has not run can't run any more.
+    fn lateness(&self) -> NotRunReason {
+        let is_late = self.now() + RESPONSE_MARGIN >= self.deadline_at;
+        if is_late { NotRunReason::TooLate } else { NotRunReason::EndsTooSoon }
+    }
+
+    /// Whether the request can be answered before the node ends, if it begins now.
+    fn can_finish(&self, now: Instant) -> bool {
+        let left = self.deadline_at.saturating_duration_since(now);
+        self.state.can_finish(now, &self.route.name, left)
+    }
+
     // ---------------------------------------------------------------------------------------
     // Buffered answers
 
@@ -118,7 +140,6 @@
         let status = attempt.answer.status();
         let headers = attempt.answer.headers().clone();
         let mut body = BytesMut::new();
-        let left = self.deadline_at.saturating_duration_since(self.now());
         let reading = async {
             while let Some(bytes) = attempt.answer.chunk().await? {
                 if body.len() + bytes.len() > self.state.settings.whole_answer_limit {
@@ -128,7 +149,7 @@
             }
             Ok(())
         };
-        match self.within(left, reading).await {
+        match self.until_end(reading).await {
             Some(Ok(())) => Ok(WholeAnswer { status, headers, body: body.freeze() }),
             Some(Err(error)) => Err(self.attempt_error(error)),
             None => Err(AttemptError::OutOfTime),
@@ -208,7 +229,7 @@
                 headers: self.request.headers.clone(),
                 body: self.request.body.clone(),
                 time_left: self
-                    .deadline_at
+                    .ends_at()
                     .saturating_duration_since(now)
                     .saturating_sub(RESPONSE_MARGIN),
                 customer: self.customer.clone(),
@@ -262,8 +283,11 @@
 
     /// Whether the request may be sent now.
     fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
-        if now + RESPONSE_MARGIN >= self.deadline_at {
-            return Err(AttemptError::NotMade(NotRunReason::TooLate));
+        if now + RESPONSE_MARGIN >= self.ends_at() {
+            return Err(AttemptError::NotMade(self.lateness()));
+        }
+        if !self.may_have_run && !self.can_finish(now) {
+            return Err(AttemptError::NotMade(NotRunReason::EndsTooSoon));
         }
         if self.customer.is_some() && !self.state.config_is_usable(now) {
             return Err(AttemptError::NotMade(NotRunReason::StaleConfig));
@@ -291,11 +315,11 @@
         let mut waiting = std::pin::pin!(waiting);
         loop {
             let now = self.now();
-            let left = self.deadline_at.saturating_duration_since(now);
+            let left = self.ends_at().saturating_duration_since(now);
             if left.is_zero() {
                 return Err(AttemptError::OutOfTime);
             }
-            let mut pause = left;
+            let mut pause = left.min(STOP_CHECK_PERIOD);
             if let Some(limit) = limit {
                 let waited = now.saturating_duration_since(started_at);
                 if waited >= limit || (waited >= STALL_CHECK_PERIOD && self.is_stalled(now, life)) {
@@ -335,7 +359,7 @@
     pub(crate) fn take_retry(&self) -> bool {
         let now = self.now();
         self.sent < self.route.max_attempts
-            && now < self.deadline_at
+            && now < self.ends_at()
             && self.state.try_retry(now, &self.service.name)
     }
 
@@ -346,7 +370,7 @@
             AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
                 self.not_run(NotRunReason::Declined)
             }
-            AttemptError::OutOfTime if !ran => self.not_run(NotRunReason::TooLate),
+            AttemptError::OutOfTime if !ran => self.not_run(self.lateness()),
             AttemptError::OutOfTime | AttemptError::Unresponsive => {
                 self.unknown(UnknownReason::Timeout, error)
             }
@@ -375,16 +399,18 @@
         ForwardAnswer::NotRun { reason, retry_after }
     }
 
-    /// Runs a call for at most `limit`; `None` if it takes longer.
-    pub(crate) async fn within<T>(
-        &self,
-        limit: Duration,
-        call: impl Future<Output = T>,
-    ) -> Option<T> {
-        let call = std::pin::pin!(call);
-        match select(call, self.ports.clock.sleep(limit)).await {
-            Either::Left((value, _)) => Some(value),
-            Either::Right(_) => None,
+    /// Runs a call until the request must end; `None` if it takes longer.
+    async fn until_end<T>(&self, call: impl Future<Output = T>) -> Option<T> {
+        let mut call = std::pin::pin!(call);
+        loop {
+            let left = self.ends_at().saturating_duration_since(self.now());
+            if left.is_zero() {
+                return None;
+            }
+            let pause = self.ports.clock.sleep(left.min(STOP_CHECK_PERIOD));
+            if let Either::Left((value, _)) = select(call.as_mut(), pause).await {
+                return Some(value);
+            }
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -153,10 +153,18 @@
             return self.not_run(&trace, NotRunReason::NoServer, request.deadline);
         };
         let label = view.customer_label(customer.map(|customer| &customer.name));
-        trace.routed(&service.name, label, customer.and_then(|customer| customer.priority));
+        trace.routed(
+            &service.name,
+            &route.name,
+            label,
+            customer.and_then(|customer| customer.priority),
+        );
         let limit = request.deadline.map_or(route.timeout, |limit| limit.min(route.timeout));
         let now = self.ports.clock.now();
         state.log_late_request(now, &request, &route.name, limit);
+        if !state.can_take(now, &route.name, limit) {
+            return self.not_run(&trace, NotRunReason::EndsTooSoon, request.deadline);
+        }
         let work = InFlightWork::Request { request: request.id.clone(), route: route.name.clone() };
         let run = ForwardRun {
             state: state.clone(),
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
-    RelaySettings, ReturnSettings, SendQuotaSettings,
+    RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings,
 };
 
 use crate::PeerTimeouts;
@@ -136,6 +136,9 @@
     /// data again.
     pub stall_retention: Duration,
 
+    /// How long requests take, by which a node that stops decides whether to take one.
+    pub run_times: RunTimeSettings,
+
     /// When refused callers should come back.
     pub return_delay: ReturnSettings,
 
@@ -212,6 +215,7 @@
             first_event_floor: Duration::from_millis(900),
             answer_factor: 3.0,
             stall_retention: Duration::from_secs(2),
+            run_times: RunTimeSettings::default(),
             return_delay: ReturnSettings::default(),
             paths: PathSettings::default(),
             path_probe_period: Duration::from_millis(500),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,8 +9,8 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RetryBudget, RetryBudgetSettings, SendQuotas, SenderRoster, ShareRetryBudget, ShutdownTerm,
-    StatedLimits, return_delay,
+    RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster, ShareRetryBudget,
+    ShutdownTerm, StatedLimits, return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
@@ -105,6 +105,9 @@
     pub(crate) refusing: Cell<bool>,
     pub(crate) in_flight: RefCell<InFlightTable>,
 
+    /// How long requests took lately.
+    pub(crate) run_times: RefCell<RunTimes>,
+
     /// When the node ends, once it received a stop signal.
     pub(crate) shutdown: Cell<Option<ShutdownTerm>>,
 
@@ -156,6 +159,7 @@
             leaving: Cell::new(false),
             refusing: Cell::new(false),
             in_flight: RefCell::default(),
+            run_times: RefCell::new(RunTimes::new(settings.run_times)),
             shutdown: Cell::new(None),
             lease_fencing: Cell::new(0),
             forms_groups: Cell::new(false),
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -53,6 +53,16 @@
             .map(move |(work, since)| (work, now.saturating_duration_since(*since)))
     }
 
+    /// The age of the oldest request of a route; zero if there is none.
+    pub(crate) fn oldest_age(&self, now: Instant, route: &RouteName) -> Duration {
+        let is_of_route = |work: &InFlightWork| match work {
+            InFlightWork::Request { route: own, .. } => own == route,
+            InFlightWork::Tunnel { .. } => false,
+        };
+        let oldest = self.oldest(now).find(|(work, _)| is_of_route(work));
+        oldest.map_or(Duration::ZERO, |(_, age)| age)
+    }
+
     fn add(&mut self, now: Instant, work: InFlightWork) -> u64 {
         let number = self.next;
         self.next += 1;
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -7,7 +7,7 @@
 };
 
 use comfreyturn_ports::Clock;
-use comfreyturn_types::{ModelName, PromptPart, RequestId, ServerLife, ServiceName};
+use comfreyturn_types::{ModelName, PromptPart, RequestId, RouteName, ServerLife, ServiceName};
 use http::StatusCode;
 
 use crate::{
@@ -27,6 +27,7 @@
     model: Option<ModelName>,
     shared_parts: Vec<PromptPart>,
     service: Option<ServiceName>,
+    route: Option<RouteName>,
     labels: AnswerLabels,
     received_at: Instant,
     first_at: Cell<Option<Instant>>,
@@ -52,6 +53,7 @@
             model: request.model.clone(),
             shared_parts: request.shared_parts.clone(),
             service: None,
+            route: None,
             labels: AnswerLabels::default(),
             received_at: request.received_at,
             first_at: Cell::new(None),
@@ -61,9 +63,16 @@
         }
     }
 
-    /// Records the service, customer and priority class of the request.
-    pub(crate) fn routed(&mut self, service: &ServiceName, customer: String, class: Option<u8>) {
+    /// Records the service, route, customer and priority class of the request.
+    pub(crate) fn routed(
+        &mut self,
+        service: &ServiceName,
+        route: &RouteName,
+        customer: String,
+        class: Option<u8>,
+    ) {
         self.service = Some(service.clone());
+        self.route = Some(route.clone());
         let class = class.map_or_else(String::new, |class| class.to_string());
         self.labels = AnswerLabels { service: service.to_string(), customer, class };
     }
@@ -144,6 +153,7 @@
     pub(crate) fn served(&self, status: StatusCode) {
         self.first_piece();
         self.labels.measure_whole(self.elapsed());
+        self.record_time();
         self.end("served", "");
         let first = self.first_at.get().map(|at| at.saturating_duration_since(self.received_at));
         log::info!(
@@ -221,6 +231,7 @@
 
     /// The stream broke after the caller received a part of it.
     pub(crate) fn broken(&self, cause: AttemptError) {
+        self.record_time();
         self.end("broken", cause.into());
         log::warn!(
             request:% = self.request,
@@ -234,6 +245,14 @@
         );
     }
 
+    /// Records how long the request took, for the decision whether another one can be done in time.
+    fn record_time(&self) {
+        if let Some(route) = &self.route {
+            let (now, time) = (self.clock.now(), self.elapsed());
+            self.state.run_times.borrow_mut().record(now, route, time);
+        }
+    }
+
     fn end(&self, outcome: &'static str, reason: &'static str) {
         self.is_recorded.set(true);
         self.labels.count_end(outcome, reason);
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -86,7 +86,7 @@
     /// Whether this node opens a connection to a server for another node.
     fn helps(&self, now: Instant, server: SocketAddr) -> bool {
         let has_place = self.in_flight.borrow().len() < self.settings.helped_requests;
-        let is_usable = !self.refusing.get() && self.config_is_usable(now);
+        let is_usable = !self.leaving.get() && self.config_is_usable(now);
         let has_path = !self.paths.borrow().is_lost();
         let is_server = || self.servers.borrow().all().any(|listed| listed.address == server);
         has_place && is_usable && has_path && is_server()
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -15,8 +15,8 @@
 
 impl Gateway {
     /// Announces the shutdown, still answers new requests while callers may use a cached address,
-    /// then calls `close`, refuses new requests, and returns when none is in flight or the node
-    /// must end.
+    /// then calls `close`, refuses new requests, and returns when none is in flight or the process
+    /// is killed anyway.
     pub async fn shut_down(
         &self,
         stopped_at: Instant,
@@ -30,7 +30,7 @@
         clock.sleep(term.closes_at.saturating_duration_since(clock.now())).await;
         self.refuse_new();
         close();
-        while self.in_flight() > 0 && clock.now() < term.ends_at {
+        while self.in_flight() > 0 && clock.now() < term.killed_at {
             clock.sleep(DRAIN_PERIOD).await;
         }
         self.log_cut(clock.now());
@@ -48,6 +48,26 @@
 }
 
 impl GatewayState {
+    /// Whether a new request of a route, whose caller waits for `limit`, can be answered before the
+    /// node ends.
+    pub(crate) fn can_take(&self, now: Instant, route: &RouteName, limit: Duration) -> bool {
+        let Some(term) = self.shutdown.get() else { return true };
+        term.admits(now, self.needed_time(now, route, limit))
+    }
+
+    /// Whether a request that has not begun to run can be answered before the node ends.
+    pub(crate) fn can_finish(&self, now: Instant, route: &RouteName, limit: Duration) -> bool {
+        let Some(term) = self.shutdown.get() else { return true };
+        term.can_finish(now, self.needed_time(now, route, limit))
+    }
+
+    /// How long a request may take, as far as this node can tell; at most `limit`.
+    fn needed_time(&self, now: Instant, route: &RouteName, limit: Duration) -> Duration {
+        let running = self.in_flight.borrow().oldest_age(now, route);
+        let bound = self.run_times.borrow().bound(route, running);
+        bound.map_or(limit, |bound| bound.min(limit))
+    }
+
     /// Logs a request that arrives after the stop signal.
     pub(crate) fn log_late_request(
         &self,
@@ -62,8 +82,8 @@
             route:% = route,
             since_stop_ms = whole_ms(now.saturating_duration_since(term.stopped_at)),
             left_ms = whole_ms(term.time_left(now)),
-            limit_ms = whole_ms(limit);
-            "gateway: request taken while leaving."
+            needed_ms = whole_ms(self.needed_time(now, route, limit));
+            "gateway: request arrived while leaving."
         );
     }
 }
--- /dev/null
+++ b/crates/policy/src/run_times.rs
@@ -0,0 +1,84 @@
+//! How long requests take, for the decision whether one more can be done in time.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::RouteName;
+
+/// Settings of [`RunTimes`].
+#[derive(Clone, Copy, Debug)]
+pub struct RunTimeSettings {
+    /// Requests are remembered for at least this time after their end, and at most twice as long.
+    pub window: Duration,
+
+    /// With fewer requests of a route than this, nothing is said about others.
+    pub least_requests: u32,
+
+    /// A request may take this many times as long as the longest one that was seen.
+    pub margin: f64,
+}
+
+impl Default for RunTimeSettings {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(30), least_requests: 20, margin: 1.5 }
+    }
+}
+
+/// Requests of one route that ended within a span of time.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunSpan {
+    requests: u32,
+    longest: Duration,
+}
+
+/// Requests of one route.
+#[derive(Clone, Copy, Debug)]
+struct RouteRuns {
+    /// When the current span began.
+    since: Instant,
+    current: RunSpan,
+    previous: RunSpan,
+}
+
+/// The longest times that requests took lately, by route. The longest counts, not a mean: whoever
+/// relies on a bound promises to finish.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    settings: RunTimeSettings,
+    routes: HashMap<RouteName, RouteRuns>,
+}
+
+impl RunTimes {
+    /// Creates a record without requests.
+    pub fn new(settings: RunTimeSettings) -> Self {
+        Self { settings, routes: HashMap::new() }
+    }
+
+    /// Records a request that ended after `time`.
+    pub fn record(&mut self, now: Instant, route: &RouteName, time: Duration) {
+        let window = self.settings.window;
+        let empty =
+            || RouteRuns { since: now, current: RunSpan::default(), previous: RunSpan::default() };
+        let runs = self.routes.entry(route.clone()).or_insert_with(empty);
+        let age = now.saturating_duration_since(runs.since);
+        if age >= window {
+            let is_recent = age < window * 2;
+            runs.previous = if is_recent { runs.current } else { RunSpan::default() };
+            runs.current = RunSpan::default();
+            runs.since = now;
+        }
+        runs.current.requests = runs.current.requests.saturating_add(1);
+        runs.current.longest = runs.current.longest.max(time);
+    }
+
+    /// The time within which a request of a route ends as a rule; `None` if too few are known.
+    /// `running` is the age of the oldest one that has not ended.
+    pub fn bound(&self, route: &RouteName, running: Duration) -> Option<Duration> {
+        let RouteRuns { current, previous, .. } = self.routes.get(route)?;
+        let requests = current.requests.saturating_add(previous.requests);
+        let longest = current.longest.max(previous.longest).max(running);
+        (requests >= self.settings.least_requests).then(|| longest.mul_f64(self.settings.margin))
+    }
+}
--- a/crates/policy/src/shutdown_term.rs
+++ b/crates/policy/src/shutdown_term.rs
@@ -1,13 +1,7 @@
-//! When a node that received a stop signal ends.
+//! When a node that received a stop signal takes new requests, and when it ends.
 
 use std::time::{Duration, Instant};
 
-/// The node ends this long before the platform would kill it.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
-
-/// New requests are answered in at most one part in so many of the time until the node ends.
-const CLOSING_DIVISOR: u32 = 2;
-
 /// How long a node may take to stop.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownSettings {
@@ -16,36 +10,69 @@
 
     /// How long callers may use the node's address after they were told of others.
     pub address_hold: Duration,
+
+    /// Time kept for writing the last answers, at most a tenth of `grace`.
+    pub answer_margin: Duration,
 }
 
 impl Default for ShutdownSettings {
     fn default() -> Self {
-        Self { grace: Duration::from_secs(8), address_hold: Duration::from_secs(4) }
+        Self {
+            grace: Duration::from_secs(8),
+            address_hold: Duration::from_secs(6),
+            answer_margin: Duration::from_millis(100),
+        }
     }
 }
 
-/// When a node that received a stop signal takes new requests, and when it ends.
+/// Of the grace, the part in which new requests may be taken is one in so many. The rest belongs to
+/// requests that run.
+const CLOSING_DIVISOR: u32 = 2;
+
+/// The answer margin is at most one in so many parts of the grace.
+const MARGIN_DIVISOR: u32 = 10;
+
+/// When a node that received a stop signal takes new requests, and when it ends. Times count from
+/// the signal, also if the process was frozen since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownTerm {
-    /// When the stop signal came.
+    /// When the stop signal came, or the latest moment before it might have come.
     pub stopped_at: Instant,
 
     /// From then on no new request is taken.
     pub closes_at: Instant,
 
-    /// When the node ends, whatever still runs.
+    /// Answers must be complete by then. Invariant: not before `closes_at`.
     pub ends_at: Instant,
+
+    /// When the process is killed. Invariant: not before `ends_at`.
+    pub killed_at: Instant,
 }
 
 impl ShutdownTerm {
     /// The term of a node that received the stop signal at `stopped_at`.
     pub fn new(stopped_at: Instant, settings: &ShutdownSettings) -> Self {
-        let limit = settings.grace.saturating_sub(GRACE_MARGIN);
-        let hold = settings.address_hold.min(limit / CLOSING_DIVISOR);
-        Self { stopped_at, closes_at: stopped_at + hold, ends_at: stopped_at + limit }
+        let margin = settings.answer_margin.min(settings.grace / MARGIN_DIVISOR);
+        let hold = settings.address_hold.min(settings.grace / CLOSING_DIVISOR);
+        Self {
+            stopped_at,
+            closes_at: stopped_at + hold,
+            ends_at: stopped_at + settings.grace.saturating_sub(margin),
+            killed_at: stopped_at + settings.grace,
+        }
+    }
+
+    /// Whether a new request that may take `needed` can be taken now.
+    pub fn admits(&self, now: Instant, needed: Duration) -> bool {
+        now < self.closes_at && self.can_finish(now, needed)
+    }
+
+    /// Whether work that may take `needed` is done before the node ends.
+    pub fn can_finish(&self, now: Instant, needed: Duration) -> bool {
+        needed <= self.time_left(now)
     }
 
-    /// Time until the node ends.
+    /// Time until answers must be complete.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.ends_at.saturating_duration_since(now)
     }
