Log what servers that turn requests away ask for

The logs of the incident cannot tell whether nodes do not know that a server asked them to wait, or know it and send by another path: what a server asks for is read nowhere.

Nothing heeds it yet, no decision changes. A refusal that asks for a wait and names no rate limit says nothing about a limit, so it ends none.

--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -10,6 +10,7 @@
 const REQUESTS: &str = "comfreyturn_requests_total";
 const ATTEMPTS: &str = "comfreyturn_attempts_total";
 const LIMITED_SENDS: &str = "comfreyturn_limited_sends_total";
+const REQUESTED_WAITS: &str = "comfreyturn_requested_waits_total";
 const RESUMES: &str = "comfreyturn_resumes_total";
 const ORDERS: &str = "comfreyturn_orders_total";
 const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
@@ -71,6 +72,11 @@
     counter!(LIMITED_SENDS, "service" => service.to_string()).increment(1);
 }
 
+/// Counts an answer of a server that asked this node to wait.
+pub(crate) fn count_requested_wait() {
+    counter!(REQUESTED_WAITS).increment(1);
+}
+
 /// Counts a stream that was resumed at another server.
 pub(crate) fn count_resume(service: &ServiceName) {
     counter!(RESUMES, "service" => service.to_string()).increment(1);
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -6,13 +6,20 @@
 use comfreyturn_ports::ServerNotice;
 use comfreyturn_types::{FleetServer, NodeId, ServerLife};
 
-use crate::{gateway_metrics, gateway_state::GatewayState};
+use crate::{gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
 
 impl GatewayState {
     /// Records what a server asked of the nodes in an answer to this one.
     pub(crate) fn record_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
-        let statement = LimitStatement { rate: notice.rate_limit, at: now };
-        self.record_limit(life, statement, AnswerReceiver::This);
+        // A refusal that asks for a wait and names no limit says nothing about a limit.
+        if notice.rate_limit.is_some() || notice.wait.is_none() {
+            let statement = LimitStatement { rate: notice.rate_limit, at: now };
+            self.record_limit(life, statement, AnswerReceiver::This);
+        }
+        if let Some(wait) = notice.wait {
+            gateway_metrics::count_requested_wait();
+            log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
+        }
     }
 
     /// Records what another node says that a server stated.
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -87,6 +87,10 @@
 pub struct ServerNotice {
     /// The rate of requests that it takes from all nodes together; `None` for any rate.
     pub rate_limit: Option<RequestRate>,
+
+    /// How long the server wants nothing from this node; `None` if it asks for no wait. A later
+    /// response ends no wait.
+    pub wait: Option<Duration>,
 }
 
 /// What came of a request to a server.
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -172,7 +172,10 @@
             sent: 0,
             crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
         };
-        ServerReply { notice: Some(ServerNotice { rate_limit }), answer: Ok(Box::new(answer)) }
+        ServerReply {
+            notice: Some(ServerNotice { rate_limit, wait: None }),
+            answer: Ok(Box::new(answer)),
+        }
     }
 }
 
