--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -92,3 +92,30 @@
     let forgotten_after = forgotten_after.expect("forgotten");
     assert!(forgotten_after >= settings.window && forgotten_after <= settings.window * 2);
 }
+
+/// Guards against rare slow requests that a node has not seen yet, takes after its stop signal and
+/// gives up when it ends (LOST).
+#[test]
+fn rare_slow_request_is_not_taken_by_a_node_that_saw_few_requests() {
+    let settings = RunTimeSettings::default();
+    let (start, route) = (Instant::now(), RouteName::from("r"));
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let draw = |rng: &mut Xoshiro256PlusPlus| {
+        let is_slow = rng.random_range(0..100) == 0;
+        seconds(if is_slow { rng.random_range(3.7..4.5) } else { rng.random_range(0.1..1.0) })
+    };
+    let (mut taken, mut lost) = (0, 0);
+    for _ in 0..10_000 {
+        let mut times = RunTimes::new(settings);
+        let seen = rng.random_range(settings.least_requests..settings.least_requests * 3);
+        (0..seen).for_each(|_| times.record(start, &route, draw(&mut rng)));
+        let term = term(start, 8);
+        let now = start + seconds(rng.random_range(0.0..4.0));
+        let needed = times.bound(&route, Duration::ZERO).unwrap_or(Duration::from_secs(8));
+        if term.admits(now, needed) {
+            taken += 1;
+            lost += u32::from(now + draw(&mut rng) > term.ends_at);
+        }
+    }
+    assert_eq!(lost, 0, "of {taken} taken");
+}
