Learn run times from requests that were not served, too

What callers saw, in tests: a stopping node took a request that it could not finish, although one like it had just timed out, or its caller had left, or only quick failures of servers were known.

Cause: run times were recorded for complete answers and broken streams only, and each of them counted as a sample, whatever its status. Now a success counts; what failed, timed out or was left only raises the longest time.

--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -153,7 +153,7 @@
     pub(crate) fn served(&self, status: StatusCode) {
         self.first_piece();
         self.labels.measure_whole(self.elapsed());
-        self.record_time();
+        self.record_time(status.is_success());
         self.end("served", "");
         let first = self.first_at.get().map(|at| at.saturating_duration_since(self.received_at));
         log::info!(
@@ -215,6 +215,7 @@
 
     /// It is unknown whether the request ran.
     pub(crate) fn unknown(&self, reason: UnknownReason, cause: AttemptError) {
+        self.record_time(false);
         self.end("unknown", reason.into());
         log::warn!(
             request:% = self.request,
@@ -231,7 +232,7 @@
 
     /// The stream broke after the caller received a part of it.
     pub(crate) fn broken(&self, cause: AttemptError) {
-        self.record_time();
+        self.record_time(false);
         self.end("broken", cause.into());
         log::warn!(
             request:% = self.request,
@@ -246,10 +247,14 @@
     }
 
     /// Records how long the request took, for the decision whether another one can be done in time.
-    fn record_time(&self) {
-        if let Some(route) = &self.route {
-            let (now, time) = (self.clock.now(), self.elapsed());
-            self.state.run_times.borrow_mut().record(now, route, time);
+    fn record_time(&self, is_served: bool) {
+        let Some(route) = &self.route else { return };
+        let (now, time) = (self.clock.now(), self.elapsed());
+        let mut times = self.state.run_times.borrow_mut();
+        if is_served {
+            times.record(now, route, time);
+        } else {
+            times.record_unserved(now, route, time);
         }
     }
 
@@ -292,6 +297,7 @@
         if self.is_recorded.get() {
             return;
         }
+        self.record_time(false);
         self.end("caller-left", "");
         log::info!(
             request:% = self.request,
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -56,8 +56,22 @@
         Self { settings, routes: HashMap::new() }
     }
 
-    /// Records a request that ended after `time`.
+    /// Records a request that was served within `time`.
     pub fn record(&mut self, now: Instant, route: &RouteName, time: Duration) {
+        let runs = self.current(now, route);
+        runs.requests = runs.requests.saturating_add(1);
+        runs.longest = runs.longest.max(time);
+    }
+
+    /// Records a request that failed or was given up after `time`. It might have taken longer, and
+    /// says nothing about how quick others are.
+    pub fn record_unserved(&mut self, now: Instant, route: &RouteName, time: Duration) {
+        let runs = self.current(now, route);
+        runs.longest = runs.longest.max(time);
+    }
+
+    /// The current span of a route.
+    fn current(&mut self, now: Instant, route: &RouteName) -> &mut RunSpan {
         let window = self.settings.window;
         let empty =
             || RouteRuns { since: now, current: RunSpan::default(), previous: RunSpan::default() };
@@ -69,8 +83,7 @@
             runs.current = RunSpan::default();
             runs.since = now;
         }
-        runs.current.requests = runs.current.requests.saturating_add(1);
-        runs.current.longest = runs.current.longest.max(time);
+        &mut runs.current
     }
 
     /// The time within which a request of a route ends as a rule; `None` if too few are known.
