Forget run times of long ago also where no request came since

The record of a route moved on only when a request of it ended, so that a node went by requests of any age, and by spans up to 60 s long. Spans now follow each other without a gap, and the bound is asked for a time.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -64,7 +64,7 @@
     /// How long a request may take, as far as this node can tell; at most `limit`.
     fn needed_time(&self, now: Instant, route: &RouteName, limit: Duration) -> Duration {
         let running = self.in_flight.borrow().oldest_age(now, route);
-        let bound = self.run_times.borrow().bound(route, running);
+        let bound = self.run_times.borrow().bound(now, route, running);
         bound.map_or(limit, |bound| bound.min(limit))
     }
 
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -42,6 +42,21 @@
     previous: RunSpan,
 }
 
+impl RouteRuns {
+    /// The same requests, without those of spans that are over by now. Spans follow each other
+    /// without a gap, so that a request is never remembered for more than two of them.
+    fn at(self, now: Instant, window: Duration) -> Self {
+        let age = now.saturating_duration_since(self.since);
+        if age < window {
+            return self;
+        }
+        let next = self.since + window;
+        let (since, previous) =
+            if age < window * 2 { (next, self.current) } else { (now, RunSpan::default()) };
+        Self { since, current: RunSpan::default(), previous }
+    }
+}
+
 /// The longest times that requests took lately, by route. The longest counts, not a mean: whoever
 /// relies on a bound promises to finish.
 #[derive(Debug, Default)]
@@ -76,20 +91,15 @@
         let empty =
             || RouteRuns { since: now, current: RunSpan::default(), previous: RunSpan::default() };
         let runs = self.routes.entry(route.clone()).or_insert_with(empty);
-        let age = now.saturating_duration_since(runs.since);
-        if age >= window {
-            let is_recent = age < window * 2;
-            runs.previous = if is_recent { runs.current } else { RunSpan::default() };
-            runs.current = RunSpan::default();
-            runs.since = now;
-        }
+        *runs = runs.at(now, window);
         &mut runs.current
     }
 
     /// The time within which a request of a route ends as a rule; `None` if too few are known.
     /// `running` is the age of the oldest one that has not ended.
-    pub fn bound(&self, route: &RouteName, running: Duration) -> Option<Duration> {
-        let RouteRuns { current, previous, .. } = self.routes.get(route)?;
+    pub fn bound(&self, now: Instant, route: &RouteName, running: Duration) -> Option<Duration> {
+        let RouteRuns { current, previous, .. } =
+            self.routes.get(route)?.at(now, self.settings.window);
         let requests = current.requests.saturating_add(previous.requests);
         let longest = current.longest.max(previous.longest).max(running);
         (requests >= self.settings.least_requests).then(|| longest.mul_f64(self.settings.margin))
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -55,11 +55,11 @@
     let mut times = RunTimes::new(settings);
     let (now, route) = (Instant::now(), RouteName::from("r"));
     for number in 0..settings.least_requests {
-        assert_eq!(times.bound(&route, Duration::ZERO), None, "{number} requests");
+        assert_eq!(times.bound(now, &route, Duration::ZERO), None, "{number} requests");
         times.record(now, &route, seconds(1.0));
     }
-    assert_eq!(times.bound(&route, Duration::ZERO), Some(seconds(1.0 * settings.margin)));
-    assert_eq!(times.bound(&RouteName::from("other"), Duration::ZERO), None);
+    assert_eq!(times.bound(now, &route, Duration::ZERO), Some(seconds(1.0 * settings.margin)));
+    assert_eq!(times.bound(now, &RouteName::from("other"), Duration::ZERO), None);
 }
 
 /// Guards against requests that became slow a moment ago, none of which has ended yet.
@@ -69,7 +69,7 @@
     let mut times = RunTimes::new(settings);
     let (now, route) = (Instant::now(), RouteName::from("r"));
     (0..100).for_each(|_| times.record(now, &route, seconds(0.5)));
-    let bound = times.bound(&route, seconds(4.0));
+    let bound = times.bound(now, &route, seconds(4.0));
     assert_eq!(bound, Some(seconds(4.0 * settings.margin)));
 }
 
@@ -84,7 +84,7 @@
     for second in 0..200 {
         let now = start + Duration::from_secs(second);
         (0..5).for_each(|_| times.record(now, &route, seconds(0.5)));
-        let bound = times.bound(&route, Duration::ZERO);
+        let bound = times.bound(now, &route, Duration::ZERO);
         if forgotten_after.is_none() && bound.is_some_and(|bound| bound < seconds(1.0)) {
             forgotten_after = Some(Duration::from_secs(second));
         }
@@ -111,7 +111,7 @@
         (0..seen).for_each(|_| times.record(start, &route, draw(&mut rng)));
         let term = term(start, 8);
         let now = start + seconds(rng.random_range(0.0..4.0));
-        let needed = times.bound(&route, Duration::ZERO).unwrap_or(Duration::from_secs(8));
+        let needed = times.bound(now, &route, Duration::ZERO).unwrap_or(Duration::from_secs(8));
         if term.admits(now, needed) {
             taken += 1;
             lost += u32::from(now + draw(&mut rng) > term.ends_at);
