Count only the rest of a request's time when a node stops

A request whose body came slowly was refused by a stopping node for time that had passed already: the check took the caller's whole deadline.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -161,15 +161,17 @@
         );
         let limit = request.deadline.map_or(route.timeout, |limit| limit.min(route.timeout));
         let now = self.ports.clock.now();
-        state.log_late_request(now, &request, &route.name, limit);
-        if !state.can_take(now, &route.name, limit) {
+        let deadline_at = request.received_at + limit;
+        let left = deadline_at.saturating_duration_since(now);
+        state.log_late_request(now, &request, &route.name, left);
+        if !state.can_take(now, &route.name, left) {
             return self.not_run(&trace, NotRunReason::EndsTooSoon, request.deadline);
         }
         let work = InFlightWork::Request { request: request.id.clone(), route: route.name.clone() };
         let run = ForwardRun {
             state: state.clone(),
             ports: self.ports.clone(),
-            deadline_at: request.received_at + limit,
+            deadline_at,
             route: route.clone(),
             service: service.clone(),
             customer: customer.map(|customer| customer.name.clone()),
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -48,24 +48,24 @@
 }
 
 impl GatewayState {
-    /// Whether a new request of a route, whose caller waits for `limit`, can be answered before the
+    /// Whether a new request of a route, whose caller waits for `left` more, can be answered before the
     /// node ends.
-    pub(crate) fn can_take(&self, now: Instant, route: &RouteName, limit: Duration) -> bool {
+    pub(crate) fn can_take(&self, now: Instant, route: &RouteName, left: Duration) -> bool {
         let Some(term) = self.shutdown.get() else { return true };
-        term.admits(now, self.needed_time(now, route, limit))
+        term.admits(now, self.needed_time(now, route, left))
     }
 
     /// Whether a request that has not begun to run can be answered before the node ends.
-    pub(crate) fn can_finish(&self, now: Instant, route: &RouteName, limit: Duration) -> bool {
+    pub(crate) fn can_finish(&self, now: Instant, route: &RouteName, left: Duration) -> bool {
         let Some(term) = self.shutdown.get() else { return true };
-        term.can_finish(now, self.needed_time(now, route, limit))
+        term.can_finish(now, self.needed_time(now, route, left))
     }
 
-    /// How long a request may take, as far as this node can tell; at most `limit`.
-    fn needed_time(&self, now: Instant, route: &RouteName, limit: Duration) -> Duration {
+    /// How long a request may take, as far as this node can tell; at most `left`.
+    fn needed_time(&self, now: Instant, route: &RouteName, left: Duration) -> Duration {
         let running = self.in_flight.borrow().oldest_age(now, route);
         let bound = self.run_times.borrow().bound(now, route, running);
-        bound.map_or(limit, |bound| bound.min(limit))
+        bound.map_or(left, |bound| bound.min(left))
     }
 
     /// Logs a request that arrives after the stop signal.
@@ -74,7 +74,7 @@
         now: Instant,
         request: &ForwardRequest,
         route: &RouteName,
-        limit: Duration,
+        left: Duration,
     ) {
         let Some(term) = self.shutdown.get() else { return };
         log::info!(
@@ -82,7 +82,7 @@
             route:% = route,
             since_stop_ms = whole_ms(now.saturating_duration_since(term.stopped_at)),
             left_ms = whole_ms(term.time_left(now)),
-            needed_ms = whole_ms(self.needed_time(now, route, limit));
+            needed_ms = whole_ms(self.needed_time(now, route, left));
             "gateway: request arrived while leaving."
         );
     }
