Let a node that learns late of its stop answer before it ends

A node that was frozen counts its term from before the freeze. Once that was over, it ended 50 ms after it woke, while requests learn of the end after up to 250 ms, so they got no answer. The signal may also have come only at the wake, or after a freeze that ended just before it. Requests still end by the earliest possible end; the process now ends a grace after it learned of the signal, if something is in flight until then, or is killed before.

The test failed before (no answer when the process ended) and passes.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -16,7 +16,7 @@
 impl Gateway {
     /// Announces the shutdown, still answers new requests while callers may use a cached address,
     /// then calls `close`, refuses new requests, and returns when none is in flight or the process
-    /// is killed anyway.
+    /// would have been killed.
     pub async fn shut_down(
         &self,
         stopped_at: Instant,
@@ -25,12 +25,14 @@
     ) {
         let clock = &self.ports.clock;
         let term = ShutdownTerm::new(stopped_at, settings);
+        // Whoever learns of the signal late may still have time to write the last answers.
+        let latest_end = clock.now() + settings.grace;
         self.state.shutdown.set(Some(term));
         self.announce_leaving();
         clock.sleep(term.closes_at.saturating_duration_since(clock.now())).await;
         self.refuse_new();
         close();
-        while self.in_flight() > 0 && clock.now() < term.killed_at {
+        while self.in_flight() > 0 && clock.now() < latest_end {
             clock.sleep(DRAIN_PERIOD).await;
         }
         self.log_cut(clock.now());
@@ -48,8 +50,8 @@
 }
 
 impl GatewayState {
-    /// Whether a new request of a route, whose caller waits for `left` more, can be answered before the
-    /// node ends.
+    /// Whether a new request of a route, whose caller waits for `left` more, can be answered before
+    /// the node ends.
     pub(crate) fn can_take(&self, now: Instant, route: &RouteName, left: Duration) -> bool {
         let Some(term) = self.shutdown.get() else { return true };
         term.admits(now, self.needed_time(now, route, left))
