Answer callers whose connections cross the end of a stopping node

What callers saw, in tests: a first request on a connection got no answer once the node refused, and neither did one whose body was still on the way.

Cause: the server of HTTP connections closes one that has not yet carried a byte when it is told to shut down, and answers say from the signal on that the connection closes, so nearly all late requests come on such ones, a round trip after they were accepted. And only what runs held the process, not a connection on which a request is read or an answer is written.

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -29,6 +29,10 @@
         /// The server.
         server: SocketAddr,
     },
+
+    /// A caller's connection, on which a request is read or an answer is written.
+    #[display("connection of a caller")]
+    Connection,
 }
 
 /// Work in flight, and since when.
@@ -57,7 +61,7 @@
     pub(crate) fn oldest_age(&self, now: Instant, route: &RouteName) -> Duration {
         let is_of_route = |work: &InFlightWork| match work {
             InFlightWork::Request { route: own, .. } => own == route,
-            InFlightWork::Tunnel { .. } => false,
+            InFlightWork::Tunnel { .. } | InFlightWork::Connection => false,
         };
         let oldest = self.oldest(now).find(|(work, _)| is_of_route(work));
         oldest.map_or(Duration::ZERO, |(_, age)| age)
@@ -72,7 +76,7 @@
 }
 
 /// Counts work as in flight until dropped.
-pub(crate) struct InFlightGuard {
+pub struct InFlightGuard {
     state: Rc<GatewayState>,
     number: u64,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub use gateway::*;
 pub use gateway_settings::*;
 pub use heartbeat_loop::*;
+pub use in_flight::InFlightGuard;
 pub use load_tracker::LoadTracker;
 pub use part_report::{CrashedParts, PartReport};
 pub use peer_table::{PeerProgress, PeerRecord, PeerStatus, PeerTable, PeerTimeouts};
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -5,7 +5,10 @@
 use comfreyturn_policy::{ShutdownSettings, ShutdownTerm};
 use comfreyturn_types::RouteName;
 
-use crate::{ForwardRequest, Gateway, gateway_state::GatewayState, node_snapshot::whole_ms};
+use crate::{
+    ForwardRequest, Gateway, InFlightGuard, gateway_state::GatewayState, in_flight::InFlightWork,
+    node_snapshot::whole_ms,
+};
 
 /// Interval between checks whether requests are still in flight.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
@@ -32,6 +35,8 @@
         clock.sleep(term.closes_at.saturating_duration_since(clock.now())).await;
         self.refuse_new();
         close();
+        // Connections learn of the end only once this task waits.
+        clock.sleep(DRAIN_PERIOD).await;
         while self.in_flight() > 0 && clock.now() < latest_end {
             clock.sleep(DRAIN_PERIOD).await;
         }
@@ -39,6 +44,11 @@
         clock.sleep(DRAIN_PERIOD).await;
     }
 
+    /// Keeps the node from ending while a caller's connection is in use.
+    pub fn hold_connection(&self) -> InFlightGuard {
+        InFlightGuard::start(&self.state, self.ports.clock.now(), InFlightWork::Connection)
+    }
+
     /// Logs the work that ends with the node, the oldest first.
     fn log_cut(&self, now: Instant) {
         let in_flight = self.state.in_flight.borrow();
