Leave more of the grace to rare slow requests

What callers saw, in a test: where one request in 100 takes 4 s, a node that saw 20 to 59 quick ones takes such a request 3.4 s after its stop signal and gives it up: 3 of 8191.

Cause: no estimate from few requests knows of the rare slow one. Ruled out: asking for more requests (after 100 the chance to have seen none is still over a third, and nodes of a large fleet see few), and telling other nodes of the longest run (a change of what nodes tell each other, for little).

The window for new requests is now three eighths of the grace in place of a half, so that 4.9 s of 8 are left in any case. The failing test passes (none of those taken lost).

--- a/crates/policy/src/shutdown_term.rs
+++ b/crates/policy/src/shutdown_term.rs
@@ -25,9 +25,9 @@
     }
 }
 
-/// Of the grace, the part in which new requests may be taken is one in so many. The rest belongs to
-/// requests that run.
-const CLOSING_DIVISOR: u32 = 2;
+/// Of the grace, the part in which new requests may be taken. The rest belongs to requests that run:
+/// some take longer than all that a node has seen.
+const CLOSING_FRACTION: f64 = 3.0 / 8.0;
 
 /// The answer margin is at most one in so many parts of the grace.
 const MARGIN_DIVISOR: u32 = 10;
@@ -50,7 +50,7 @@
     /// The term of a node that received the stop signal at `stopped_at`.
     pub fn new(stopped_at: Instant, settings: &ShutdownSettings) -> Self {
         let margin = settings.answer_margin.min(settings.grace / MARGIN_DIVISOR);
-        let hold = settings.address_hold.min(settings.grace / CLOSING_DIVISOR);
+        let hold = settings.address_hold.min(settings.grace.mul_f64(CLOSING_FRACTION));
         Self {
             stopped_at,
             closes_at: stopped_at + hold,
