--- /dev/null
+++ b/crates/gateway/src/forward_end.rs
@@ -0,0 +1,54 @@
+//! The ends of a request: the answers for its caller.
+
+use comfreyturn_ports::LinkError;
+
+use crate::{
+    ForwardAnswer, NotRunReason, UnknownReason,
+    forward_attempt::{AttemptError, WholeAnswer},
+    forward_run::{ForwardRun, RESPONSE_MARGIN},
+};
+
+impl ForwardRun {
+    /// The answer after an attempt that failed and is not repeated.
+    pub(crate) fn give_up(&self, error: AttemptError) -> ForwardAnswer {
+        let ran = self.may_have_run;
+        match error {
+            AttemptError::NotMade(reason) if !ran => self.not_run(reason),
+            AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
+                self.not_run(NotRunReason::Declined)
+            }
+            AttemptError::OutOfTime if !ran => self.not_run(self.lateness()),
+            AttemptError::OutOfTime | AttemptError::Unresponsive => {
+                self.unknown(UnknownReason::Timeout, error)
+            }
+            _ => self.unknown(UnknownReason::AnswerLost, error),
+        }
+    }
+
+    fn unknown(&self, reason: UnknownReason, cause: AttemptError) -> ForwardAnswer {
+        self.trace.unknown(reason, cause);
+        ForwardAnswer::Unknown(reason)
+    }
+
+    pub(crate) fn served(&self, whole: WholeAnswer) -> ForwardAnswer {
+        self.trace.served(whole.status);
+        whole.into_answer()
+    }
+
+    pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
+        if reason.is_lack_of_capacity() {
+            self.state.record_refusal(&self.service, self.request.model.as_ref());
+        }
+        let waited = self.now().saturating_duration_since(self.request.received_at);
+        let deadline = self.request.deadline.unwrap_or(self.route.timeout);
+        let retry_after = self.state.retry_after(reason, deadline.saturating_sub(waited));
+        self.trace.not_run(reason, retry_after);
+        ForwardAnswer::NotRun { reason, retry_after }
+    }
+
+    /// Why a request that has not run can't run any more.
+    pub(crate) fn lateness(&self) -> NotRunReason {
+        let is_late = self.now() + RESPONSE_MARGIN >= self.deadline_at;
+        if is_late { NotRunReason::TooLate } else { NotRunReason::EndsTooSoon }
+    }
+}
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -12,7 +12,7 @@
 use futures_util::future::{Either, select};
 
 use crate::{
-    ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream, UnknownReason,
+    ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream,
     forward_attempt::{Attempt, AttemptError, WholeAnswer},
     gateway_state::GatewayState,
     in_flight::InFlightGuard,
@@ -29,7 +29,7 @@
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
+pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
 /// Processing of one request: attempts, retries and the answer.
 pub(crate) struct ForwardRun {
@@ -82,12 +82,6 @@
         shutdown.map_or(self.deadline_at, |term| term.ends_at.min(self.deadline_at))
     }
 
-    /// Why a request that has not run can't run any more.
-    fn lateness(&self) -> NotRunReason {
-        let is_late = self.now() + RESPONSE_MARGIN >= self.deadline_at;
-        if is_late { NotRunReason::TooLate } else { NotRunReason::EndsTooSoon }
-    }
-
     /// Whether the request can be answered before the node ends, if it begins now.
     fn can_finish(&self, now: Instant) -> bool {
         let left = self.deadline_at.saturating_duration_since(now);
@@ -363,42 +357,6 @@
             && self.state.try_retry(now, &self.service.name)
     }
 
-    fn give_up(&self, error: AttemptError) -> ForwardAnswer {
-        let ran = self.may_have_run;
-        match error {
-            AttemptError::NotMade(reason) if !ran => self.not_run(reason),
-            AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
-                self.not_run(NotRunReason::Declined)
-            }
-            AttemptError::OutOfTime if !ran => self.not_run(self.lateness()),
-            AttemptError::OutOfTime | AttemptError::Unresponsive => {
-                self.unknown(UnknownReason::Timeout, error)
-            }
-            _ => self.unknown(UnknownReason::AnswerLost, error),
-        }
-    }
-
-    fn unknown(&self, reason: UnknownReason, cause: AttemptError) -> ForwardAnswer {
-        self.trace.unknown(reason, cause);
-        ForwardAnswer::Unknown(reason)
-    }
-
-    fn served(&self, whole: WholeAnswer) -> ForwardAnswer {
-        self.trace.served(whole.status);
-        whole.into_answer()
-    }
-
-    pub(crate) fn not_run(&self, reason: NotRunReason) -> ForwardAnswer {
-        if reason.is_lack_of_capacity() {
-            self.state.record_refusal(&self.service, self.request.model.as_ref());
-        }
-        let waited = self.now().saturating_duration_since(self.request.received_at);
-        let deadline = self.request.deadline.unwrap_or(self.route.timeout);
-        let retry_after = self.state.retry_after(reason, deadline.saturating_sub(waited));
-        self.trace.not_run(reason, retry_after);
-        ForwardAnswer::NotRun { reason, retry_after }
-    }
-
     /// Runs a call until the request must end; `None` if it takes longer.
     async fn until_end<T>(&self, call: impl Future<Output = T>) -> Option<T> {
         let mut call = std::pin::pin!(call);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_loop;
 mod forward_answer;
 mod forward_attempt;
+mod forward_end;
 mod forward_records;
 mod forward_request;
 mod forward_run;
