Reproduce requests to servers that asked a node to wait in tests that fail

A server that turns a request away may ask that node to send it nothing for so many seconds. The rule: at most two requests reach it from that node from half a second after such an answer until the end of that time. A server that asked for 3 s got 19 and 8.

Cause: nothing reads what the server asks. Retries go to the next server, and new requests to the same one. Ruled out: nothing else is needed to bring it about; in the tests servers, lists and datagrams work.

The fake servers turn requests away for a span of time, or while their places are taken, and record each answer with a wait and the node whose connection they saw. That is the node that helps if one does, and only if it admits the tunnel. The check goes by these records alone, for each answer, server life and node; nodes that were frozen, restarted or cut are not counted.

The test of a wait that ends and that of a server that is replaced fail only by the rule.

--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -9,3 +9,6 @@
 mod rate_limits;
 mod rolling_stops;
 mod test_nodes;
+mod wait_check;
+mod waiting_servers;
+mod waiting_site;
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -1,6 +1,7 @@
 //! Nodes of one deployment that exchange datagrams.
 
 use std::{
+    any::Any,
     cell::RefCell,
     collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
@@ -214,6 +215,12 @@
         };
         let gateway = Gateway::new(identity, ports, self.settings.clone());
         gateway.start();
+        let helper = Rc::downgrade(&gateway);
+        let admit = move |server| {
+            let permit = helper.upgrade()?.admit_tunnel(server)?;
+            Some(Box::new(permit) as Box<dyn Any>)
+        };
+        self.servers.add_helper(&name(number), peer_address, Rc::new(admit));
         self.gateways.insert(number, gateway);
     }
 
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -1,6 +1,7 @@
 //! Backend servers that answer every request, for tests with several nodes.
 
 use std::{
+    any::Any,
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -16,6 +17,11 @@
 use comfreyturn_types::{NodeId, RequestRate, ServerLife, VmId};
 use http::{HeaderMap, HeaderName, StatusCode};
 
+use super::{
+    ServerPlaces, WaitAsked,
+    waiting_rules::{PlaceGuard, WaitingRules},
+};
+
 /// A request with this header crashes the server that begins to answer it.
 pub const CRASH_HEADER: HeaderName = HeaderName::from_static("x-crash");
 
@@ -34,6 +40,9 @@
 /// Time after which a crashed server's address refuses a connection.
 const REFUSAL_DELAY: Duration = Duration::from_millis(2);
 
+/// Time from a request's arrival until a server turns it away.
+const TURN_AWAY_DELAY: Duration = Duration::from_millis(5);
+
 /// Time after which a node without a path to the servers gives up opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -46,6 +55,9 @@
     /// The node that sent it.
     pub node: NodeId,
 
+    /// The node whose connection the server saw: the sender, or the one that helped it.
+    pub seen: NodeId,
+
     /// When it arrived, by the clock of that node.
     pub at: Instant,
 
@@ -53,6 +65,17 @@
     pub crashes: bool,
 }
 
+/// Decides whether a node opens a connection to a server for another node. The connection lasts
+/// until the permit is dropped.
+pub type AdmitTunnel = Rc<dyn Fn(SocketAddr) -> Option<Box<dyn Any>>>;
+
+/// A node through which others may reach the servers.
+#[derive(Clone)]
+struct HelperNode {
+    node: NodeId,
+    admit: AdmitTunnel,
+}
+
 /// Backend servers that answer every request with the same number of events. Clones share them.
 #[derive(Clone, Default)]
 pub struct AnsweringServers {
@@ -71,6 +94,10 @@
 
     /// Nodes that have no path to any server, with their addresses for other nodes.
     cut: RefCell<HashMap<NodeId, SocketAddr>>,
+
+    /// Nodes that help others, by their addresses for other nodes.
+    helpers: RefCell<HashMap<SocketAddr, HelperNode>>,
+    waiting: WaitingRules,
 }
 
 impl ServersState {
@@ -83,6 +110,10 @@
     fn is_crashed(&self, life: &ServerLife) -> bool {
         self.crashed.borrow().contains(life)
     }
+
+    fn rate_limit(&self, life: &ServerLife) -> Option<RequestRate> {
+        self.rate_limits.borrow().get(&life.vm).copied()
+    }
 }
 
 impl AnsweringServers {
@@ -110,6 +141,27 @@
         }
     }
 
+    /// Makes a node open connections for others.
+    pub fn add_helper(&self, node: &NodeId, address: SocketAddr, admit: AdmitTunnel) {
+        let helper = HelperNode { node: node.clone(), admit };
+        self.state.helpers.borrow_mut().insert(address, helper);
+    }
+
+    /// Makes a server turn all requests away until some time, and ask each node to wait.
+    pub fn turn_away(&self, life: &ServerLife, wait: Duration, until: Instant) {
+        self.state.waiting.turn_away(life, wait, until);
+    }
+
+    /// Makes a server turn requests away while its places are taken.
+    pub fn set_places(&self, vm: &str, places: ServerPlaces) {
+        self.state.waiting.set_places(VmId::from(vm), places);
+    }
+
+    /// The answers by which servers asked a node to wait, in order.
+    pub fn asked(&self) -> Vec<WaitAsked> {
+        self.state.waiting.asked()
+    }
+
     /// Crashes a server.
     pub fn crash(&self, now: Instant, life: &ServerLife) {
         self.state.crash(now, life);
@@ -154,15 +206,33 @@
             clock.sleep(REFUSAL_DELAY).await;
             return LinkError::NotSent.into();
         }
+        let helper = call.helper.and_then(|helper| state.helpers.borrow().get(&helper).cloned());
+        let (mut seen, mut tunnel) = (node.clone(), None);
+        if let Some(HelperNode { node, admit }) = helper {
+            let Some(permit) = admit(call.address) else {
+                clock.sleep(REFUSAL_DELAY).await;
+                return LinkError::NotSent.into();
+            };
+            (seen, tunnel) = (node, Some(permit));
+        }
         let crashes = call.headers.contains_key(&CRASH_HEADER);
         let (life, at) = (call.life.clone(), clock.now());
-        let arrival = ServerArrival { life: life.clone(), node: node.clone(), at, crashes };
-        state.arrivals.borrow_mut().push(arrival);
+        state.arrivals.borrow_mut().push(ServerArrival {
+            life: life.clone(),
+            node: node.clone(),
+            seen: seen.clone(),
+            at,
+            crashes,
+        });
+        let place = match state.waiting.take_place(at, &life) {
+            Ok(place) => place,
+            Err(wait) => return self.turned_away(life, seen, wait).await,
+        };
         clock.sleep(START_DELAY).await;
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
-        let rate_limit = state.rate_limits.borrow().get(&life.vm).copied();
+        let notice = ServerNotice { rate_limit: state.rate_limit(&life), wait: None };
         let answer = EventAnswer {
             state: state.clone(),
             clock: clock.clone(),
@@ -171,11 +241,24 @@
             events: stated_events(&call.headers).unwrap_or(state.events.get()),
             sent: 0,
             crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
+            _place: place,
+            _tunnel: tunnel,
         };
-        ServerReply {
-            notice: Some(ServerNotice { rate_limit, wait: None }),
-            answer: Ok(Box::new(answer)),
+        ServerReply { notice: Some(notice), answer: Ok(Box::new(answer)) }
+    }
+}
+
+impl AnsweringLink {
+    /// The answer of a server that turns a request away.
+    async fn turned_away(&self, life: ServerLife, seen: NodeId, wait: Duration) -> ServerReply {
+        let Self { state, clock, .. } = self;
+        clock.sleep(TURN_AWAY_DELAY).await;
+        if state.is_crashed(&life) {
+            return LinkError::Broken.into();
         }
+        let notice = ServerNotice { rate_limit: state.rate_limit(&life), wait: Some(wait) };
+        state.waiting.record_asked(WaitAsked { life, seen, at: clock.now(), wait });
+        ServerReply { notice: Some(notice), answer: Err(LinkError::NotRun) }
     }
 }
 
@@ -195,6 +278,10 @@
     /// Events sent so far.
     sent: u32,
     crashes_at: Option<Instant>,
+    _place: PlaceGuard,
+
+    /// The permit of the node that helps.
+    _tunnel: Option<Box<dyn Any>>,
 }
 
 #[async_trait(?Send)]
--- a/crates/standin/src/fakes/mod.rs
+++ b/crates/standin/src/fakes/mod.rs
@@ -21,6 +21,7 @@
 mod node_backends;
 mod node_gate;
 mod scripted_servers;
+mod waiting_rules;
 
 pub use answering_servers::*;
 pub use call_outcome::FaultEndpoint;
@@ -37,3 +38,4 @@
 pub use memory_peers::*;
 pub use memory_table::*;
 pub use scripted_servers::*;
+pub use waiting_rules::{ServerPlaces, WaitAsked};
