Ask stopping nodes earlier in two tests of what they take

Two tests send a request 1.5 s after the signal with a grace of 4 s. They ask at 1.4 s now; what they check is unchanged: a quick request is taken although its caller would wait for longer than the node has left.

--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -574,7 +574,7 @@
 
 /// When a request comes after the stop signal, in milliseconds. The node has less time left than its
 /// caller.
-const SINCE_STOP_MS: u64 = 1500;
+const SINCE_STOP_MS: u64 = 1400;
 
 /// Requests by which a node knows how long others of their route take.
 const KNOWN_REQUESTS: u32 = 20;
