Leave servers alone that asked this node to wait

What callers saw: five heads of groups turned every request away for 8 s and asked for 3 s each time. Nodes sent them 189 requests a second, more than all callers did, and of 76 questions a second 11 to 27 were answered in time.

Cause: nobody read what a server asks for when it turns a request away. The class: what a server asks of a node is not known to the place that decides where a request goes. Ruled out: a path around that place (first tries broke the rule), and news that come late (the node that broke it was the one that was asked).

Change: `ServerWaits` keeps, for each lifetime of a server, until when it wants nothing from this node. First tries, retries, resumed streams, probes and connections opened for other nodes ask it. After a wait one request at a time is tried. If all servers wait, callers hear at once when to come back, spread.

--- /dev/null
+++ b/crates/adapters/src/response_head.rs
@@ -0,0 +1,80 @@
+//! Reading of the head of a response that is passed on as bytes.
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+/// A head beyond this size is not read, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// The most headers of a head that is read.
+const MAX_HEADERS: usize = 100;
+
+/// The status and the headers of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: StatusCode,
+
+    /// The headers.
+    pub headers: HeaderMap,
+}
+
+/// Collects the bytes of a connection until they hold the head of its first final response.
+#[derive(Debug, Default)]
+pub(crate) struct HeadReader {
+    bytes: Vec<u8>,
+
+    /// Whether the head was read, or can't be.
+    is_done: bool,
+}
+
+impl HeadReader {
+    /// Takes the next bytes; returns the head once it is complete.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<ResponseHead> {
+        if self.is_done {
+            return None;
+        }
+        self.bytes.extend_from_slice(bytes);
+        loop {
+            let (length, head) = match read_head(&self.bytes) {
+                Some(Parsed::Head { length, head }) => (length, head),
+                Some(Parsed::Partial) if self.bytes.len() <= MAX_HEAD_BYTES => return None,
+                Some(Parsed::Partial) | None => {
+                    self.finish();
+                    return None;
+                }
+            };
+            if !head.status.is_informational() {
+                self.finish();
+                return Some(head);
+            }
+            self.bytes.drain(..length);
+        }
+    }
+
+    fn finish(&mut self) {
+        self.is_done = true;
+        self.bytes = Vec::new();
+    }
+}
+
+enum Parsed {
+    Partial,
+    Head { length: usize, head: ResponseHead },
+}
+
+/// Reads a head; `None` if the bytes are none.
+fn read_head(bytes: &[u8]) -> Option<Parsed> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(bytes).ok()? {
+        httparse::Status::Partial => return Some(Parsed::Partial),
+        httparse::Status::Complete(length) => length,
+    };
+    let status = StatusCode::from_u16(response.code?).ok()?;
+    let mut map = HeaderMap::new();
+    for header in response.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        map.append(name, HeaderValue::from_bytes(header.value).ok()?);
+    }
+    Some(Parsed::Head { length, head: ResponseHead { status, headers: map } })
+}
--- a/crates/adapters/src/tunnel.rs
+++ b/crates/adapters/src/tunnel.rs
@@ -20,7 +20,7 @@
     compat::{Compat, FuturesAsyncReadCompatExt},
 };
 
-use crate::{ByteMeter, metered_stream::MeteredStream};
+use crate::{ByteMeter, ResponseHead, metered_stream::MeteredStream, response_head::HeadReader};
 
 /// Pause after a failure to accept a connection, for example when the process is out of file
 /// descriptors.
@@ -90,6 +90,12 @@
     if answer.is_open { into_stream(frames) } else { Err(io::ErrorKind::ConnectionRefused.into()) }
 }
 
+/// What a node does for an open tunnel. It is dropped when the tunnel closes.
+pub trait TunnelWatch {
+    /// The server begins its first response.
+    fn response_begins(&self, _head: &ResponseHead) {}
+}
+
 /// Opens connections to servers for other nodes.
 #[derive(Clone)]
 pub struct TunnelServer {
@@ -101,12 +107,12 @@
 }
 
 impl TunnelServer {
-    /// Accepts connections of other nodes; never returns. `admit` returns a permit if this node
-    /// opens a connection to a server now; the permit is held as long as the connection is open.
-    pub async fn serve<F, P>(self, listener: TcpListener, admit: F)
+    /// Accepts connections of other nodes; never returns. `admit` returns a watch if this node opens
+    /// a connection to a server now; the watch is held as long as the connection is open.
+    pub async fn serve<F, W>(self, listener: TcpListener, admit: F)
     where
-        F: Fn(SocketAddr) -> Option<P> + Clone + 'static,
-        P: 'static,
+        F: Fn(SocketAddr) -> Option<W> + Clone + 'static,
+        W: TunnelWatch + 'static,
     {
         loop {
             match listener.accept().await {
@@ -122,48 +128,62 @@
         }
     }
 
-    async fn serve_connection<P>(self, stream: TcpStream, admit: impl Fn(SocketAddr) -> Option<P>) {
+    async fn serve_connection<W: TunnelWatch>(
+        self,
+        stream: TcpStream,
+        admit: impl Fn(SocketAddr) -> Option<W>,
+    ) {
         if let Err(error) = self.pass_on(stream, admit).await {
             log::debug!("tunnels: connection ended: {error}.");
         }
     }
 
-    async fn pass_on<P>(
+    async fn pass_on<W: TunnelWatch>(
         self,
         stream: TcpStream,
-        admit: impl Fn(SocketAddr) -> Option<P>,
+        admit: impl Fn(SocketAddr) -> Option<W>,
     ) -> io::Result<()> {
         let mut frames = frames(stream, self.meter.clone());
         let asked = timeout(self.connect_timeout, receive::<TunnelRequest>(&mut frames)).await;
         let request = asked.map_err(|_| io::ErrorKind::TimedOut)??;
         let server: SocketAddr = request.server.parse().map_err(io::Error::other)?;
-        let permit = admit(server);
         let connecting = async {
-            permit.as_ref()?;
-            timeout(self.connect_timeout, TcpStream::connect(server)).await.ok()?.ok()
+            let watch = admit(server)?;
+            let connecting = timeout(self.connect_timeout, TcpStream::connect(server));
+            Some((connecting.await.ok()?.ok()?, watch))
         };
-        let Some(connection) = connecting.await else {
+        let Some((connection, watch)) = connecting.await else {
             return send(&mut frames, &TunnelAnswer { is_open: false }).await;
         };
         send(&mut frames, &TunnelAnswer { is_open: true }).await?;
         let server = MeteredStream::new(connection, self.meter);
-        exchange(into_stream(frames)?, server).await
+        exchange(into_stream(frames)?, server, &watch).await
     }
 }
 
 /// Passes bytes on in both directions until one of them ends.
-async fn exchange(node: MeteredStream, server: MeteredStream) -> io::Result<()> {
+async fn exchange(
+    node: MeteredStream,
+    server: MeteredStream,
+    watch: &impl TunnelWatch,
+) -> io::Result<()> {
     let (from_node, mut to_node) = node.split();
     let (from_server, to_server) = server.split();
-    let forth = copy(from_node, to_server);
-    let back = copy(from_server, &mut to_node);
+    let mut reader = HeadReader::default();
+    let forth = copy(from_node, to_server, |_| {});
+    let back = copy(from_server, &mut to_node, |bytes| {
+        if let Some(head) = reader.push(bytes) {
+            watch.response_begins(&head);
+        }
+    });
     select(std::pin::pin!(forth), std::pin::pin!(back)).await.factor_first().0
 }
 
-/// Passes bytes on as they arrive, each piece before the next one is read.
+/// Passes bytes on as they arrive, each piece before the next one is read, and shows them to `see`.
 async fn copy(
     mut reader: impl AsyncRead + Unpin,
     mut writer: impl AsyncWrite + Unpin,
+    mut see: impl FnMut(&[u8]),
 ) -> io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
@@ -171,6 +191,7 @@
         if count == 0 {
             return Ok(());
         }
+        see(&chunk[..count]);
         writer.write_all(&chunk[..count]).await?;
         writer.flush().await?;
     }
--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -2,10 +2,17 @@
 
 mod support;
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use comfreyturn_adapters::{ByteMeter, HttpAnswer, HttpError, HttpPool, HttpResult, TunnelServer};
+use comfreyturn_adapters::{
+    ByteMeter, HttpAnswer, HttpError, HttpPool, HttpResult, ResponseHead, TunnelServer, TunnelWatch,
+};
 use compio::net::TcpListener;
 use http::Request;
 use http_body_util::Full;
@@ -17,18 +24,28 @@
 /// Time after which both sides know of a closed connection.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
-/// A node that opens tunnels, and how many are open.
+/// A node that opens tunnels, how many are open, and the heads of responses that it saw.
 struct Helper {
     address: SocketAddr,
     open: Rc<Cell<usize>>,
+    heads: Rc<RefCell<Vec<ResponseHead>>>,
 }
 
-/// Counts an open tunnel until dropped.
-struct Permit(Rc<Cell<usize>>);
+/// Counts an open tunnel until dropped, and keeps the heads of responses.
+struct Permit {
+    open: Rc<Cell<usize>>,
+    heads: Rc<RefCell<Vec<ResponseHead>>>,
+}
+
+impl TunnelWatch for Permit {
+    fn response_begins(&self, head: &ResponseHead) {
+        self.heads.borrow_mut().push(head.clone());
+    }
+}
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.open.set(self.open.get() - 1);
     }
 }
 
@@ -37,16 +54,18 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let open = Rc::new(Cell::new(0));
-        let count = open.clone();
+        let heads = Rc::default();
+        let permit = (open.clone(), Rc::clone(&heads));
         let admit = move |_: SocketAddr| {
+            let (open, heads) = permit.clone();
             admits.then(|| {
-                count.set(count.get() + 1);
-                Permit(count.clone())
+                open.set(open.get() + 1);
+                Permit { open, heads }
             })
         };
         let server = TunnelServer { connect_timeout: LIMIT, meter: ByteMeter::default() };
         compio::runtime::spawn(server.serve(listener, admit)).detach();
-        Self { address, open }
+        Self { address, open, heads }
     }
 
     async fn send(&self, pool: &Rc<HttpPool>, server: SocketAddr) -> HttpResult<HttpAnswer> {
@@ -120,8 +139,36 @@
     let helper = Helper::start(true).await;
     let unreached = helper.send(&pool, closed_address()).await;
     assert_eq!(unreached.err(), Some(HttpError::NotSent), "nobody listens there");
-    let gone = Helper { address: closed_address(), open: Rc::default() };
+    let gone = Helper { address: closed_address(), open: Rc::default(), heads: Rc::default() };
     let missing = gone.send(&pool, server.address).await;
     assert_eq!(missing.err(), Some(HttpError::NotSent), "the other node is gone");
     assert_eq!((server.connections(), helper.open.get()), (0, 0));
 }
+
+/// Guards against a node that passes requests on and does not learn what the server asks of it
+/// (BUDGET).
+#[compio::test]
+async fn node_that_helps_sees_the_head_of_the_response() {
+    let pieces = ["HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nRetry-", "After: 3\r\n"];
+    let rest = "Content-Length: 2\r\n\r\nno";
+    let mut script = vec![Action::Read];
+    script.extend(pieces.iter().chain([&rest]).map(|piece| Action::Write((*piece).to_owned())));
+    let server = ScriptServer::start(vec![script]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let mut answer = helper.send(&pool, server.address).await.unwrap();
+    assert_eq!(answer.chunk().await.unwrap().unwrap(), "no", "the bytes pass unchanged");
+    let heads = helper.heads.borrow();
+    assert_eq!(heads.len(), 1);
+    assert_eq!(
+        (heads[0].status.as_u16(), heads[0].headers["retry-after"].to_str().ok()),
+        (503, Some("3"))
+    );
+}
+
+#[compio::test]
+async fn bytes_that_are_no_response_have_no_head() {
+    let server = ScriptServer::answering("SSH-2.0 hello\r\n\r\n");
+    let (helper, pool) = (Helper::start(true).await, pool());
+    assert!(helper.send(&pool, server.address).await.is_err());
+    assert!(helper.heads.borrow().is_empty());
+}
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -27,6 +27,9 @@
     /// All servers with free slots stated a rate limit, and this node has used its part of that.
     RateLimited,
 
+    /// All servers that could take it asked this node to wait.
+    ServersWait,
+
     /// The servers that received the request reported that they didn't run it.
     Declined,
 
@@ -49,7 +52,7 @@
 impl NotRunReason {
     /// Whether another server, or one more, could serve the request.
     pub(crate) fn is_lack_of_capacity(self) -> bool {
-        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited)
+        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited | Self::ServersWait)
     }
 
     /// Whether another node could serve the request.
@@ -61,6 +64,7 @@
             Self::NoServer
             | Self::NoRoom
             | Self::RateLimited
+            | Self::ServersWait
             | Self::Declined
             | Self::Suspect
             | Self::SuspectPart
--- a/crates/gateway/src/forward_end.rs
+++ b/crates/gateway/src/forward_end.rs
@@ -1,5 +1,6 @@
 //! The ends of a request: the answers for its caller.
 
+use comfreyturn_policy::RefusalCause;
 use comfreyturn_ports::LinkError;
 
 use crate::{
@@ -41,11 +42,20 @@
         }
         let waited = self.now().saturating_duration_since(self.request.received_at);
         let deadline = self.request.deadline.unwrap_or(self.route.timeout);
-        let retry_after = self.state.retry_after(reason, deadline.saturating_sub(waited));
+        let retry_after =
+            self.state.retry_after(self.refusal_cause(reason), deadline.saturating_sub(waited));
         self.trace.not_run(reason, retry_after);
         ForwardAnswer::NotRun { reason, retry_after }
     }
 
+    fn refusal_cause(&self, reason: NotRunReason) -> RefusalCause {
+        if reason != NotRunReason::ServersWait {
+            return reason.cause();
+        }
+        let model = self.request.model.as_ref();
+        RefusalCause::Waits { first: self.state.first_wait_end(self.now(), &self.service, model) }
+    }
+
     /// Why a request that has not run can't run any more.
     pub(crate) fn lateness(&self) -> NotRunReason {
         let is_late = self.now() + RESPONSE_MARGIN >= self.deadline_at;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -192,7 +192,8 @@
         reason: NotRunReason,
         deadline: Option<Duration>,
     ) -> ForwardAnswer {
-        let retry_after = self.state.retry_after(reason, deadline.unwrap_or(UNSTATED_DEADLINE));
+        let retry_after =
+            self.state.retry_after(reason.cause(), deadline.unwrap_or(UNSTATED_DEADLINE));
         trace.not_run(reason, retry_after);
         ForwardAnswer::NotRun { reason, retry_after }
     }
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
-    RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings,
+    RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings, WaitSettings,
 };
 
 use crate::PeerTimeouts;
@@ -155,6 +155,9 @@
     /// Size limit of a buffered answer, in bytes.
     pub whole_answer_limit: usize,
 
+    /// Servers that ask this node to wait.
+    pub server_waits: WaitSettings,
+
     /// Parts of the rate limits that servers state.
     pub send_quotas: SendQuotaSettings,
 
@@ -221,6 +224,7 @@
             path_probe_period: Duration::from_millis(500),
             helped_requests: 400,
             whole_answer_limit: 1024 * 1024,
+            server_waits: WaitSettings::default(),
             send_quotas: SendQuotaSettings::default(),
             sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,15 +9,15 @@
 
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster, ShareRetryBudget,
-    ShutdownTerm, StatedLimits, return_delay,
+    RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
+    ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
 use crate::{
-    GatewaySettings, LoadTracker, ModelRate, NotRunReason, ReportKind, ServerLog, ServerTable,
-    StallTracker, ViewReport, config_view::ConfigView, in_flight::InFlightTable,
-    part_suspects::PartSuspects, peer_view::PeerView,
+    GatewaySettings, LoadTracker, ModelRate, ReportKind, ServerLog, ServerTable, StallTracker,
+    ViewReport, config_view::ConfigView, in_flight::InFlightTable, part_suspects::PartSuspects,
+    peer_view::PeerView,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -42,6 +42,9 @@
     /// Whether this node's own paths to the servers work.
     pub(crate) paths: RefCell<PathMonitor>,
 
+    /// Servers that asked this node to wait.
+    pub(crate) waits: RefCell<ServerWaits>,
+
     /// The rate limits that servers state.
     pub(crate) limits: RefCell<StatedLimits>,
 
@@ -134,6 +137,7 @@
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
             paths: RefCell::new(PathMonitor::new(settings.paths)),
+            waits: RefCell::new(ServerWaits::new(settings.server_waits)),
             limits: RefCell::default(),
             quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
             senders: RefCell::default(),
@@ -271,8 +275,8 @@
     }
 
     /// After which time a caller that is refused now and has `time_left` should come back.
-    pub(crate) fn retry_after(&self, reason: NotRunReason, time_left: Duration) -> Duration {
-        return_delay(reason.cause(), time_left, &self.settings.return_delay, rand::random())
+    pub(crate) fn retry_after(&self, cause: RefusalCause, time_left: Duration) -> Duration {
+        return_delay(cause, time_left, &self.settings.return_delay, rand::random())
     }
 
     /// Records that a request for a model was refused for lack of capacity. Names that callers made
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -20,6 +20,27 @@
 /// Time from the sending of a heartbeat until its counts are used.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(10);
 
+/// Why some servers are no candidates for a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Withheld {
+    /// This node has used its part of a server's rate limit.
+    by_limit: bool,
+
+    /// A server asked this node to wait.
+    by_wait: bool,
+}
+
+impl Withheld {
+    /// Why no server takes a request; `all` if none is a candidate.
+    fn reason(self, all: bool) -> NotRunReason {
+        match self {
+            Self { by_wait: true, by_limit: false } if all => NotRunReason::ServersWait,
+            Self { by_limit: true, .. } => NotRunReason::RateLimited,
+            Self { .. } => NotRunReason::NoRoom,
+        }
+    }
+}
+
 impl GatewayState {
     /// Picks the server for a request, except those in `tried`. An urgent request, such as one that
     /// resumes a stream, is sent to the best server even if that one is full.
@@ -41,24 +62,44 @@
         if candidates.is_empty() {
             return Err(NotRunReason::NoServer);
         }
-        let known = candidates.len();
+        let mut withheld = Withheld::default();
         candidates.retain_mut(|head| match self.send_permit(now, &head.life) {
             SendPermit::Unlimited => true,
             SendPermit::Quota => {
                 head.has_quota = true;
                 true
             }
-            SendPermit::Withheld => false,
+            SendPermit::Withheld => {
+                withheld.by_limit = true;
+                false
+            }
+            SendPermit::Waiting => {
+                withheld.by_wait = true;
+                false
+            }
         });
-        let is_limited = candidates.len() < known;
+        let reason = withheld.reason(candidates.is_empty());
         let unreported = self.unreported_requests(now, service, model);
         let picked = self.picker.pick(&candidates, unreported, rand::random(), urgent);
         let servers = self.servers.borrow();
         let head = picked.and_then(|picked| servers.get(&picked.life)).cloned();
-        let reason = if is_limited { NotRunReason::RateLimited } else { NotRunReason::NoRoom };
         head.ok_or(reason)
     }
 
+    /// Time until the first server that could take a request, and asked this node to wait, wants one
+    /// again.
+    pub(crate) fn first_wait_end(
+        &self,
+        now: Instant,
+        service: &ServiceSpec,
+        model: Option<&ModelName>,
+    ) -> Duration {
+        let waits = self.waits.borrow();
+        let candidates = self.candidates(service, model);
+        let ends = candidates.iter().map(|head| waits.time_to_next(now, &head.life));
+        ends.min().unwrap_or_default()
+    }
+
     /// Estimates the requests that other nodes have sent and this node doesn't know of yet. For a
     /// model it goes by their reports, for a plain service it assumes that they receive requests at
     /// the same rate as this node. Records an arrival here.
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,12 +1,26 @@
-//! The rate limits that servers state, and this node's part of them.
+//! What servers ask of this node: rate limits, of which it has a part, and waits. Everything that
+//! is sent to a server is permitted here.
 
-use std::time::Instant;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use comfreyturn_policy::{AnswerReceiver, LimitStatement, SendPermit};
 use comfreyturn_ports::ServerNotice;
 use comfreyturn_types::{FleetServer, NodeId, ServerLife};
 
-use crate::{gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
+use crate::{Gateway, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
+
+impl Gateway {
+    /// Records that a server began to answer a request that this node passed on for another one, and
+    /// the wait that it asked for. The server speaks of the node whose connection it sees.
+    pub fn record_tunnel_answer(&self, server: SocketAddr, wait: Option<Duration>) {
+        let Self { state, ports, .. } = self;
+        let now = ports.clock.now();
+        state.lives_at(server).iter().for_each(|life| state.record_wait(now, life, wait));
+    }
+}
 
 impl GatewayState {
     /// Records what a server asked of the nodes in an answer to this one.
@@ -16,10 +30,29 @@
             let statement = LimitStatement { rate: notice.rate_limit, at: now };
             self.record_limit(life, statement, AnswerReceiver::This);
         }
-        if let Some(wait) = notice.wait {
-            gateway_metrics::count_requested_wait();
-            log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
+        self.record_wait(now, life, notice.wait);
+    }
+
+    /// Records whether a server asked this node to wait in an answer.
+    fn record_wait(&self, now: Instant, life: &ServerLife, wait: Option<Duration>) {
+        let Some(wait) = wait else {
+            self.waits.borrow_mut().record_answer(now, life);
+            return;
+        };
+        gateway_metrics::count_requested_wait();
+        log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
+        self.waits.borrow_mut().record_wait(now, life, wait);
+    }
+
+    /// Whether this node may open a connection for another node to a server now.
+    pub(crate) fn permits_tunnel(&self, now: Instant, server: SocketAddr) -> bool {
+        let lives = self.lives_at(server);
+        let mut waits = self.waits.borrow_mut();
+        let is_permitted = lives.iter().all(|life| waits.permits(now, life));
+        if is_permitted {
+            lives.iter().for_each(|life| waits.record_send(now, life));
         }
+        is_permitted && !lives.is_empty()
     }
 
     /// Records what another node says that a server stated.
@@ -40,8 +73,11 @@
         self.senders.borrow_mut().update(now, own, others);
     }
 
-    /// Whether this node may send a request to a server now, as far as the server's limit goes.
+    /// Whether this node may send a request to a server now, as far as the server asked for less.
     pub(crate) fn send_permit(&self, now: Instant, life: &ServerLife) -> SendPermit {
+        if !self.waits.borrow().permits(now, life) {
+            return SendPermit::Waiting;
+        }
         let Some(limit) = self.limits.borrow().limit(life) else { return SendPermit::Unlimited };
         if !self.was_running_for(now, self.settings.sender_settling_time) {
             return SendPermit::Withheld;
@@ -52,6 +88,7 @@
 
     /// Records that this node sends a request to a server.
     pub(crate) fn record_send(&self, now: Instant, server: &FleetServer) {
+        self.waits.borrow_mut().record_send(now, &server.life);
         if self.limits.borrow().limit(&server.life).is_some() {
             self.quotas.borrow_mut().record_send(now, &server.life);
             gateway_metrics::count_limited_send(&server.service);
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -73,10 +73,19 @@
         }
     }
 
+    /// The servers that are listed with an address.
+    pub(crate) fn lives_at(&self, server: SocketAddr) -> Vec<ServerLife> {
+        let servers = self.servers.borrow();
+        let there = servers.all().filter(|listed| listed.address == server);
+        there.map(|listed| listed.life.clone()).collect()
+    }
+
     /// A random server that answered another node lately.
     fn answering_server(&self, now: Instant) -> Option<FleetServer> {
         let (servers, stalls) = (self.servers.borrow(), self.stalls.borrow());
-        let answering = servers.all().filter(|server| {
+        let waits = self.waits.borrow();
+        let free = servers.all().filter(|server| !waits.is_waiting(now, &server.life));
+        let answering = free.filter(|server| {
             let seen_at = stalls.peer_seen_at(&server.life);
             seen_at.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MAX_AGE)
         });
@@ -88,8 +97,7 @@
         let has_place = self.in_flight.borrow().len() < self.settings.helped_requests;
         let is_usable = !self.leaving.get() && self.config_is_usable(now);
         let has_path = !self.paths.borrow().is_lost();
-        let is_server = || self.servers.borrow().all().any(|listed| listed.address == server);
-        has_place && is_usable && has_path && is_server()
+        has_place && is_usable && has_path && self.permits_tunnel(now, server)
     }
 }
 
--- a/crates/gateway/src/server_prober.rs
+++ b/crates/gateway/src/server_prober.rs
@@ -58,7 +58,7 @@
     }
 
     /// The servers to probe: members of groups whose head stalled, members that left the list, and
-    /// lost servers, which may have recovered.
+    /// lost servers, which may have recovered. Not those that asked this node to wait.
     fn suspects(&self, now: Instant) -> Vec<FleetServer> {
         let state = &self.gateway.state;
         let stalled = state.stalls.borrow().stalled(now, state.settings.stall_retention);
@@ -79,7 +79,9 @@
         let find = |life: &ServerLife| {
             servers.get(life).or_else(|| unlisted.get(life).map(|(_, server)| server))
         };
-        suspects.iter().filter_map(find).cloned().collect()
+        let waits = state.waits.borrow();
+        let probed = suspects.iter().filter(|life| !waits.is_waiting(now, life));
+        probed.filter_map(find).cloned().collect()
     }
 
     fn record_probe(&self, life: ServerLife, is_alive: bool) {
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -5,7 +5,7 @@
     cell::RefCell,
     collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -16,7 +16,7 @@
 use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, TableResult};
 use comfreyturn_standin::fakes::{
     AnsweringServers, FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable,
-    run_for,
+    TunnelHelper, run_for,
 };
 use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId};
 
@@ -117,6 +117,22 @@
     }
 }
 
+/// The connections that a node opens for others.
+struct GatewayTunnels(Weak<Gateway>);
+
+impl TunnelHelper for GatewayTunnels {
+    fn admit(&self, server: SocketAddr) -> Option<Box<dyn Any>> {
+        let permit = self.0.upgrade()?.admit_tunnel(server)?;
+        Some(Box::new(permit))
+    }
+
+    fn answered(&self, server: SocketAddr, wait: Option<Duration>) {
+        if let Some(gateway) = self.0.upgrade() {
+            gateway.record_tunnel_answer(server, wait);
+        }
+    }
+}
+
 /// Nodes of one deployment, numbered from one.
 pub struct TestNodes {
     clock: ManualClock,
@@ -215,12 +231,8 @@
         };
         let gateway = Gateway::new(identity, ports, self.settings.clone());
         gateway.start();
-        let helper = Rc::downgrade(&gateway);
-        let admit = move |server| {
-            let permit = helper.upgrade()?.admit_tunnel(server)?;
-            Some(Box::new(permit) as Box<dyn Any>)
-        };
-        self.servers.add_helper(&name(number), peer_address, Rc::new(admit));
+        let tunnels = Rc::new(GatewayTunnels(Rc::downgrade(&gateway)));
+        self.servers.add_helper(&name(number), peer_address, tunnels);
         self.gateways.insert(number, gateway);
     }
 
--- a/crates/policy/src/return_delay.rs
+++ b/crates/policy/src/return_delay.rs
@@ -10,6 +10,12 @@
 
     /// The service lacks capacity, for all nodes.
     Capacity,
+
+    /// The servers want nothing from this node for some time.
+    Waits {
+        /// Time until the first of them takes a request again.
+        first: Duration,
+    },
 }
 
 /// Settings of [`return_delay`].
@@ -44,8 +50,12 @@
 ) -> Duration {
     let (least, most) = match cause {
         RefusalCause::Node => settings.other_node,
-        RefusalCause::Capacity => settings.capacity,
+        RefusalCause::Capacity | RefusalCause::Waits { .. } => settings.capacity,
+    };
+    let spread = most.saturating_sub(least).mul_f64(draw);
+    let delay = match cause {
+        RefusalCause::Waits { first } => first + spread,
+        RefusalCause::Node | RefusalCause::Capacity => least + spread,
     };
-    let delay = least + most.saturating_sub(least).mul_f64(draw);
     delay.min(time_left / LATEST_RETURN_DIVISOR)
 }
--- a/crates/policy/src/send_quotas.rs
+++ b/crates/policy/src/send_quotas.rs
@@ -60,7 +60,7 @@
     pub stated_at: Instant,
 }
 
-/// Whether a request may be sent to a server, as far as the server's limit goes.
+/// Whether a request may be sent to a server, as far as the server asked for less.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendPermit {
     /// The server states no limit.
@@ -71,6 +71,9 @@
 
     /// This node has no part of the limit, or has used it.
     Withheld,
+
+    /// The server asked this node to wait.
+    Waiting,
 }
 
 /// This node's part of one server's limit.
--- /dev/null
+++ b/crates/policy/src/server_waits.rs
@@ -0,0 +1,106 @@
+//! Servers that asked this node to wait.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_types::ServerLife;
+
+/// Settings of [`ServerWaits`].
+#[derive(Clone, Copy, Debug)]
+pub struct WaitSettings {
+    /// A server that asks for more is left alone for this time, so that no value shuts it out for
+    /// good.
+    pub longest: Duration,
+
+    /// Pause between two requests to a server whose wait is over, until it answers one.
+    pub trial_pause: Duration,
+}
+
+impl Default for WaitSettings {
+    fn default() -> Self {
+        Self { longest: Duration::from_secs(60), trial_pause: Duration::from_millis(200) }
+    }
+}
+
+/// The wait of one server.
+#[derive(Clone, Copy, Debug)]
+struct ServerWait {
+    until: Instant,
+
+    /// When the last request was sent after the wait; `None` if none was.
+    tried_at: Option<Instant>,
+}
+
+/// Servers that asked this node to wait, by lifetime: a server that restarted asked for nothing.
+///
+/// What a server asks binds the node that got the answer, and no other one. After the wait a server
+/// gets one request at a time until it answers one, since all nodes that it turned away would come
+/// back together.
+#[derive(Debug, Default)]
+pub struct ServerWaits {
+    settings: WaitSettings,
+    waits: HashMap<ServerLife, ServerWait>,
+}
+
+impl ServerWaits {
+    /// Creates waits of no server.
+    pub fn new(settings: WaitSettings) -> Self {
+        Self { settings, waits: HashMap::new() }
+    }
+
+    /// Records that a server asked this node to wait. A wait that ends later stays in force.
+    pub fn record_wait(&mut self, now: Instant, life: &ServerLife, wait: Duration) {
+        let until = now + wait.min(self.settings.longest);
+        let wait = ServerWait { until, tried_at: None };
+        let known = self.waits.entry(life.clone()).or_insert(wait);
+        if known.until <= until {
+            *known = wait;
+        }
+    }
+
+    /// Records that a server took a request of this node. That ends no wait: it may be the answer to
+    /// a request that was sent before.
+    pub fn record_answer(&mut self, now: Instant, life: &ServerLife) {
+        if !self.is_waiting(now, life) {
+            self.waits.remove(life);
+        }
+    }
+
+    /// Records that this node sends a request to a server.
+    pub fn record_send(&mut self, now: Instant, life: &ServerLife) {
+        if let Some(wait) = self.waits.get_mut(life) {
+            wait.tried_at = Some(now);
+        }
+    }
+
+    /// Whether a server wants nothing from this node now.
+    pub fn is_waiting(&self, now: Instant, life: &ServerLife) -> bool {
+        self.waits.get(life).is_some_and(|wait| now < wait.until)
+    }
+
+    /// Whether this node may send a request to a server now, as far as its waits go.
+    pub fn permits(&self, now: Instant, life: &ServerLife) -> bool {
+        self.time_to_next(now, life).is_zero()
+    }
+
+    /// Time until this node may send a request to a server.
+    pub fn time_to_next(&self, now: Instant, life: &ServerLife) -> Duration {
+        let Some(wait) = self.waits.get(life) else { return Duration::ZERO };
+        let tried_at = wait.tried_at.filter(|at| *at >= wait.until);
+        let next_at = tried_at.map_or(wait.until, |at| at + self.settings.trial_pause);
+        next_at.saturating_duration_since(now)
+    }
+
+    /// The number of servers that want nothing from this node now.
+    pub fn waiting(&self, now: Instant) -> usize {
+        self.waits.values().filter(|wait| now < wait.until).count()
+    }
+
+    /// Forgets servers for which `keep` is false, once their wait is over: a server that drops out of
+    /// the list may come back.
+    pub fn retain(&mut self, now: Instant, keep: impl Fn(&ServerLife) -> bool) {
+        self.waits.retain(|life, wait| now < wait.until || keep(life));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/server_waits.rs
@@ -0,0 +1,130 @@
+//! Servers that ask this node to wait.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use comfreyturn_policy::{ServerWaits, WaitSettings};
+use comfreyturn_types::{ServerLife, VmId};
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
+
+/// The users' bound: of the requests that reach a server between this time after it asked for a wait
+/// and the end of the wait, this many are allowed.
+const SLACK: Duration = Duration::from_millis(500);
+const ALLOWED: usize = 2;
+
+/// The longest time from the sending of a request until the server gets it.
+const LONGEST_WAY: Duration = Duration::from_millis(400);
+
+const SEEDS: u64 = 50;
+const STEPS: u32 = 4000;
+
+fn life(number: u32, born: u64) -> ServerLife {
+    ServerLife { vm: VmId::from(format!("s{number}")), born }
+}
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// Guards against a server that gets requests of a node which it asked to wait (BUDGET), whatever
+/// answers arrive in between and however long requests are under way.
+#[test]
+fn server_that_asked_for_a_wait_gets_at_most_two_requests() {
+    for seed in 0..SEEDS {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut waits = ServerWaits::new(WaitSettings::default());
+        let mut now = Instant::now();
+        let mut asked: HashMap<ServerLife, Vec<(Instant, Instant)>> = HashMap::new();
+        let mut arrivals: HashMap<ServerLife, Vec<Instant>> = HashMap::new();
+        for _ in 0..STEPS {
+            now += ms(rng.random_range(0..40));
+            let server = life(rng.random_range(0..4), rng.random_range(0..2));
+            match rng.random_range(0..10) {
+                0 => {
+                    let wait = ms(rng.random_range(0..10_000));
+                    waits.record_wait(now, &server, wait);
+                    asked.entry(server).or_default().push((now, now + wait));
+                }
+                1 => waits.record_answer(now, &server),
+                _ if waits.permits(now, &server) => {
+                    waits.record_send(now, &server);
+                    let way = LONGEST_WAY.mul_f64(rng.random());
+                    arrivals.entry(server).or_default().push(now + way);
+                }
+                _ => {}
+            }
+        }
+        for (server, spans) in &asked {
+            for (from, to) in spans {
+                let late = arrivals.get(server).into_iter().flatten();
+                let late = late.filter(|at| **at > *from + SLACK && **at < *to).count();
+                assert!(late <= ALLOWED, "seed {seed}: {server} got {late}");
+            }
+        }
+    }
+}
+
+#[test]
+fn wait_holds_for_one_lifetime_only() {
+    let mut waits = ServerWaits::default();
+    let now = Instant::now();
+    waits.record_wait(now, &life(1, 1), ms(3000));
+    assert!(!waits.permits(now, &life(1, 1)));
+    assert!(waits.permits(now, &life(1, 2)), "it restarted");
+    assert!(waits.permits(now, &life(2, 1)), "another server");
+}
+
+/// Guards against a shorter wait, or a late answer, that ends one which is in force.
+#[test]
+fn longest_wait_stays_in_force() {
+    let mut waits = ServerWaits::default();
+    let now = Instant::now();
+    waits.record_wait(now, &life(1, 1), ms(3000));
+    waits.record_wait(now + ms(10), &life(1, 1), ms(100));
+    waits.record_answer(now + ms(200), &life(1, 1));
+    assert!(!waits.permits(now + ms(2999), &life(1, 1)));
+    assert!(waits.permits(now + ms(3000), &life(1, 1)));
+}
+
+/// Guards against all that was held back reaching a server at once when its wait ends.
+#[test]
+fn server_is_tried_before_it_gets_all_requests() {
+    let settings = WaitSettings::default();
+    let mut waits = ServerWaits::new(settings);
+    let (start, server) = (Instant::now(), life(1, 1));
+    waits.record_wait(start, &server, ms(1000));
+    let end = start + ms(1000);
+    waits.record_send(end, &server);
+    assert!(!waits.permits(end + ms(1), &server));
+    assert_eq!(waits.time_to_next(end, &server), settings.trial_pause);
+    assert!(waits.permits(end + settings.trial_pause, &server));
+    waits.record_answer(end + ms(50), &server);
+    assert!(waits.permits(end + ms(51), &server), "it took one");
+}
+
+/// Guards against a server that is shut out for good by the time that it asks for.
+#[test]
+fn wait_is_bounded() {
+    let settings = WaitSettings::default();
+    let mut waits = ServerWaits::new(settings);
+    let (now, server) = (Instant::now(), life(1, 1));
+    waits.record_wait(now, &server, Duration::MAX);
+    assert_eq!(waits.time_to_next(now, &server), settings.longest);
+    waits.record_wait(now, &life(2, 1), Duration::ZERO);
+    assert!(waits.permits(now, &life(2, 1)));
+}
+
+#[test]
+fn server_that_drops_out_of_the_list_is_remembered_until_its_wait_is_over() {
+    let mut waits = ServerWaits::default();
+    let (now, server) = (Instant::now(), life(1, 1));
+    waits.record_wait(now, &server, ms(1000));
+    waits.retain(now + ms(500), |_| false);
+    assert!(!waits.permits(now + ms(500), &server));
+    assert_eq!(waits.waiting(now + ms(500)), 1);
+    waits.retain(now + ms(1000), |_| false);
+    waits.record_send(now + ms(1000), &server);
+    assert!(waits.permits(now + ms(1001), &server), "forgotten");
+}
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -65,15 +65,20 @@
     pub crashes: bool,
 }
 
-/// Decides whether a node opens a connection to a server for another node. The connection lasts
-/// until the permit is dropped.
-pub type AdmitTunnel = Rc<dyn Fn(SocketAddr) -> Option<Box<dyn Any>>>;
+/// How a node opens connections to servers for other nodes.
+pub trait TunnelHelper {
+    /// Whether it opens one now. The connection lasts until the permit is dropped.
+    fn admit(&self, server: SocketAddr) -> Option<Box<dyn Any>>;
+
+    /// A server answers over such a connection, and may ask the node to wait.
+    fn answered(&self, server: SocketAddr, wait: Option<Duration>);
+}
 
 /// A node through which others may reach the servers.
 #[derive(Clone)]
 struct HelperNode {
     node: NodeId,
-    admit: AdmitTunnel,
+    tunnels: Rc<dyn TunnelHelper>,
 }
 
 /// Backend servers that answer every request with the same number of events. Clones share them.
@@ -142,8 +147,8 @@
     }
 
     /// Makes a node open connections for others.
-    pub fn add_helper(&self, node: &NodeId, address: SocketAddr, admit: AdmitTunnel) {
-        let helper = HelperNode { node: node.clone(), admit };
+    pub fn add_helper(&self, node: &NodeId, address: SocketAddr, tunnels: Rc<dyn TunnelHelper>) {
+        let helper = HelperNode { node: node.clone(), tunnels };
         self.state.helpers.borrow_mut().insert(address, helper);
     }
 
@@ -207,14 +212,19 @@
             return LinkError::NotSent.into();
         }
         let helper = call.helper.and_then(|helper| state.helpers.borrow().get(&helper).cloned());
-        let (mut seen, mut tunnel) = (node.clone(), None);
-        if let Some(HelperNode { node, admit }) = helper {
-            let Some(permit) = admit(call.address) else {
+        let seen = helper.as_ref().map_or(node, |helper| &helper.node).clone();
+        let tunnels = helper.map(|helper| helper.tunnels);
+        let mut permit = None;
+        if let Some(tunnels) = &tunnels {
+            permit = tunnels.admit(call.address);
+            if permit.is_none() {
                 clock.sleep(REFUSAL_DELAY).await;
                 return LinkError::NotSent.into();
-            };
-            (seen, tunnel) = (node, Some(permit));
+            }
         }
+        let answered = |wait| {
+            tunnels.iter().for_each(|tunnels| tunnels.answered(call.address, wait));
+        };
         let crashes = call.headers.contains_key(&CRASH_HEADER);
         let (life, at) = (call.life.clone(), clock.now());
         state.arrivals.borrow_mut().push(ServerArrival {
@@ -226,12 +236,17 @@
         });
         let place = match state.waiting.take_place(at, &life) {
             Ok(place) => place,
-            Err(wait) => return self.turned_away(life, seen, wait).await,
+            Err(wait) => {
+                let reply = self.turned_away(life, seen, wait).await;
+                answered(Some(wait));
+                return reply;
+            }
         };
         clock.sleep(START_DELAY).await;
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
+        answered(None);
         let notice = ServerNotice { rate_limit: state.rate_limit(&life), wait: None };
         let answer = EventAnswer {
             state: state.clone(),
@@ -242,7 +257,7 @@
             sent: 0,
             crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
             _place: place,
-            _tunnel: tunnel,
+            _tunnel: permit,
         };
         ServerReply { notice: Some(notice), answer: Ok(Box::new(answer)) }
     }
