Part the weighted plan's construction by job

Moved, without a change of logic: what is done about groups that lost members (repair, rebuild elsewhere, preempt, hold or retire) to weighted_repair.rs, new groups and the choice of their fabric domains to weighted_forming.rs, updates of serving groups to weighted_update.rs. The state, the order of the steps, surplus groups, actions and look-ups stay, and the doc comment of WeightedDraft says where the steps are. rebuild_groups now stands beside the other steps for broken groups. Compared line by line with the code before: only visibility, imports, section lines and doc comments differ.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -70,7 +70,10 @@
 mod token_bucket;
 mod watch_assignment;
 mod weighted_draft;
+mod weighted_forming;
 mod weighted_planner;
+mod weighted_repair;
+mod weighted_update;
 mod whole_group;
 
 pub use ack_tally::*;
