Part the state of a run from its claim and its suspicion

Moved, without a change of logic: the steps of RunScope that concern the claim (join, insert, settle) to run_claim.rs, those that concern crashes to run_suspicion.rs, and crash_id beside KnownVm in crash_confirmation.rs. run_scope.rs keeps the state, waiting, outcomes and the dispatch. Compared line by line with the code before: only visibility, imports, section lines and doc comments differ.

--- a/crates/serving/src/crash_confirmation.rs
+++ b/crates/serving/src/crash_confirmation.rs
@@ -8,6 +8,7 @@
 use comfreyturn_policy::SuspectStatus;
 use comfreyturn_ports::{PeerNotice, Step};
 use comfreyturn_types::VmId;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{RequestService, VmRun};
 
@@ -32,6 +33,18 @@
     }
 }
 
+/// Identifies a crash by the target and the incarnations of its backend servers: the same at all
+/// nodes, and different after any of these servers has restarted.
+pub(crate) fn crash_id(target: &str, known: &[KnownVm]) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(target.as_bytes());
+    for member in known {
+        hasher.update(member.vm.as_str().as_bytes());
+        hasher.update(&member.run.map_or(0, |run| run.incarnation.0).to_be_bytes());
+    }
+    hasher.digest()
+}
+
 /// A presumed crash that may be only a network failure.
 #[derive(Clone)]
 pub(crate) struct CrashConfirmation {
