Part a completion's attempt and delivery from its run

The order of the steps of a completion stood beside the sending of an attempt, its resumption and the reading of its stream, while joining and placing had files of their own already.

Moved, without a change of logic: one attempt with its resumption and its cancellation, and AttemptEnd, to completion_dispatch.rs; reading a stream and delivering its tokens, and StreamEnd, to completion_delivery.rs. completion_run.rs keeps the state, the order of the steps and the end, and the doc comment of CompletionRun says where the steps are. Compared line by line with the code before: only visibility, imports, section lines and doc comments differ.

--- a/crates/serving/src/completion_join.rs
+++ b/crates/serving/src/completion_join.rs
@@ -8,7 +8,8 @@
 use crate::{
     ClaimRecord, Refusal, StoredAnswer,
     claim_store::ClaimJoin,
-    completion_run::{CompletionRun, StreamEnd},
+    completion_delivery::StreamEnd,
+    completion_run::CompletionRun,
     run_scope::{RunResult, RunStop},
 };
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,8 @@
 mod claim_guard;
 mod claim_record;
 mod claim_store;
+mod completion_delivery;
+mod completion_dispatch;
 mod completion_join;
 mod completion_place;
 mod completion_run;
