Part the load router's settings and its search for stragglers

Moved: LoadRouterSettings to load_router_settings.rs, and the comparison of latencies with its two fields and constants to StragglerDetector in straggler_detector.rs. The table of excluded groups stays in the router, which excludes and readmits groups after failures and probes. The same expressions in the same order; min_samples is read from the table's copy of the settings in both places (it was read once from either copy, which are equal). The crate exports the same names.

--- a/crates/policy/src/load_router.rs
+++ b/crates/policy/src/load_router.rs
@@ -11,72 +11,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    GroupRouter, RouteEnd, RouteQuery, StragglerSettings, WholeGroup, group_load::GroupLoad,
-    straggler_table::StragglerTable,
+    GroupRouter, LoadRouterSettings, RouteEnd, RouteQuery, WholeGroup, group_load::GroupLoad,
+    straggler_detector::StragglerDetector, straggler_table::StragglerTable,
 };
 
-/// Settings of a [`LoadRouter`].
-#[derive(Clone, Debug)]
-pub struct LoadRouterSettings {
-    /// Number of groups drawn at random, the least loaded of which is chosen. Invariant: at least
-    /// one.
-    pub choices: usize,
-
-    /// The age at which a reported load has the weight 1/e. The mean load of all groups has the
-    /// remaining weight.
-    pub report_decay: Duration,
-
-    /// Number of preferred groups of a prefix, the first ones in its rendezvous order. Zero turns
-    /// prefix affinity off.
-    pub affinity_groups: usize,
-
-    /// A preferred group is chosen only while its load is below this many times the mean.
-    pub affinity_bound: f64,
-
-    /// A preferred group is always chosen while its load is below this share of its capacity.
-    pub affinity_slack: f64,
-
-    /// A preferred group is never chosen above this share of its capacity: a request that has to
-    /// wait there loses more time than a cached prefix saves.
-    pub affinity_cap: f64,
-
-    /// Concurrent requests of a group that reports no capacity.
-    pub default_capacity: u32,
-
-    /// Requests that may queue at a group, as a share of its capacity.
-    pub queue_share: f64,
-
-    /// How stragglers are detected and excluded.
-    pub stragglers: StragglerSettings,
-
-    /// How long the state of a group is kept after it was last offered.
-    pub group_retention: Duration,
-}
-
-impl Default for LoadRouterSettings {
-    fn default() -> Self {
-        Self {
-            choices: 4,
-            report_decay: Duration::from_secs(1),
-            affinity_groups: 3,
-            affinity_bound: 1.25,
-            affinity_slack: 0.25,
-            affinity_cap: 0.75,
-            default_capacity: 16,
-            queue_share: 0.25,
-            stragglers: StragglerSettings::default(),
-            group_retention: Duration::from_secs(60),
-        }
-    }
-}
-
-/// A group counts as late, whatever its average latency, once a request has waited for its first
-/// token for this many times the straggler threshold.
-const HANG_FACTOR: u32 = 2;
-
-/// Interval between two comparisons of the groups' latencies.
-const STRAGGLER_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
 /// A group that may be chosen.
 #[derive(Clone, Copy, Debug)]
 struct RouteCandidate {
@@ -122,12 +60,9 @@
     settings: LoadRouterSettings,
     groups: HashMap<GroupId, GroupLoad>,
     stragglers: StragglerTable,
+    straggler_detector: StragglerDetector,
     rng: Xoshiro256PlusPlus,
     pruned_at: Option<Instant>,
-    stragglers_checked_at: Option<Instant>,
-
-    /// The straggler threshold: first tokens that take longer are late.
-    late_threshold: Duration,
 }
 
 impl LoadRouter {
@@ -135,12 +70,11 @@
     pub fn new(settings: LoadRouterSettings, seed: u64) -> Self {
         Self {
             stragglers: StragglerTable::new(settings.stragglers.clone()),
+            straggler_detector: StragglerDetector::new(),
             settings,
             groups: HashMap::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             pruned_at: None,
-            stragglers_checked_at: None,
-            late_threshold: Duration::MAX,
         }
     }
 
@@ -275,53 +209,6 @@
         draws.min_by(|a, b| a.load.total_cmp(&b.load)).map(|chosen| chosen.index)
     }
 
-    fn median_latency(&self, groups: &[WholeGroup]) -> Option<f64> {
-        let min_samples = self.stragglers.settings.min_samples;
-        let mut latencies: Vec<f64> = groups
-            .iter()
-            .filter_map(|group| self.groups.get(&group.assignment.group))
-            .filter(|load| load.samples >= min_samples)
-            .map(|load| load.latency)
-            .collect();
-        if latencies.is_empty() {
-            return None;
-        }
-        latencies.sort_unstable_by(f64::total_cmp);
-        Some(latencies[(latencies.len() - 1) / 2])
-    }
-
-    /// Excludes groups whose first-token latency is high compared with the median, and extends the
-    /// exclusion of groups whose probe is overdue.
-    fn detect_stragglers(&mut self, now: Instant, groups: &[WholeGroup]) {
-        let since_check = self.stragglers_checked_at.map(|at| now.saturating_duration_since(at));
-        if since_check.is_some_and(|age| age < STRAGGLER_CHECK_PERIOD) {
-            return;
-        }
-        self.stragglers_checked_at = Some(now);
-        let median = self.median_latency(groups);
-        let threshold = median.map(|median| self.stragglers.threshold(median));
-        self.late_threshold = threshold.map_or(Duration::MAX, Duration::from_secs_f64);
-        let ids = || groups.iter().map(|group| &group.assignment.group);
-        let mut excluded = ids().filter(|id| self.stragglers.is_excluded(id)).count();
-        for id in ids() {
-            if self.stragglers.is_excluded(id) {
-                if self.stragglers.probe_overdue(now, id, self.late_threshold) {
-                    self.stragglers.extend(now, id);
-                }
-            } else if self.is_late(now, id) && self.stragglers.may_exclude(excluded, groups.len()) {
-                self.stragglers.exclude(now, id);
-                excluded += 1;
-            }
-        }
-    }
-
-    fn is_late(&self, now: Instant, group: &GroupId) -> bool {
-        let Some(load) = self.groups.get(group) else { return false };
-        let has_samples = load.samples >= self.settings.stragglers.min_samples;
-        let late = has_samples && load.latency > self.late_threshold.as_secs_f64();
-        late || load.longest_wait(now) > self.late_threshold.saturating_mul(HANG_FACTOR)
-    }
-
     fn prune(&mut self, now: Instant) {
         let retention = self.settings.group_retention;
         if self.pruned_at.is_some_and(|at| now.saturating_duration_since(at) < retention) {
@@ -349,7 +236,7 @@
     ) -> Option<GroupId> {
         self.prune(now);
         let loads = self.estimate_loads(now, groups);
-        self.detect_stragglers(now, groups);
+        self.straggler_detector.detect(now, groups, &self.groups, &mut self.stragglers);
         let mut candidates = self.candidates(query, groups, loads);
         if let Some(index) = self.probe_target(now, groups, &candidates) {
             return Some(groups[index].assignment.group.clone());
@@ -378,7 +265,7 @@
         if !self.stragglers.is_probe(group, started_at) {
             return;
         }
-        if elapsed > self.late_threshold {
+        if self.straggler_detector.is_late(elapsed) {
             self.stragglers.extend(now, group);
         } else {
             load.reset_latency();
