Name steps and sets of the parted files by what they are

What was wrong for a reader: in the weighted plan, touched, waiting and changed did not say what they hold, and merge, stays and formed not what they do or count; in completions, or_broken hid a timeout.

Renamed, and nothing else: touched, is_touched and touch to groups_with_action, has_action and mark_changed; waiting and changed to waiting_groups and changed_services; merge to dissolve_donor, replace to replace_members, stays to is_reassigned, formed to formed_count, load_bytes to repair_bytes; or_broken to with_stall_timeout, tokens to estimated_tokens, spent to exhausted. All are private to their crates.

--- a/crates/policy/src/weighted_draft.rs
+++ b/crates/policy/src/weighted_draft.rs
@@ -25,13 +25,13 @@
     pub(crate) new_names: std::slice::Iter<'a, GroupId>,
 
     /// Groups on which this plan acts. Invariant: each has one action.
-    touched: BTreeSet<&'a GroupId>,
+    groups_with_action: BTreeSet<&'a GroupId>,
 
     /// Broken groups that wait for VMs to become available.
-    pub(crate) waiting: BTreeSet<&'a GroupId>,
+    pub(crate) waiting_groups: BTreeSet<&'a GroupId>,
 
     /// Services whose groups this plan changes.
-    pub(crate) changed: BTreeSet<&'a ServiceName>,
+    pub(crate) changed_services: BTreeSet<&'a ServiceName>,
 
     pub(crate) actions: Vec<PlannerAction>,
 }
@@ -51,9 +51,9 @@
             costs,
             settings,
             memory,
-            touched: BTreeSet::new(),
-            waiting: BTreeSet::new(),
-            changed: BTreeSet::new(),
+            groups_with_action: BTreeSet::new(),
+            waiting_groups: BTreeSet::new(),
+            changed_services: BTreeSet::new(),
             actions: Vec::new(),
         }
     }
@@ -114,15 +114,15 @@
             members,
             ..group.record.assignment.clone()
         };
-        self.touch(index);
+        self.mark_changed(index);
         self.actions.push(PlannerAction::Reassign { assignment });
     }
 
     pub(crate) fn retire(&mut self, index: usize) {
-        if self.is_touched(index) {
+        if self.has_action(index) {
             return;
         }
-        self.touch(index);
+        self.mark_changed(index);
         let group = self.view.groups[index].name().clone();
         self.actions.push(PlannerAction::Retire { group });
     }
@@ -133,22 +133,22 @@
         self.retire(index);
     }
 
-    fn touch(&mut self, index: usize) {
+    fn mark_changed(&mut self, index: usize) {
         let name = self.view.groups[index].name();
         let service = self.service_of(index);
-        self.touched.insert(name);
-        self.changed.insert(service);
+        self.groups_with_action.insert(name);
+        self.changed_services.insert(service);
     }
 
     // -----------------------------------------------------------------------------------------
     // Look-ups
 
-    pub(crate) fn is_touched(&self, index: usize) -> bool {
-        self.touched.contains(self.view.groups[index].name())
+    pub(crate) fn has_action(&self, index: usize) -> bool {
+        self.groups_with_action.contains(self.view.groups[index].name())
     }
 
     /// Whether this plan reassigns a group rather than retiring it.
-    pub(crate) fn stays(&self, index: usize) -> bool {
+    pub(crate) fn is_reassigned(&self, index: usize) -> bool {
         let name = self.view.groups[index].name();
         self.actions.iter().any(|action| {
             matches!(action, PlannerAction::Reassign { assignment } if assignment.group == *name)
@@ -177,7 +177,7 @@
     }
 
     /// Number of groups of a service that this plan forms.
-    pub(crate) fn formed(&self, wanted: &WantedService) -> usize {
+    pub(crate) fn formed_count(&self, wanted: &WantedService) -> usize {
         let formed = self.actions.iter().filter(|action| {
             matches!(action, PlannerAction::Form { assignment, .. }
                 if assignment.service == wanted.service)
--- a/crates/policy/src/weighted_forming.rs
+++ b/crates/policy/src/weighted_forming.rs
@@ -10,8 +10,9 @@
     /// Forms the groups that a service lacks.
     pub(crate) fn form_groups(&mut self, wanted: &WantedService) {
         let groups = self.current_groups(wanted);
-        let kept = groups.iter().filter(|index| !self.is_touched(**index) || self.stays(**index));
-        let formed = self.formed(wanted);
+        let kept =
+            groups.iter().filter(|index| !self.has_action(**index) || self.is_reassigned(**index));
+        let formed = self.formed_count(wanted);
         let lacking = (wanted.backend.groups as usize).saturating_sub(kept.count() + formed);
         for _ in 0..lacking {
             if !self.form(wanted) {
@@ -81,7 +82,7 @@
     /// The pools in which a service has groups, once for each group.
     fn group_pools(&self, wanted: &WantedService) -> Vec<usize> {
         let groups = self.current_groups(wanted);
-        let groups = groups.into_iter().filter(|index| !self.is_touched(*index));
+        let groups = groups.into_iter().filter(|index| !self.has_action(*index));
         let existing = groups.filter_map(|index| self.pool_of(index));
         let formed = self.actions.iter().filter_map(|action| match action {
             PlannerAction::Form { assignment, fabric_domain }
--- a/crates/policy/src/weighted_repair.rs
+++ b/crates/policy/src/weighted_repair.rs
@@ -11,10 +11,10 @@
             .collect();
         broken.sort_by_key(|index| {
             let group = &self.view.groups[*index];
-            (load_bytes(group), group.rank(), group.name())
+            (repair_bytes(group), group.rank(), group.name())
         });
         for (position, index) in broken.iter().enumerate() {
-            if !self.is_touched(*index) && self.view.groups[*index].alive() > 0 {
+            if !self.has_action(*index) && self.view.groups[*index].alive() > 0 {
                 self.repair(*index, &broken[position + 1..]);
             }
         }
@@ -27,29 +27,29 @@
         let Some(pool) = self.pool_of(index) else { return };
         let available = self.view.pools[pool].available.len();
         if available >= missing && self.budget.take(missing) {
-            self.replace(index, pool);
+            self.replace_members(index, pool);
             return;
         }
         if self.view.pools[pool].expected() < missing {
-            self.merge(index, pool, others);
+            self.dissolve_donor(index, pool, others);
         }
         if self.view.pools[pool].expected() >= missing {
             self.view.pools[pool].reserve(missing);
-            self.waiting.insert(self.view.groups[index].name());
+            self.waiting_groups.insert(self.view.groups[index].name());
         }
     }
 
     /// Dissolves another broken group of the fabric domain if its members suffice to repair this
     /// one.
-    fn merge(&mut self, index: usize, pool: usize, others: &[usize]) {
+    fn dissolve_donor(&mut self, index: usize, pool: usize, others: &[usize]) {
         let shortfall = self.view.groups[index].lost.len() - self.view.pools[pool].expected();
         let domain = &self.view.groups[index].record.fabric_domain;
         let donor = others.iter().rev().copied().find(|other| {
             let group = &self.view.groups[*other];
             group.record.fabric_domain == *domain
                 && group.alive() >= shortfall
-                && !self.is_touched(*other)
-                && !self.waiting.contains(group.name())
+                && !self.has_action(*other)
+                && !self.waiting_groups.contains(group.name())
         });
         if let Some(donor) = donor {
             self.release(donor, pool);
@@ -57,7 +57,7 @@
     }
 
     /// Replaces lost members by available VMs.
-    pub(crate) fn replace(&mut self, index: usize, pool: usize) {
+    pub(crate) fn replace_members(&mut self, index: usize, pool: usize) {
         let lost = self.view.groups[index].lost.clone();
         let Some(spares) = self.view.pools[pool].take(lost.len()) else { return };
         let mut spares = spares.into_iter();
@@ -72,8 +72,8 @@
     pub(crate) fn rebuild_groups(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
             let group = &self.view.groups[index];
-            let unhandled = group.is_broken() && !self.is_touched(index);
-            if !unhandled || self.waiting.contains(group.name()) {
+            let unhandled = group.is_broken() && !self.has_action(index);
+            if !unhandled || self.waiting_groups.contains(group.name()) {
                 continue;
             }
             let broken = group.broken();
@@ -89,8 +89,8 @@
     pub(crate) fn resolve_broken(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
             let group = &self.view.groups[index];
-            let unhandled = group.is_broken() && !self.is_touched(index);
-            if !unhandled || self.waiting.contains(group.name()) {
+            let unhandled = group.is_broken() && !self.has_action(index);
+            if !unhandled || self.waiting_groups.contains(group.name()) {
                 continue;
             }
             if self.preempt_lower(index) {
@@ -126,8 +126,8 @@
             donor.record.fabric_domain == group.record.fabric_domain
                 && donor.rank() > group.rank()
                 && donor.alive() >= shortfall
-                && !self.is_touched(*other)
-                && !self.waiting.contains(donor.name())
+                && !self.has_action(*other)
+                && !self.waiting_groups.contains(donor.name())
         });
         let donor = donors.max_by_key(|other| {
             let donor = &self.view.groups[*other];
@@ -138,7 +138,7 @@
             return false;
         }
         let missing = group.lost.len();
-        self.waiting.insert(group.name());
+        self.waiting_groups.insert(group.name());
         self.release(donor, pool);
         self.view.pools[pool].reserve(missing);
         true
@@ -146,6 +146,6 @@
 }
 
 /// Bytes to load to repair a group.
-fn load_bytes(group: &GroupView<'_>) -> u64 {
+fn repair_bytes(group: &GroupView<'_>) -> u64 {
     group.wanted.version.weight_bytes.saturating_mul(group.lost.len() as u64)
 }
--- a/crates/policy/src/weighted_update.rs
+++ b/crates/policy/src/weighted_update.rs
@@ -10,7 +10,7 @@
     pub(crate) fn replace_departing(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
             let group = &self.view.groups[index];
-            let departing = group.status == GroupStatus::Departing && !self.is_touched(index);
+            let departing = group.status == GroupStatus::Departing && !self.has_action(index);
             if !departing || self.is_changing(wanted) {
                 continue;
             }
@@ -19,10 +19,10 @@
             let spare = pool.filter(|pool| self.view.pools[*pool].available.len() >= missing);
             if let Some(pool) = spare {
                 if self.may_interrupt(wanted) && self.budget.take(missing) {
-                    self.replace(index, pool);
+                    self.replace_members(index, pool);
                 }
             } else if self.form(wanted) {
-                self.changed.insert(self.service_of(index));
+                self.changed_services.insert(self.service_of(index));
             } else if self.may_interrupt(wanted) && self.choose_pool(wanted).is_none() {
                 self.retire(index);
             }
@@ -34,7 +34,7 @@
     pub(crate) fn change_adapters(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
             let group = &self.view.groups[index];
-            if group.has_current_adapters() || self.is_touched(index) || group.is_broken() {
+            if group.has_current_adapters() || self.has_action(index) || group.is_broken() {
                 continue;
             }
             let loading = group.status == GroupStatus::Loading;
@@ -83,6 +83,9 @@
                 record.phase == GroupPhase::Retiring && record.assignment.service == wanted.service
             })
         });
-        loading || releasing || self.formed(wanted) > 0 || self.changed.contains(&wanted.service)
+        loading
+            || releasing
+            || self.formed_count(wanted) > 0
+            || self.changed_services.contains(&wanted.service)
     }
 }
--- a/crates/serving/src/completion_dispatch.rs
+++ b/crates/serving/src/completion_dispatch.rs
@@ -122,7 +122,8 @@
         };
         let address = placement.group.head.address;
         let backends = self.run.service.ports.backends.clone();
-        self.or_broken(backends.complete(self.dispatch_step(placement), address, &attempt)).await
+        self.with_stall_timeout(backends.complete(self.dispatch_step(placement), address, &attempt))
+            .await
     }
 
     fn dispatch_step(&self, placement: &Placement) -> Step {
@@ -143,11 +144,12 @@
         self.run.metrics.resumed();
         let backends = self.run.service.ports.backends.clone();
         let position = self.position();
-        self.or_broken(backends.resume(Step::RequestResume, address, stream, position)).await
+        self.with_stall_timeout(backends.resume(Step::RequestResume, address, stream, position))
+            .await
     }
 
     /// Treats a stall timeout as a broken connection.
-    async fn or_broken(
+    async fn with_stall_timeout(
         &self,
         work: impl Future<Output = BackendResult<CompletionStream>>,
     ) -> RunResult<BackendResult<CompletionStream>> {
--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -85,7 +85,7 @@
             if let Some(reason) = self.join(&claimed).await? {
                 return Ok(reason);
             }
-            self.permit = Some(self.run.admit(self.tokens()).await?);
+            self.permit = Some(self.run.admit(self.estimated_tokens()).await?);
             match self.run_attempts().await {
                 Err(RunStop::ClaimTaken) => claimed.set(true),
                 end => return end,
@@ -133,7 +133,7 @@
     }
 
     /// Upper estimate of the tokens that the request costs.
-    fn tokens(&self) -> u32 {
+    fn estimated_tokens(&self) -> u32 {
         self.route_query().prompt_tokens.saturating_add(self.call.max_tokens)
     }
 
--- a/crates/serving/src/run_suspicion.rs
+++ b/crates/serving/src/run_suspicion.rs
@@ -104,11 +104,11 @@
         }
         self.check_quarantined()?;
         let now = self.now();
-        let spent = self.lost_attempts >= self.service.settings.max_attempts;
+        let exhausted = self.lost_attempts >= self.service.settings.max_attempts;
         let exempt_from_budget = crashed && self.lost_attempts == 1;
         let allowed =
             exempt_from_budget || self.service.policies.borrow_mut().retries.try_retry(now);
-        if spent || !allowed {
+        if exhausted || !allowed {
             return Err(self.stop(RefusalReason::RetriesExhausted));
         }
         self.metrics.retried();
