Let one piece of code say what a service's groups are

What was wrong for a reader: both planners wrote out the first assignment of a group, the next one, which members lost ones are replaced by, and whether a group is of the declared version; the weighted plan asked twice in the same words whether a broken group is still unresolved.

Moved: WantedService::is_current, first_assignment and next_assignment, and replace_lost, in group_planner.rs; WeightedDraft::is_unresolved. The same expressions as before. One copy less is made of the list of lost members.

--- a/crates/policy/src/first_fit_planner.rs
+++ b/crates/policy/src/first_fit_planner.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use comfreyturn_types::{
-    FabricDomain, GroupAssignment, GroupGeneration, GroupId, GroupPhase, GroupRecord, VmId,
-};
+use comfreyturn_types::{FabricDomain, GroupId, GroupPhase, GroupRecord, VmId};
 
-use crate::{GroupPlanner, PlannerAction, PlannerInput, PlannerVm, WantedService};
+use crate::{
+    GroupPlanner, PlannerAction, PlannerInput, PlannerVm, WantedService,
+    group_planner::replace_lost,
+};
 
 /// Settings of a [`FirstFitPlanner`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,7 +87,7 @@
             .filter(|record| record.assignment.service == wanted.service)
             .collect();
         let (current, outdated): (Vec<_>, Vec<_>) =
-            groups.into_iter().partition(|record| runs_version(record, wanted));
+            groups.into_iter().partition(|record| wanted.is_current(&record.assignment));
         for record in current {
             if kept < wanted.backend.groups && self.keep(record, wanted) {
                 kept += 1;
@@ -109,7 +110,7 @@
             .active_groups()
             .iter()
             .filter(|record| record.assignment.service == wanted.service)
-            .filter(|record| runs_version(record, wanted))
+            .filter(|record| wanted.is_current(&record.assignment))
             .filter(|record| self.input.whole.contains(&record.assignment.group))
             .count();
         let all_serve = current_whole >= wanted.backend.groups as usize;
@@ -142,19 +143,11 @@
             return false;
         }
         let spares = self.take(&record.fabric_domain, lost.len());
-        let Some(mut spares) = spares.map(Vec::into_iter) else {
+        let Some(spares) = spares else {
             return false;
         };
-        let members = members
-            .iter()
-            .map(|vm| if lost.contains(&vm) { spares.next() } else { None }.unwrap_or(vm.clone()))
-            .collect();
-        let assignment = GroupAssignment {
-            generation: record.assignment.generation.next(),
-            adapters: wanted.backend.adapters.clone(),
-            members,
-            ..record.assignment.clone()
-        };
+        let members = replace_lost(members, &lost, spares);
+        let assignment = wanted.next_assignment(&record.assignment, members);
         self.actions.push(PlannerAction::Reassign { assignment });
         true
     }
@@ -167,15 +160,7 @@
         for domain in domains {
             let Some(members) = self.take(&domain, size) else { continue };
             let Some(group) = self.new_names.next() else { return false };
-            let assignment = GroupAssignment {
-                group: group.clone(),
-                generation: GroupGeneration(1),
-                service: wanted.service.clone(),
-                model: wanted.backend.model.clone(),
-                version: wanted.backend.version.clone(),
-                adapters: wanted.backend.adapters.clone(),
-                members,
-            };
+            let assignment = wanted.first_assignment(group.clone(), members);
             self.actions.push(PlannerAction::Form { assignment, fabric_domain: domain });
             return true;
         }
@@ -235,9 +220,3 @@
         groups.filter(|record| record.phase == GroupPhase::Active).collect()
     }
 }
-
-fn runs_version(record: &GroupRecord, wanted: &WantedService) -> bool {
-    record.assignment.model == wanted.backend.model
-        && record.assignment.version == wanted.backend.version
-        && record.assignment.members.len() == wanted.version.vms_per_group as usize
-}
--- a/crates/policy/src/group_planner.rs
+++ b/crates/policy/src/group_planner.rs
@@ -6,8 +6,8 @@
 };
 
 use comfreyturn_types::{
-    FabricDomain, GroupAssignment, GroupId, GroupRecord, ModelBackend, ModelVersion,
-    PlannerWeights, ServiceName, VmId, VmOwner, VmRecord, VmReport,
+    FabricDomain, GroupAssignment, GroupGeneration, GroupId, GroupRecord, ModelBackend,
+    ModelVersion, PlannerWeights, ServiceName, VmId, VmOwner, VmRecord, VmReport,
 };
 
 /// A model service, as declared in the configuration.
@@ -23,6 +23,52 @@
     pub version: ModelVersion,
 }
 
+impl WantedService {
+    /// Whether a group has the model, version and size that the service declares.
+    pub(crate) fn is_current(&self, assignment: &GroupAssignment) -> bool {
+        assignment.model == self.backend.model
+            && assignment.version == self.backend.version
+            && assignment.members.len() == self.version.vms_per_group as usize
+    }
+
+    /// The first assignment of a new group.
+    pub(crate) fn first_assignment(&self, group: GroupId, members: Vec<VmId>) -> GroupAssignment {
+        GroupAssignment {
+            group,
+            generation: GroupGeneration(1),
+            service: self.service.clone(),
+            model: self.backend.model.clone(),
+            version: self.backend.version.clone(),
+            adapters: self.backend.adapters.clone(),
+            members,
+        }
+    }
+
+    /// The assignment that follows another one of the same group, with the declared adapters.
+    pub(crate) fn next_assignment(
+        &self,
+        assignment: &GroupAssignment,
+        members: Vec<VmId>,
+    ) -> GroupAssignment {
+        GroupAssignment {
+            generation: assignment.generation.next(),
+            adapters: self.backend.adapters.clone(),
+            members,
+            ..assignment.clone()
+        }
+    }
+}
+
+/// The members of a group after its lost ones were replaced by spares, in the same places.
+/// A lost member without a spare stays.
+pub(crate) fn replace_lost(members: &[VmId], lost: &[&VmId], spares: Vec<VmId>) -> Vec<VmId> {
+    let mut spares = spares.into_iter();
+    members
+        .iter()
+        .map(|vm| if lost.contains(&vm) { spares.next() } else { None }.unwrap_or(vm.clone()))
+        .collect()
+}
+
 /// A VM with a model engine, as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannerVm {
--- a/crates/policy/src/planner_view.rs
+++ b/crates/policy/src/planner_view.rs
@@ -66,10 +66,7 @@
 
     /// Whether the group runs the version that its service declares.
     pub(crate) fn is_current(&self) -> bool {
-        let assignment = &self.record.assignment;
-        assignment.model == self.wanted.backend.model
-            && assignment.version == self.wanted.backend.version
-            && assignment.members.len() == self.wanted.version.vms_per_group as usize
+        self.wanted.is_current(&self.record.assignment)
     }
 
     pub(crate) fn has_current_adapters(&self) -> bool {
--- a/crates/policy/src/weighted_draft.rs
+++ b/crates/policy/src/weighted_draft.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use comfreyturn_types::{FabricDomain, GroupAssignment, GroupId, ServiceName, VmId};
+use comfreyturn_types::{FabricDomain, GroupId, ServiceName, VmId};
 
 use crate::{
     LoadBudget, PlannerAction, PlannerCosts, WantedService, WeightedPlannerSettings,
@@ -108,12 +108,7 @@
 
     pub(crate) fn reassign(&mut self, index: usize, members: Vec<VmId>) {
         let group = &self.view.groups[index];
-        let assignment = GroupAssignment {
-            generation: group.record.assignment.generation.next(),
-            adapters: group.wanted.backend.adapters.clone(),
-            members,
-            ..group.record.assignment.clone()
-        };
+        let assignment = group.wanted.next_assignment(&group.record.assignment, members);
         self.mark_changed(index);
         self.actions.push(PlannerAction::Reassign { assignment });
     }
--- a/crates/policy/src/weighted_forming.rs
+++ b/crates/policy/src/weighted_forming.rs
@@ -1,7 +1,5 @@
 //! Forming of new groups, and the choice of their fabric domains.
 
-use comfreyturn_types::{GroupAssignment, GroupGeneration};
-
 use crate::{
     PlannerAction, WantedService, planner_view::DomainPool, weighted_draft::WeightedDraft,
 };
@@ -32,15 +30,7 @@
         }
         let Some(members) = self.view.pools[pool].take(size) else { return false };
         self.new_names.next();
-        let assignment = GroupAssignment {
-            group: group.clone(),
-            generation: GroupGeneration(1),
-            service: wanted.service.clone(),
-            model: wanted.backend.model.clone(),
-            version: wanted.backend.version.clone(),
-            adapters: wanted.backend.adapters.clone(),
-            members,
-        };
+        let assignment = wanted.first_assignment(group.clone(), members);
         let fabric_domain = self.view.pools[pool].name.clone();
         self.actions.push(PlannerAction::Form { assignment, fabric_domain });
         true
--- a/crates/policy/src/weighted_repair.rs
+++ b/crates/policy/src/weighted_repair.rs
@@ -1,6 +1,9 @@
 //! What is done about groups that lost members: repair, rebuild elsewhere, preempt, hold or retire.
 
-use crate::{WantedService, planner_view::GroupView, weighted_draft::WeightedDraft};
+use crate::{
+    WantedService, group_planner::replace_lost, planner_view::GroupView,
+    weighted_draft::WeightedDraft,
+};
 
 impl WeightedDraft<'_> {
     /// Repairs broken groups with VMs of their fabric domains, in order of downtime saved per byte.
@@ -58,25 +61,20 @@
 
     /// Replaces lost members by available VMs.
     pub(crate) fn replace_members(&mut self, index: usize, pool: usize) {
-        let lost = self.view.groups[index].lost.clone();
-        let Some(spares) = self.view.pools[pool].take(lost.len()) else { return };
-        let mut spares = spares.into_iter();
-        let members = self.view.groups[index].record.assignment.members.iter();
-        let members = members
-            .map(|vm| if lost.contains(&vm) { spares.next() } else { None }.unwrap_or(vm.clone()))
-            .collect();
+        let missing = self.view.groups[index].lost.len();
+        let Some(spares) = self.view.pools[pool].take(missing) else { return };
+        let group = &self.view.groups[index];
+        let members = replace_lost(&group.record.assignment.members, &group.lost, spares);
         self.reassign(index, members);
     }
 
     /// Rebuilds broken groups elsewhere if that costs less than waiting for their lost members.
     pub(crate) fn rebuild_groups(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
-            let group = &self.view.groups[index];
-            let unhandled = group.is_broken() && !self.has_action(index);
-            if !unhandled || self.waiting_groups.contains(group.name()) {
+            if !self.is_unresolved(index) {
                 continue;
             }
-            let broken = group.broken();
+            let broken = self.view.groups[index].broken();
             let rebuild = self.costs.rebuild_cost(&broken, self.budget.loading());
             if rebuild < self.costs.hold_cost(&broken) && self.form(wanted) {
                 self.retire(index);
@@ -88,12 +86,7 @@
     /// as that costs less, or retires them.
     pub(crate) fn resolve_broken(&mut self, wanted: &WantedService) {
         for index in self.current_groups(wanted) {
-            let group = &self.view.groups[index];
-            let unhandled = group.is_broken() && !self.has_action(index);
-            if !unhandled || self.waiting_groups.contains(group.name()) {
-                continue;
-            }
-            if self.preempt_lower(index) {
+            if !self.is_unresolved(index) || self.preempt_lower(index) {
                 continue;
             }
             if !self.may_hold(index) {
@@ -102,6 +95,12 @@
         }
     }
 
+    /// Whether a group is broken, and the plan neither acts on it nor has it wait for VMs.
+    fn is_unresolved(&self, index: usize) -> bool {
+        let group = &self.view.groups[index];
+        group.is_broken() && !self.has_action(index) && !self.waiting_groups.contains(group.name())
+    }
+
     /// Whether a broken group may be held longer: some member is still listed and may return, and
     /// holding costs less than retiring.
     fn may_hold(&self, index: usize) -> bool {
