Send a server that turned requests away no more than it ran then

Cause: the nodes go by the slots of the list and overrun such a server, it turns all of them away one after the other, and stands idle once its requests have ended.

Change: what a server ran when it turned a request away is taken for its room, and grows by a quarter, at least one, each 10 s. A refusal while it runs nothing has another reason and says nothing.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -10,7 +10,7 @@
 use comfreyturn_policy::{
     ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
     RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
-    ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
+    ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
 };
 use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
 
@@ -45,6 +45,9 @@
     /// Servers that asked this node to wait.
     pub(crate) waits: RefCell<ServerWaits>,
 
+    /// How many requests servers ran when they turned one away.
+    pub(crate) rooms: RefCell<ServerRooms>,
+
     /// The rate limits that servers state.
     pub(crate) limits: RefCell<StatedLimits>,
 
@@ -138,6 +141,7 @@
             stalls: RefCell::default(),
             paths: RefCell::new(PathMonitor::new(settings.paths)),
             waits: RefCell::new(ServerWaits::new(settings.server_waits)),
+            rooms: RefCell::default(),
             limits: RefCell::default(),
             quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
             senders: RefCell::default(),
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -62,6 +62,11 @@
         if candidates.is_empty() {
             return Err(NotRunReason::NoServer);
         }
+        let rooms = self.rooms.borrow();
+        // A server that turned requests away when it was full does not queue any.
+        candidates.retain(|head| {
+            rooms.room(now, &head.life).is_none_or(|room| head.running < room || urgent)
+        });
         let mut withheld = Withheld::default();
         candidates.retain_mut(|head| match self.send_permit(now, &head.life) {
             SendPermit::Unlimited => true,
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -42,6 +42,10 @@
         gateway_metrics::count_requested_wait();
         log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
         self.waits.borrow_mut().record_wait(now, life, wait);
+        self.refresh_loads();
+        // Without the request that was turned away.
+        let running = self.loads.running(life).saturating_sub(1);
+        self.rooms.borrow_mut().record_refusal(now, life, running);
     }
 
     /// Whether this node may open a connection for another node to a server now.
