Invite no callers before the list of servers is known

What callers saw: in plays of rolling stops most refusals name no server, at nodes that started a moment ago.

Cause: a node counted as ready, and was among the addresses for callers, once it had a configuration, whether or not it knew any server. It now takes both. Ruled out: reading the list before anything else (at the start of a fleet all nodes would call the store at the same moment).

A new test fails before (ready without a list) and passes; all other tests of the gateway pass unchanged.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -206,6 +206,7 @@
         let now = self.ports.clock.now();
         !self.state.leaving.get()
             && self.state.config.borrow().is_some()
+            && self.state.list_age(now).is_some()
             && self.state.config_is_usable(now)
     }
 
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -552,6 +552,28 @@
     assert_eq!(site.gateway.in_flight(), 0);
 }
 
+/// Guards against a node that started a moment ago, invites callers, and refuses them because it knows
+/// no servers yet.
+#[test]
+fn node_without_a_list_of_servers_invites_no_callers() {
+    let mut site = TestSite::new();
+    site.feeds.put_config(config(1, &["k"]));
+    site.feeds.set_list_unreachable(true);
+    site.gateway.start();
+    site.run(500);
+    assert!(!site.gateway.is_ready());
+    assert!(site.gateway.caller_addresses(None, 64).is_empty());
+    site.feeds.set_list_unreachable(false);
+    site.feeds.add_reading(ServerReading {
+        is_whole: true,
+        version: StoreVersion::first_era(1),
+        changes: vec![listed("p1", "plain", false)],
+    });
+    site.run(2000);
+    assert!(site.gateway.is_ready());
+    assert_eq!(site.gateway.caller_addresses(None, 64).len(), 1);
+}
+
 #[test]
 fn leaving_node_answers_until_it_refuses() {
     let mut site = TestSite::started();
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -27,6 +27,7 @@
     config: Rc<RefCell<Option<Rc<GatewayConfig>>>>,
     readings: Rc<RefCell<VecDeque<ServerReading>>>,
     is_unreachable: Rc<Cell<bool>>,
+    lacks_list: Rc<Cell<bool>>,
 }
 
 impl FixedFeeds {
@@ -37,6 +38,7 @@
             config: Rc::default(),
             readings: Rc::default(),
             is_unreachable: Rc::default(),
+            lacks_list: Rc::default(),
         }
     }
 
@@ -54,6 +56,11 @@
     pub fn set_unreachable(&self, is_unreachable: bool) {
         self.is_unreachable.set(is_unreachable);
     }
+
+    /// Makes only the list of servers unreachable, or reachable again.
+    pub fn set_list_unreachable(&self, is_unreachable: bool) {
+        self.lacks_list.set(is_unreachable);
+    }
 }
 
 #[async_trait(?Send)]
@@ -76,7 +83,7 @@
 #[async_trait(?Send)]
 impl ServerFeed for FixedFeeds {
     async fn next(&self, _whole: bool) -> FeedResult<ServerReading> {
-        if self.is_unreachable.get() {
+        if self.is_unreachable.get() || self.lacks_list.get() {
             return Err(FeedError::Unreachable);
         }
         Ok(self.readings.borrow_mut().pop_front().unwrap_or_default())
