Send nothing new to servers that say that they are leaving

Cause: the header with which a server says so in its answers was read nowhere; nodes went by the list of servers alone, which may say so later.

Change: a node that got such an answer takes the server for no request any more, for the server's lifetime; the same for connections that it opens for other nodes, whose responses it reads. What a refusal leaves unsaid is now a field of its own: a refusal without a rate limit ends none.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -42,6 +42,10 @@
     /// Whether this node's own paths to the servers work.
     pub(crate) paths: RefCell<PathMonitor>,
 
+    /// Servers that said in an answer to this node that they are leaving. A lifetime never leaves
+    /// the set while the server is known.
+    pub(crate) leaving_servers: RefCell<HashSet<ServerLife>>,
+
     /// Servers that asked this node to wait.
     pub(crate) waits: RefCell<ServerWaits>,
 
@@ -140,6 +144,7 @@
             loads: LoadTracker::default(),
             stalls: RefCell::default(),
             paths: RefCell::new(PathMonitor::new(settings.paths)),
+            leaving_servers: RefCell::default(),
             waits: RefCell::new(ServerWaits::new(settings.server_waits)),
             rooms: RefCell::default(),
             limits: RefCell::default(),
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -146,14 +146,18 @@
             distance: Duration::ZERO,
             has_quota: false,
         };
+        let leaving = self.leaving_servers.borrow();
+        let stays = |head: &&FleetServer| !leaving.contains(&head.life);
         let Some(engine) = &service.engine else {
-            return servers.plain(&service.name).map(|head| candidate(head, head.slots)).collect();
+            let plain = servers.plain(&service.name).filter(stays);
+            return plain.map(|head| candidate(head, head.slots)).collect();
         };
         let groups = servers.serving_groups(&service.name, engine);
         let serving = groups.iter().filter(|group| {
             model.is_none_or(|model| group.model.name == *model)
                 && !self.has_lost(group.members.iter().flatten().copied())
         });
-        serving.filter_map(|group| Some(candidate(group.head()?, engine.slots))).collect()
+        let heads = serving.filter_map(|group| group.head()).filter(stays);
+        heads.map(|head| candidate(head, engine.slots)).collect()
     }
 }
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -13,32 +13,38 @@
 use crate::{Gateway, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
 
 impl Gateway {
-    /// Records that a server began to answer a request that this node passed on for another one, and
-    /// the wait that it asked for. The server speaks of the node whose connection it sees.
-    pub fn record_tunnel_answer(&self, server: SocketAddr, wait: Option<Duration>) {
+    /// Records what a server asked for when it began to answer a request that this node passed on for
+    /// another one. The server speaks of the node whose connection it sees.
+    pub fn record_tunnel_answer(&self, server: SocketAddr, notice: ServerNotice) {
         let Self { state, ports, .. } = self;
         let now = ports.clock.now();
-        state.lives_at(server).iter().for_each(|life| state.record_wait(now, life, wait));
+        state.lives_at(server).iter().for_each(|life| state.record_own_notice(now, life, notice));
     }
 }
 
 impl GatewayState {
     /// Records what a server asked of the nodes in an answer to this one.
     pub(crate) fn record_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
-        // A refusal that asks for a wait and names no limit says nothing about a limit.
-        if notice.rate_limit.is_some() || notice.wait.is_none() {
+        if notice.rate_limit.is_some() || !notice.is_refusal {
             let statement = LimitStatement { rate: notice.rate_limit, at: now };
             self.record_limit(life, statement, AnswerReceiver::This);
         }
-        self.record_wait(now, life, notice.wait);
+        self.record_own_notice(now, life, notice);
     }
 
-    /// Records whether a server asked this node to wait in an answer.
-    fn record_wait(&self, now: Instant, life: &ServerLife, wait: Option<Duration>) {
-        let Some(wait) = wait else {
-            self.waits.borrow_mut().record_answer(now, life);
-            return;
-        };
+    /// Records what a server asked of this node alone, and whether it is leaving.
+    fn record_own_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
+        if notice.is_leaving && self.leaving_servers.borrow_mut().insert(life.clone()) {
+            log::info!(server:% = life; "limits: server says that it is leaving.");
+        }
+        match notice.wait {
+            Some(wait) => self.record_wait(now, life, wait),
+            None if notice.is_refusal => {}
+            None => self.waits.borrow_mut().record_answer(now, life),
+        }
+    }
+
+    fn record_wait(&self, now: Instant, life: &ServerLife, wait: Duration) {
         gateway_metrics::count_requested_wait();
         log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
         self.waits.borrow_mut().record_wait(now, life, wait);
@@ -52,7 +58,9 @@
     pub(crate) fn permits_tunnel(&self, now: Instant, server: SocketAddr) -> bool {
         let lives = self.lives_at(server);
         let mut waits = self.waits.borrow_mut();
-        let is_permitted = lives.iter().all(|life| waits.permits(now, life));
+        let leaving = self.leaving_servers.borrow();
+        let is_permitted =
+            lives.iter().all(|life| waits.permits(now, life) && !leaving.contains(life));
         if is_permitted {
             lives.iter().for_each(|life| waits.record_send(now, life));
         }
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -115,6 +115,7 @@
         self.stalls.borrow_mut().retain(known);
         let mut limits = self.limits.borrow_mut();
         limits.retain(now, UNLISTED_RETENTION, known);
+        self.leaving_servers.borrow_mut().retain(known);
         self.rooms.borrow_mut().retain(known);
         self.waits.borrow_mut().retain(now, known);
         self.quotas.borrow_mut().retain(|life| limits.limit(life).is_some());
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -4,6 +4,7 @@
 mod crashing_parts;
 mod fleet_lease;
 mod fleet_view;
+mod leaving_servers;
 mod lost_paths;
 mod plain_service;
 mod rate_limits;
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -13,7 +13,7 @@
 use comfreyturn_gateway::{
     ForwardAnswer, ForwardRequest, Gateway, GatewayIdentity, GatewayPorts, GatewaySettings,
 };
-use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, TableResult};
+use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, ServerNotice, TableResult};
 use comfreyturn_standin::fakes::{
     AnsweringServers, FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable,
     TunnelHelper, run_for,
@@ -126,9 +126,9 @@
         Some(Box::new(permit))
     }
 
-    fn answered(&self, server: SocketAddr, wait: Option<Duration>) {
+    fn answered(&self, server: SocketAddr, notice: ServerNotice) {
         if let Some(gateway) = self.0.upgrade() {
-            gateway.record_tunnel_answer(server, wait);
+            gateway.record_tunnel_answer(server, notice);
         }
     }
 }
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -91,6 +91,14 @@
     /// How long the server wants nothing from this node; `None` if it asks for no wait. A later
     /// response ends no wait.
     pub wait: Option<Duration>,
+
+    /// Whether the server is leaving: it wants nothing new from any node, for the rest of its
+    /// lifetime.
+    pub is_leaving: bool,
+
+    /// Whether the response turns the request away. Such a response that names no rate limit says
+    /// nothing about one: it may come from a part of the server that knows of none.
+    pub is_refusal: bool,
 }
 
 /// What came of a request to a server.
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -70,8 +70,8 @@
     /// Whether it opens one now. The connection lasts until the permit is dropped.
     fn admit(&self, server: SocketAddr) -> Option<Box<dyn Any>>;
 
-    /// A server answers over such a connection, and may ask the node to wait.
-    fn answered(&self, server: SocketAddr, wait: Option<Duration>);
+    /// A server answers over such a connection, and asks this of the node.
+    fn answered(&self, server: SocketAddr, notice: ServerNotice);
 }
 
 /// A node through which others may reach the servers.
@@ -91,6 +91,9 @@
 struct ServersState {
     arrivals: RefCell<Vec<ServerArrival>>,
     rate_limits: RefCell<HashMap<VmId, RequestRate>>,
+
+    /// Servers that say that they are leaving.
+    leaving: RefCell<HashSet<ServerLife>>,
     events: Cell<u32>,
 
     /// When servers crashed, in order.
@@ -116,8 +119,13 @@
         self.crashed.borrow().contains(life)
     }
 
-    fn rate_limit(&self, life: &ServerLife) -> Option<RequestRate> {
-        self.rate_limits.borrow().get(&life.vm).copied()
+    /// What a server asks for in each of its answers.
+    fn notice(&self, life: &ServerLife) -> ServerNotice {
+        ServerNotice {
+            rate_limit: self.rate_limits.borrow().get(&life.vm).copied(),
+            is_leaving: self.leaving.borrow().contains(life),
+            ..ServerNotice::default()
+        }
     }
 }
 
@@ -136,6 +144,16 @@
         };
     }
 
+    /// Makes a server say in its answers that it is leaving, or no more.
+    pub fn set_leaving(&self, life: &ServerLife, is_leaving: bool) {
+        let mut leaving = self.state.leaving.borrow_mut();
+        if is_leaving {
+            leaving.insert(life.clone());
+        } else {
+            leaving.remove(life);
+        }
+    }
+
     /// Cuts a node's paths to all servers, or mends them.
     pub fn set_cut(&self, node: &NodeId, address: SocketAddr, is_cut: bool) {
         let mut cut = self.state.cut.borrow_mut();
@@ -222,8 +240,11 @@
                 return LinkError::NotSent.into();
             }
         }
-        let answered = |wait| {
-            tunnels.iter().for_each(|tunnels| tunnels.answered(call.address, wait));
+        let answered = |reply: ServerReply| {
+            if let (Some(tunnels), Some(notice)) = (&tunnels, reply.notice) {
+                tunnels.answered(call.address, notice);
+            }
+            reply
         };
         let crashes = call.headers.contains_key(&CRASH_HEADER);
         let (life, at) = (call.life.clone(), clock.now());
@@ -237,17 +258,14 @@
         let place = match state.waiting.take_place(at, &life) {
             Ok(place) => place,
             Err(wait) => {
-                let reply = self.turned_away(life, seen, wait).await;
-                answered(Some(wait));
-                return reply;
+                return answered(self.turned_away(life, seen, wait).await);
             }
         };
         clock.sleep(START_DELAY).await;
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
-        answered(None);
-        let notice = ServerNotice { rate_limit: state.rate_limit(&life), wait: None };
+        let notice = state.notice(&life);
         let answer = EventAnswer {
             state: state.clone(),
             clock: clock.clone(),
@@ -259,7 +277,7 @@
             _place: place,
             _tunnel: permit,
         };
-        ServerReply { notice: Some(notice), answer: Ok(Box::new(answer)) }
+        answered(ServerReply { notice: Some(notice), answer: Ok(Box::new(answer)) })
     }
 }
 
@@ -271,7 +289,7 @@
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
-        let notice = ServerNotice { rate_limit: state.rate_limit(&life), wait: Some(wait) };
+        let notice = ServerNotice { wait: Some(wait), is_refusal: true, ..state.notice(&life) };
         state.waiting.record_asked(WaitAsked { life, seen, at: clock.now(), wait });
         ServerReply { notice: Some(notice), answer: Err(LinkError::NotRun) }
     }
