Reproduce a node that starts again and knows no server in a test that fails

The test kills one of seven nodes for 0.6 s, in which a server leaves the list, and asks it for an answer 1.5 s after its start: all seven refuse (no server). Without the change of the list all seven answer.

--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -9,6 +9,7 @@
 mod plain_service;
 mod rate_limits;
 mod refusing_servers;
+mod restarts;
 mod rolling_stops;
 mod test_nodes;
 mod wait_check;
