Take changes of the list only if they are meant for this run of a node

Cause: peers send a relay the changes since the version that its last datagram named. After a restart under the same name that was the list of the process before; the new one took the few changes for the whole list, and as its list was young it never read it itself.

Ruled out: a first reading that is older than what peers sent (the test has none older); a slow reading (without a change of the list all nodes answer).

Change: a node applies changes only from datagrams that echo this run of it.

--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -107,7 +107,10 @@
             return true;
         }
         self.apply_report(now, node, beat);
-        if let Some(changes) = &beat.list_changes {
+        // Changes for the list of this node's last process are not all that this one needs.
+        let is_for_this_run =
+            beat.echo.is_some_and(|echo| echo.incarnation == self.gateway.identity.incarnation.0);
+        if let Some(changes) = beat.list_changes.as_ref().filter(|_| is_for_this_run) {
             let age = decode_age(beat.list_age_ms);
             let read_at = echoed_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
             self.apply_changes(now, node, changes, read_at);
