--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use comfreyturn_policy::{AdmissionQuery, SuspectStatus};
+use comfreyturn_policy::{AdmissionQuery, ShutdownTerm, SuspectStatus};
 use comfreyturn_ports::{PeerIdentity, PeerNotice, PlainResponse, Step};
 use comfreyturn_types::{CustomerIntent, RefusalReason, ServiceBackend, StreamId};
 
@@ -50,6 +50,8 @@
     crashes: RefCell<CrashHistory>,
     in_flight: InFlightCount,
     refusing: Cell<bool>,
+    /// When the node ends, once that is known.
+    shutdown: Cell<Option<ShutdownTerm>>,
     next_stream: Cell<u64>,
 }
 
@@ -82,6 +84,7 @@
             crashes: RefCell::default(),
             in_flight: InFlightCount::default(),
             refusing: Cell::new(false),
+            shutdown: Cell::default(),
             next_stream: Cell::new(0),
             identity,
             view,
@@ -127,6 +130,11 @@
             .unwrap_or_else(|_| Err(Refusal::unknown(RefusalReason::BackendLost)))
     }
 
+    /// States when the node ends, whatever runs then.
+    pub fn end_by(&self, term: ShutdownTerm) {
+        self.shutdown.set(Some(term));
+    }
+
     /// Shuts down gracefully: notifies peers, keeps serving while callers may still use this node's
     /// address, then refuses new requests and completes when the last one has ended.
     pub async fn drain(&self) {
