Keep run times by any kind of request

A node that stops goes by the longest run of a route lately. Services shall be kept the same way, but `RunTimes` knew routes only, and the rule "the bound, or all the time that the caller waits" was the gateway's.

`RunTimes` takes any kind of request now, and the rule is its own (`needed`). Nothing else changes: requests are counted, aged and forgotten as before. A test adds that by this rule requests of long ago bound nothing (`requests_of_long_ago_say_nothing_about_others`).

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -12,7 +12,9 @@
     RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
     ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
 };
-use comfreyturn_types::{FleetServer, ModelName, NodeId, ServerLife, ServiceName, ServiceSpec};
+use comfreyturn_types::{
+    FleetServer, ModelName, NodeId, RouteName, ServerLife, ServiceName, ServiceSpec,
+};
 
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, ReportKind, ServerLog, ServerTable, StallTracker,
@@ -112,7 +114,7 @@
     pub(crate) in_flight: RefCell<InFlightTable>,
 
     /// How long requests took lately.
-    pub(crate) run_times: RefCell<RunTimes>,
+    pub(crate) run_times: RefCell<RunTimes<RouteName>>,
 
     /// When the node ends, once it received a stop signal.
     pub(crate) shutdown: Cell<Option<ShutdownTerm>>,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -76,8 +76,7 @@
     /// How long a request may take, as far as this node can tell; at most `left`.
     fn needed_time(&self, now: Instant, route: &RouteName, left: Duration) -> Duration {
         let running = self.in_flight.borrow().oldest_age(now, route);
-        let bound = self.run_times.borrow().bound(now, route, running);
-        bound.map_or(left, |bound| bound.min(left))
+        self.run_times.borrow().needed(now, route, running, left)
     }
 
     /// Logs a request that arrives after the stop signal.
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -120,3 +120,16 @@
     }
     assert_eq!(lost, 0, "of {taken} taken");
 }
+
+/// Guards against a request that is taken because those of an hour ago were quick.
+#[test]
+fn requests_of_long_ago_say_nothing_about_others() {
+    let settings = RunTimeSettings::default();
+    let mut times = RunTimes::new(settings);
+    let (start, route) = (Instant::now(), RouteName::from("r"));
+    (0..100).for_each(|_| times.record(start, &route, seconds(0.5)));
+    let limit = seconds(20.0);
+    let needed = |age| times.needed(start + age, &route, Duration::ZERO, limit);
+    assert_eq!(needed(settings.window), seconds(0.5 * settings.margin));
+    assert_eq!(needed(settings.window * 2), limit);
+}
