Date stop signals from the start of the process, in one place

A process that was frozen learns of its stop signal late, while whoever sent it counts from the signal. The platform's mode dated signals since the last commit on the term, but only once the node was built, and only there.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,6 +1,6 @@
 //! Implementations of the traits of `comfreyturn_ports` over TCP, on compio.
 //!
-//! - [`SystemClock`] and [`CompioSpawner`] provide time and tasks.
+//! - [`SystemClock`] and [`CompioSpawner`] provide time and tasks, [`SignalInbox`] dates signals.
 //! - [`HttpPool`] keeps connections to HTTP servers alive. [`TableClient`], [`DirectoryClient`],
 //!   [`EngineClient`] and [`BackendClient`] call the platform and backend servers through it.
 //! - [`GrpcChannel`] is the transport of the generated client for operator calls.
@@ -34,6 +34,7 @@
 mod peer_server;
 mod peer_settings;
 mod response_head;
+mod signal_inbox;
 mod system_clock;
 mod table_client;
 mod tunnel;
@@ -52,6 +53,7 @@
 pub use peer_server::*;
 pub use peer_settings::*;
 pub use response_head::ResponseHead;
+pub use signal_inbox::*;
 pub use system_clock::*;
 pub use table_client::*;
 pub use tunnel::*;
