Take no request that a shutdown limit would cut

What callers see: a node with `shutdown_limit_ms` takes requests until the limit or the validity time of addresses, whichever comes first, and cuts what then runs: streams end without a last part, others without an answer. With a limit below the validity time (30 s by default) it never refuses at all.

Cause: the limit was a timer around the whole of `drain`, of which the request service knew nothing. Nothing compared what a request may take with the time left: not on arrival, not when it left the queue (batch requests wait up to 30 s), not before a retry. The limit counted from when the node learned of the signal. Ruled out: jobs, which this mode does not have, and a signal before the node is ready, when all requests are refused (`stale-config`).

Change: the node states its end (`end_by`, a `ShutdownTerm`), and goes by the same rules as on the platform, with run times by service (`RunTimes`). A request is refused on arrival, while it waits and right before it is sent once one and a half times the longest run lately does not fit; with too few to go by, the time until its deadline. What runs ends shortly before the limit with a final answer. A stream with a claim is then neither cancelled nor settled, so that a resend elsewhere joins it. A replayed answer that is interrupted no longer counts as not run. Time counts from the signal. `ShutdownTerm` states again when the process is killed, because here the node ends itself then.

Quick requests to a service of its own are all served in the first third of the limit. With processes, a late answer was cut by a node that does not state its end, and is served elsewhere now; a node that was frozen for 3 s of its 4 s ends within 1.5 s, and not if it dates the signal when it learns of it.

Not passed: `quick_plain_requests_are_served_while_callers_hold_the_address`.

Price: a service whose slow requests do not fit refuses its quick ones too.

--- a/crates/ctl/tests/support/site.rs
+++ b/crates/ctl/tests/support/site.rs
@@ -59,11 +59,19 @@
     pub engines: usize,
     pub engine_flags: &'static [&'static str],
     pub address_validity_ms: u64,
+    pub shutdown_limit_ms: Option<u64>,
 }
 
 impl Default for SiteLayout {
     fn default() -> Self {
-        Self { name: "site", nodes: 3, engines: 2, engine_flags: &[], address_validity_ms: 1000 }
+        Self {
+            name: "site",
+            nodes: 3,
+            engines: 2,
+            engine_flags: &[],
+            address_validity_ms: 1000,
+            shutdown_limit_ms: None,
+        }
     }
 }
 
@@ -89,7 +97,7 @@
         let nodes = (1..=layout.nodes)
             .map(|number| {
                 let path = directory.join(format!("node-{number}.yaml"));
-                start_node(number, path, platform.address, layout.address_validity_ms)
+                start_node(number, path, platform.address, layout)
             })
             .collect();
         Self { platform, engines, plain, nodes }
@@ -262,19 +270,17 @@
 }
 
 /// Writes a node's settings and starts it.
-fn start_node(
-    number: usize,
-    path: PathBuf,
-    platform: SocketAddr,
-    address_validity_ms: u64,
-) -> SiteNode {
+fn start_node(number: usize, path: PathBuf, platform: SocketAddr, layout: &SiteLayout) -> SiteNode {
     let relay = OwnRelay::start(platform);
     let platform = relay.address;
     let (callers, operators, peers) = (free_address(), free_address(), free_address());
+    let address_validity_ms = layout.address_validity_ms;
+    let limit = layout.shutdown_limit_ms.map(|limit| format!("shutdown_limit_ms: {limit}\n"));
+    let limit = limit.unwrap_or_default();
     let text = format!(
         "cell: test\nnode: node-{number}\nvm: vm-node-{number}\nfailure_domain: fd-{number}\n\
          caller_address: {callers}\noperator_address: {operators}\npeer_address: {peers}\n\
-         platform_address: {platform}\ncallers:\n  address_validity_ms: {address_validity_ms}\n"
+         platform_address: {platform}\n{limit}callers:\n  address_validity_ms: {address_validity_ms}\n"
     );
     fs::write(&path, text).unwrap();
     let process = run_node(&path);
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -1,15 +1,22 @@
 //! Assembles a node, runs it and shuts it down.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use comfreyturn_adapters::{
     BackendClient, BackendSettings, ByteMeter, CompioSpawner, DirectoryClient, EngineClient,
-    HttpPool, HttpSettings, PeerClient, PeerServer, PeerSettings, SystemClock, TableClient,
+    HttpPool, HttpSettings, PeerClient, PeerServer, PeerSettings, SignalInbox, SystemClock,
+    TableClient,
 };
 use comfreyturn_control::{ControlPorts, ControlSettings, LimitController, NodeControl};
 use comfreyturn_policy::{
     CrashLedger, CrashLedgerSettings, FairQueue, FairQueueSettings, LoadRouter, LoadRouterSettings,
-    RetryBudgetSettings, ShareRetryBudget, WeightedPlanner, WeightedPlannerSettings,
+    RetryBudgetSettings, ShareRetryBudget, ShutdownSettings, ShutdownTerm, WeightedPlanner,
+    WeightedPlannerSettings,
 };
 use comfreyturn_ports::{Clock, PeerIdentity, PeerLink, Spawner};
 use comfreyturn_serving::{RequestService, ServingPolicies, ServingPorts, ServingSettings};
@@ -29,6 +36,13 @@
 /// Time for connections to flush their last bytes after the last request has ended.
 const CONNECTION_FLUSH_TIME: Duration = Duration::from_millis(200);
 
+/// Time kept before the shutdown limit for the last answers, the outcomes of claims and the roster;
+/// less if the limit is short.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time for the last answers of a process that was frozen until its shutdown limit had passed.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// Runs a node until it receives a stop signal. Must be called inside a compio runtime, on a thread
 /// that runs no other node.
 ///
@@ -37,6 +51,7 @@
 pub async fn run_node(settings: NodeSettings, stop: flume::Receiver<StopSignal>) -> Result<()> {
     let recorder = node_recorder();
     let _guard = metrics::set_default_local_recorder(&recorder);
+    let mut inbox = SignalInbox::new(stop, Rc::new(SystemClock));
     let listeners = NodeListeners::open(&settings).await?;
     let parts = NodeParts::new(&settings);
     log::info!(
@@ -46,8 +61,10 @@
     );
     let (drain_trigger, draining) = flume::bounded::<Infallible>(0);
     parts.start(&settings, listeners, draining, recorder.handle());
-    if stop.recv_async().await != Ok(StopSignal::Now) {
-        parts.shut_down(&settings, drain_trigger, &stop).await;
+    let (signal, stopped_at) = inbox.next().await;
+    if signal != Some(StopSignal::Now) {
+        let term = shutdown_term(&settings, stopped_at);
+        parts.shut_down(term, drain_trigger, &mut inbox).await;
     }
     log::info!("node: {} stopped.", settings.node);
     Ok(())
@@ -186,15 +203,18 @@
     /// Shuts down gracefully. A second signal or the time limit interrupts requests in progress.
     async fn shut_down(
         &self,
-        settings: &NodeSettings,
+        term: Option<ShutdownTerm>,
         drain_trigger: flume::Sender<Infallible>,
-        stop: &flume::Receiver<StopSignal>,
+        inbox: &mut SignalInbox<StopSignal>,
     ) {
+        if let Some(term) = term {
+            self.service.end_by(term);
+        }
         let graceful = self.leave(drain_trigger).fuse();
         pin_mut!(graceful);
-        let limit = self.limit_reached(settings.shutdown_limit).fuse();
+        let limit = self.limit_reached(term).fuse();
         pin_mut!(limit);
-        let second = stop.recv_async().fuse();
+        let second = inbox.next().fuse();
         pin_mut!(second);
         select_biased! {
             () = graceful => {}
@@ -203,12 +223,13 @@
         }
     }
 
-    /// Completes when `limit` has passed, or never if there is none.
-    async fn limit_reached(&self, limit: Option<Duration>) {
-        match limit {
-            Some(limit) => self.clock.sleep(limit).await,
-            None => std::future::pending().await,
-        }
+    /// Completes at the shutdown limit, or never if there is none.
+    async fn limit_reached(&self, term: Option<ShutdownTerm>) {
+        let Some(term) = term else { return std::future::pending().await };
+        let left = |at: Instant| at.saturating_duration_since(self.clock.now());
+        self.clock.sleep(left(term.ends_at)).await;
+        let left = left(term.killed_at);
+        self.clock.sleep(if left.is_zero() { LAST_ANSWER_TIME } else { left }).await;
     }
 
     /// Announces that the node is leaving, serves while callers may still use its address, waits
@@ -224,6 +245,16 @@
     }
 }
 
+/// When the node ends that got its stop signal at `stopped_at`; `None` without a shutdown limit.
+fn shutdown_term(settings: &NodeSettings, stopped_at: Instant) -> Option<ShutdownTerm> {
+    let settings = ShutdownSettings {
+        grace: settings.shutdown_limit?,
+        address_hold: settings.callers.address_validity,
+        answer_margin: ANSWER_MARGIN,
+    };
+    Some(ShutdownTerm::new(stopped_at, &settings))
+}
+
 fn identity(settings: &NodeSettings, member: &RosterMember) -> PeerIdentity {
     PeerIdentity {
         cell: settings.cell.clone(),
--- a/crates/node/src/settings/node_settings.rs
+++ b/crates/node/src/settings/node_settings.rs
@@ -41,8 +41,8 @@
     /// Where the platform's table service and list of VMs are.
     pub platform_address: SocketAddr,
 
-    /// Longest time that a graceful shutdown waits for requests in progress, in milliseconds;
-    /// absent means no limit.
+    /// Longest time from the stop signal to the end of the node, in milliseconds; absent means no
+    /// limit. Requests that may take longer are refused.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default, rename = "shutdown_limit_ms")]
     pub shutdown_limit: Option<Duration>,
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -7,7 +7,7 @@
 };
 
 /// Settings of [`RunTimes`].
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunTimeSettings {
     /// Requests are remembered for at least this time after their end, and at most twice as long.
     pub window: Duration,
--- a/crates/policy/src/shutdown_term.rs
+++ b/crates/policy/src/shutdown_term.rs
@@ -44,6 +44,9 @@
 
     /// Answers must be complete by then. Invariant: not before `closes_at`.
     pub ends_at: Instant,
+
+    /// When the process is killed. Invariant: not before `ends_at`.
+    pub killed_at: Instant,
 }
 
 impl ShutdownTerm {
@@ -55,6 +58,7 @@
             stopped_at,
             closes_at: stopped_at + hold,
             ends_at: stopped_at + settings.grace.saturating_sub(margin),
+            killed_at: stopped_at + settings.grace,
         }
     }
 
--- a/crates/serving/src/claim_guard.rs
+++ b/crates/serving/src/claim_guard.rs
@@ -47,6 +47,11 @@
         is_same_submission(record, &self.record)
     }
 
+    /// Whether the request is sent as a stream that others can resume.
+    pub(crate) fn has_stream(&self) -> bool {
+        matches!(self.record.phase, ClaimPhase::Dispatching { stream: Some(_), .. })
+    }
+
     /// Records that this submission has no row.
     pub(crate) fn mark_absent(&mut self) {
         self.state = RowState::Absent;
--- a/crates/serving/src/completion_delivery.rs
+++ b/crates/serving/src/completion_delivery.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use comfreyturn_ports::{BackendError, CompletionEvent, CompletionStream, CompletionToken};
-use comfreyturn_types::{GroupId, RefusalReason};
+use comfreyturn_types::GroupId;
 use futures_util::StreamExt;
 
 use crate::{
@@ -31,9 +31,7 @@
             let part = match self.run.wait(stall, stream.next()).await {
                 Wait::Ready(part) => part,
                 Wait::TimedOut => return Ok(StreamEnd::Broken),
-                Wait::DeadlinePassed => {
-                    return Err(self.run.stop(RefusalReason::DeadlineExceeded));
-                }
+                Wait::Ended(reason) => return Err(self.run.stop(reason)),
                 Wait::CallerGone => return Err(RunStop::CallerGone),
             };
             match part {
@@ -60,7 +58,7 @@
     pub(crate) async fn deliver(&mut self, token: CompletionToken) -> RunResult<()> {
         self.delivered.push(token.text.clone());
         let sent = self.sink.send(Ok(CompletionEvent::Token(token)));
-        let sent = self.run.within_deadline(sent).await?;
+        let sent = self.run.until_end(sent).await?;
         if sent || self.run.claim.is_some() { Ok(()) } else { Err(RunStop::CallerGone) }
     }
 
--- a/crates/serving/src/completion_dispatch.rs
+++ b/crates/serving/src/completion_dispatch.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_policy::RouteEnd;
 use comfreyturn_ports::{BackendError, BackendResult, CompletionAttempt, CompletionStream, Step};
-use comfreyturn_types::{RefusalReason, StreamId};
+use comfreyturn_types::StreamId;
 
 use crate::{
     completion_delivery::StreamEnd,
@@ -49,7 +49,11 @@
             Err(_) => RouteEnd::Abandoned,
         };
         service.policies.borrow_mut().router.ended(self.run.now(), &group, route_end);
-        if matches!(end, Err(_) | Ok(AttemptEnd::Lost)) {
+        let is_over = match &end {
+            Err(RunStop::Refused(refusal)) => !self.run.is_left_to_others(refusal),
+            end => matches!(end, Err(_) | Ok(AttemptEnd::Lost)),
+        };
+        if is_over {
             self.cancel(placement);
         }
         end
@@ -156,7 +160,7 @@
         match self.run.wait(self.run.service.settings.stall_timeout, work).await {
             Wait::Ready(opened) => Ok(opened),
             Wait::TimedOut => Ok(Err(BackendError::Broken)),
-            Wait::DeadlinePassed => Err(self.run.stop(RefusalReason::DeadlineExceeded)),
+            Wait::Ended(reason) => Err(self.run.stop(reason)),
             Wait::CallerGone => Err(RunStop::CallerGone),
         }
     }
--- a/crates/serving/src/completion_join.rs
+++ b/crates/serving/src/completion_join.rs
@@ -33,7 +33,8 @@
     async fn replay(&mut self, tokens: Vec<String>) -> RunResult<()> {
         for text in tokens {
             let position = self.position();
-            self.deliver(CompletionToken { position, text }).await?;
+            let token = CompletionToken { position, text };
+            self.deliver(token).await.map_err(with_unknown_outcome)?;
         }
         Ok(())
     }
--- a/crates/serving/src/completion_place.rs
+++ b/crates/serving/src/completion_place.rs
@@ -51,7 +51,7 @@
             if late || !(busy || self.run.sent) {
                 return Err(self.no_group(busy));
             }
-            self.run.pause(self.run.service.settings.poll_period).await?;
+            self.run.pause_before_attempt().await?;
             if self.run.sent {
                 self.excluded.clear();
             }
@@ -119,7 +119,7 @@
         if !slots.may_acquire(self.run.now(), target) {
             return Ok(Slot::Busy);
         }
-        let guard = self.run.within_deadline(slots.acquire(target)).await?;
+        let guard = self.run.before_attempt(slots.acquire(target)).await?;
         Ok(guard.map_or(Slot::Busy, Slot::Held))
     }
 
@@ -131,7 +131,7 @@
             return Ok(true);
         }
         for vm in &group.assignment.members {
-            self.run.within_deadline(self.run.service.view.probe(vm)).await?;
+            self.run.before_attempt(self.run.service.view.probe(vm)).await?;
         }
         Ok(self.is_whole(group))
     }
--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -86,7 +86,9 @@
                 return Ok(reason);
             }
             self.permit = Some(self.run.admit(self.estimated_tokens()).await?);
-            match self.run_attempts().await {
+            let end = self.run_attempts().await;
+            self.run.stop_timer(end.is_ok());
+            match end {
                 Err(RunStop::ClaimTaken) => claimed.set(true),
                 end => return end,
             }
@@ -103,7 +105,7 @@
             self.run.ensure_claim(address, Some(stream)).await?;
             self.run.check_dispatch().await?;
             if !self.may_dispatch(&placement) {
-                self.run.pause(self.run.service.settings.poll_period).await?;
+                self.run.pause_before_attempt().await?;
                 continue;
             }
             match self.attempt(&placement).await? {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -39,6 +39,7 @@
 mod serving_ports;
 mod serving_settings;
 mod serving_view;
+mod shutdown_watch;
 mod suspect_slots;
 
 pub use answer_stream::AnswerStream;
--- a/crates/serving/src/plain_run.rs
+++ b/crates/serving/src/plain_run.rs
@@ -58,7 +58,9 @@
                 return Ok(response);
             }
             let _permit = self.run.admit(0).await?;
-            match self.run_attempts().await {
+            let end = self.run_attempts().await;
+            self.run.stop_timer(end.is_ok());
+            match end {
                 Err(RunStop::ClaimTaken) => claimed.set(true),
                 end => return end,
             }
@@ -88,7 +90,7 @@
             self.run.ensure_claim(placement.backend.address, None).await?;
             self.run.check_dispatch().await?;
             if !self.may_dispatch(&placement) {
-                self.run.pause(self.run.service.settings.poll_period).await?;
+                self.run.pause_before_attempt().await?;
                 continue;
             }
             let sent_before = self.run.sent;
@@ -133,7 +135,7 @@
             if late || !(busy || self.run.sent) {
                 return Err(self.run.stop(RefusalReason::NoCapacity));
             }
-            self.run.pause(self.run.service.settings.poll_period).await?;
+            self.run.pause_before_attempt().await?;
             if self.run.sent {
                 self.excluded.clear();
             }
@@ -156,7 +158,7 @@
         if !slots.may_acquire(self.run.now(), backend.vm.as_str()) {
             return Ok(None);
         }
-        self.run.within_deadline(slots.acquire(backend.vm.as_str())).await
+        self.run.before_attempt(slots.acquire(backend.vm.as_str())).await
     }
 
     fn open_backends(&self) -> Vec<VmRecord> {
@@ -200,9 +202,7 @@
                     return Ok(Err(BackendError::Broken));
                 }
                 Wait::TimedOut => {}
-                Wait::DeadlinePassed => {
-                    return Err(self.run.stop(RefusalReason::DeadlineExceeded));
-                }
+                Wait::Ended(reason) => return Err(self.run.stop(reason)),
                 Wait::CallerGone => return Err(RunStop::CallerGone),
             }
         }
--- a/crates/serving/src/request_service.rs
+++ b/crates/serving/src/request_service.rs
@@ -25,6 +25,7 @@
     run_scope::RunScope,
     running_requests::RunningRequests,
     serving_metrics::ServingMetrics,
+    shutdown_watch::ShutdownWatch,
     suspect_slots::SuspectSlots,
 };
 
@@ -50,8 +51,7 @@
     crashes: RefCell<CrashHistory>,
     in_flight: InFlightCount,
     refusing: Cell<bool>,
-    /// When the node ends, once that is known.
-    shutdown: Cell<Option<ShutdownTerm>>,
+    pub(crate) shutdown: Rc<ShutdownWatch>,
     next_stream: Cell<u64>,
 }
 
@@ -84,7 +84,7 @@
             crashes: RefCell::default(),
             in_flight: InFlightCount::default(),
             refusing: Cell::new(false),
-            shutdown: Cell::default(),
+            shutdown: ShutdownWatch::new(settings.run_times),
             next_stream: Cell::new(0),
             identity,
             view,
@@ -130,17 +130,27 @@
             .unwrap_or_else(|_| Err(Refusal::unknown(RefusalReason::BackendLost)))
     }
 
-    /// States when the node ends, whatever runs then.
+    /// States when the node ends, whatever runs then. Requests that cannot be answered by then are
+    /// refused, and those that run get a final answer before.
     pub fn end_by(&self, term: ShutdownTerm) {
-        self.shutdown.set(Some(term));
+        let left_ms = term.time_left(self.ports.now()).as_millis();
+        log::info!(
+            "serving: node ends in {left_ms} ms, requests that may take longer are refused."
+        );
+        self.shutdown.end_by(term);
     }
 
     /// Shuts down gracefully: notifies peers, keeps serving while callers may still use this node's
-    /// address, then refuses new requests and completes when the last one has ended.
+    /// address, then refuses new requests and completes when the last one has ended. With an end
+    /// ([`Self::end_by`]), new requests are refused earlier if time is short.
     pub async fn drain(&self) {
         log::info!("serving: shutdown started, still accepting requests.");
         self.view.notify(Step::ShutdownAnnounce, PeerNotice::NodeLeaving).await;
-        self.ports.clock.sleep(self.settings.address_validity).await;
+        let term = self.shutdown.term();
+        let serves_for = term.map_or(self.settings.address_validity, |term| {
+            term.closes_at.saturating_duration_since(self.ports.now())
+        });
+        self.ports.clock.sleep(serves_for).await;
         self.refusing.set(true);
         while self.in_flight.count() > 0 {
             self.ports.clock.sleep(self.settings.poll_period).await;
@@ -228,7 +238,7 @@
 
     fn check_scope(&self, scope: &CallScope, kind: BackendKind) -> Result<()> {
         let now = self.ports.now();
-        if self.refusing.get() {
+        if self.refusing.get() || !self.shutdown.can_take(now, &scope.service, scope.deadline) {
             return Err(Refusal::not_run(RefusalReason::NodeLeaving));
         }
         if !self.view.may_admit(now) {
@@ -278,6 +288,7 @@
             claim: None,
             reached_backend: false,
             running_guard: None,
+            timer: None,
             in_flight,
         }
     }
--- a/crates/serving/src/run_claim.rs
+++ b/crates/serving/src/run_claim.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ClaimPhase, ClaimRecord, Refusal, StoredAnswer,
+    claim_guard::ClaimGuard,
     claim_store::{ClaimInsert, ClaimJoin},
     run_scope::{RunResult, RunScope, RunStop, Wait},
 };
@@ -22,12 +23,9 @@
         match self.wait(Duration::MAX, join).await {
             Wait::Ready(join) => Ok(join),
             Wait::CallerGone => Err(RunStop::CallerGone),
-            Wait::TimedOut | Wait::DeadlinePassed if claimed.get() => {
-                Err(RunStop::Refused(Refusal::unknown(RefusalReason::DeadlineExceeded)))
-            }
-            Wait::TimedOut | Wait::DeadlinePassed => {
-                Err(self.stop(RefusalReason::TableUnavailable))
-            }
+            Wait::Ended(reason) if claimed.get() => Err(RunStop::Refused(Refusal::unknown(reason))),
+            Wait::Ended(RefusalReason::NodeLeaving) => Err(self.stop(RefusalReason::NodeLeaving)),
+            Wait::TimedOut | Wait::Ended(_) => Err(self.stop(RefusalReason::TableUnavailable)),
         }
     }
 
@@ -82,7 +80,7 @@
         let store = self.service.claims.clone();
         let phase = ClaimPhase::Dispatching { address, stream };
         let insert = store.insert(row, self.body_hash, phase);
-        match self.within_deadline(insert).await? {
+        match self.before_attempt(insert).await? {
             ClaimInsert::Held(guard) => self.claim = Some(guard),
             ClaimInsert::Taken => return Err(RunStop::ClaimTaken),
             ClaimInsert::Unavailable => return Err(self.stop(RefusalReason::TableUnavailable)),
@@ -97,9 +95,16 @@
         }
     }
 
+    /// Whether the stream of a claimed request goes on at the engine without this node, which ends:
+    /// a submission elsewhere joins it.
+    pub(crate) fn is_left_to_others(&self, refusal: &Refusal) -> bool {
+        let has_stream = self.claim.as_ref().is_some_and(ClaimGuard::has_stream);
+        has_stream && refusal.reason == RefusalReason::NodeLeaving
+    }
+
     /// Records that a claimed request ended without success; deletes the claim if it did not run.
     pub(crate) fn settle_refused(&mut self, refusal: &Refusal) {
-        if refusal.outcome == RequestOutcome::NotRun {
+        if refusal.outcome == RequestOutcome::NotRun || self.is_left_to_others(refusal) {
             self.claim = None;
             return;
         }
--- a/crates/serving/src/run_scope.rs
+++ b/crates/serving/src/run_scope.rs
@@ -17,13 +17,18 @@
     in_flight::InFlightGuard,
     running_requests::RunningGuard,
     serving_metrics::ServingMetrics,
+    shutdown_watch::RunTimer,
 };
 
+/// Pause between two checks whether the node must end before a pending request.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
 /// Result of waiting for a future.
 pub(crate) enum Wait<T> {
     Ready(T),
     TimedOut,
-    DeadlinePassed,
+    /// The deadline has passed, or the node must end.
+    Ended(RefusalReason),
     CallerGone,
 }
 
@@ -64,6 +69,8 @@
     pub(crate) reached_backend: bool,
     /// Lists the last attempt as running at its target, until the next attempt replaces it.
     pub(crate) running_guard: Option<RunningGuard>,
+    /// The time that the request runs, once it is admitted.
+    pub(crate) timer: Option<RunTimer>,
     pub(crate) in_flight: InFlightGuard,
 }
 
@@ -72,35 +79,83 @@
         self.service.ports.now()
     }
 
-    /// Awaits `work` for at most `limit`; ends early at the deadline or when the caller
-    /// disconnects.
+    /// When the request must have ended, and why.
+    fn ends_at(&self) -> (Instant, RefusalReason) {
+        match self.service.shutdown.term() {
+            Some(term) if term.ends_at < self.scope.deadline => {
+                (term.ends_at, RefusalReason::NodeLeaving)
+            }
+            _ => (self.scope.deadline, RefusalReason::DeadlineExceeded),
+        }
+    }
+
+    /// Awaits `work` for at most `limit`; ends early at the deadline, in time before the node ends,
+    /// or when the caller disconnects.
     pub(crate) async fn wait<T>(&self, limit: Duration, work: impl Future<Output = T>) -> Wait<T> {
-        let left = self.scope.deadline.saturating_duration_since(self.now());
-        let timeout = self.service.ports.clock.sleep(limit.min(left));
+        let started_at = self.now();
         let mut work = std::pin::pin!(work.fuse());
         let mut gone = std::pin::pin!(self.caller_gone().fuse());
-        let mut timeout = timeout.fuse();
-        select_biased! {
-            output = work => Wait::Ready(output),
-            () = gone => Wait::CallerGone,
-            () = timeout => if limit < left { Wait::TimedOut } else { Wait::DeadlinePassed },
+        loop {
+            let now = self.now();
+            let (ends_at, reason) = self.ends_at();
+            let left = ends_at.saturating_duration_since(now);
+            let limit = limit.saturating_sub(now.saturating_duration_since(started_at));
+            let pause = limit.min(left).min(STOP_CHECK_PERIOD);
+            let mut timeout = self.service.ports.clock.sleep(pause).fuse();
+            select_biased! {
+                output = work => return Wait::Ready(output),
+                () = gone => return Wait::CallerGone,
+                () = timeout => {}
+            }
+            if pause == limit.min(left) {
+                return if limit < left { Wait::TimedOut } else { Wait::Ended(reason) };
+            }
         }
     }
 
-    /// Awaits `work` until the deadline or until the caller disconnects.
-    pub(crate) async fn within_deadline<T>(&self, work: impl Future<Output = T>) -> RunResult<T> {
+    /// Awaits `work` until the request must end or the caller disconnects.
+    pub(crate) async fn until_end<T>(&self, work: impl Future<Output = T>) -> RunResult<T> {
         match self.wait(Duration::MAX, work).await {
             Wait::Ready(output) => Ok(output),
             Wait::CallerGone => Err(RunStop::CallerGone),
-            Wait::TimedOut | Wait::DeadlinePassed => {
-                Err(self.stop(RefusalReason::DeadlineExceeded))
+            Wait::TimedOut => Err(self.stop(RefusalReason::DeadlineExceeded)),
+            Wait::Ended(reason) => Err(self.stop(reason)),
+        }
+    }
+
+    /// Like [`Self::until_end`] for what comes before an attempt. A request that has not run also
+    /// ends once it could not be answered any more before the node ends.
+    pub(crate) async fn before_attempt<T>(&self, work: impl Future<Output = T>) -> RunResult<T> {
+        let mut work = std::pin::pin!(work);
+        loop {
+            self.check_time_left()?;
+            match self.wait(STOP_CHECK_PERIOD, &mut work).await {
+                Wait::Ready(output) => return Ok(output),
+                Wait::CallerGone => return Err(RunStop::CallerGone),
+                Wait::Ended(reason) => return Err(self.stop(reason)),
+                Wait::TimedOut => {}
             }
         }
     }
 
-    /// Sleeps before the next check of a state that is polled.
+    /// Ends a request that has not run if it could not be answered before the node ends.
+    fn check_time_left(&self) -> RunResult<()> {
+        let (service, deadline) = (&self.scope.service, self.scope.deadline);
+        if self.sent || self.service.shutdown.can_finish(self.now(), service, deadline) {
+            return Ok(());
+        }
+        Err(self.stop(RefusalReason::NodeLeaving))
+    }
+
+    /// Sleeps before the next try to resume a stream.
     pub(crate) async fn pause(&self, duration: Duration) -> RunResult<()> {
-        self.within_deadline(self.service.ports.clock.sleep(duration)).await
+        self.until_end(self.service.ports.clock.sleep(duration)).await
+    }
+
+    /// Sleeps before the next check whether an attempt can begin.
+    pub(crate) async fn pause_before_attempt(&self) -> RunResult<()> {
+        let period = self.service.settings.poll_period;
+        self.before_attempt(self.service.ports.clock.sleep(period)).await
     }
 
     /// Completes when the caller disconnects; never for a claimed request, which runs to its end so
@@ -113,13 +168,24 @@
     }
 
     /// Waits until the admission queue lets the request run.
-    pub(crate) async fn admit(&self, tokens: u32) -> RunResult<AdmissionPermit> {
+    pub(crate) async fn admit(&mut self, tokens: u32) -> RunResult<AdmissionPermit> {
         let now = self.service.ports.now();
         self.service.view.record_demand(now, &self.scope.customer, tokens);
         let query = self.service.admission_query(&self.scope, tokens);
         let admission = self.service.admission.clone();
-        let reply = self.within_deadline(admission.admit(&query)).await?;
-        reply.map_err(RunStop::Refused)
+        let reply = self.before_attempt(admission.admit(&query)).await?;
+        let permit = reply.map_err(RunStop::Refused)?;
+        self.timer = Some(self.service.shutdown.enter(self.now(), &self.scope.service));
+        Ok(permit)
+    }
+
+    /// Ends the time that the request runs. It counts if the answer is complete.
+    pub(crate) fn stop_timer(&mut self, is_answered: bool) {
+        if let Some(timer) = self.timer.take()
+            && is_answered
+        {
+            timer.record(self.now());
+        }
     }
 
     // ------------------------------------------------------------------------------------------
@@ -145,8 +211,8 @@
     // ------------------------------------------------------------------------------------------
     // Dispatch
 
-    /// Last check before bytes are written: the claim is still valid and the deadline has not
-    /// passed.
+    /// Last check before bytes are written: the claim is still valid, the deadline has not passed,
+    /// and the node does not end too soon.
     pub(crate) async fn check_dispatch(&mut self) -> RunResult<()> {
         if let Some(mut claim) = self.claim.take() {
             match claim.confirm(self.now()).await {
@@ -155,10 +221,11 @@
                 Err(_) => return Err(self.stop(RefusalReason::TableUnavailable)),
             }
         }
-        if self.now() >= self.scope.deadline {
-            return Err(self.stop(RefusalReason::DeadlineExceeded));
+        let (ends_at, reason) = self.ends_at();
+        if self.now() >= ends_at {
+            return Err(self.stop(reason));
         }
-        Ok(())
+        self.check_time_left()
     }
 
     /// Records that bytes are about to be written to a target (a group or a plain backend server).
--- a/crates/serving/src/serving_settings.rs
+++ b/crates/serving/src/serving_settings.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use comfreyturn_policy::RunTimeSettings;
+
 /// Settings of the request service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServingSettings {
     /// Maximum attempts of one idempotent request. Invariant: at least one.
     pub max_attempts: u32,
@@ -65,6 +67,9 @@
     /// How long callers may keep using an address that they were given.
     pub address_validity: Duration,
 
+    /// How long requests take, by which a node that stops decides whether to take one.
+    pub run_times: RunTimeSettings,
+
     /// When to retry after a temporary refusal that has no time of its own.
     pub retry_after: Duration,
 }
@@ -91,6 +96,7 @@
             claim_retention: Duration::from_secs(3600),
             crash_confirm_time: Duration::from_secs(3),
             address_validity: Duration::from_secs(10),
+            run_times: RunTimeSettings::default(),
             retry_after: Duration::from_secs(1),
         }
     }
