Don't give up small groups for servers of a repaired group

In the test of the planner small groups closed for nothing: after a large group was repaired while its model still lacked others, a small group closed, and the group it closed for was never formed. For up to 6 s the planner counted that group as active.

Cause: a dissolved group is known for as long as a lost member of it is listed (3.6 s in the test). Its other members counted as about to be free all that time, though they were in the new group already. So a conversion chose them, gave up a small group for the last place, and waited for servers that a serving group held until it was dropped.

Class: the same server is read from two rows, and the older one is believed.

Change: members of a dissolved group count as about to be free only if no other group has them. The new test has one fabric domain, loses a member of its large group and counts the small groups that close: 2 before, 1 now, the one that the repair needs.

--- a/crates/policy/src/fleet_conversion.rs
+++ b/crates/policy/src/fleet_conversion.rs
@@ -162,10 +162,16 @@
                 && holds_weights(server, &model.name)
                 && !self.staging.contains_key(&server.life)
         };
-        // Members of groups that are being dissolved will be free.
-        let freed = self.groups.values().filter(|group| group.dissolving);
-        let freed: HashSet<&ServerLife> = freed.flat_map(PlannedGroup::lives).collect();
-        let is_free = |s: &&&FleetServer| !plan.held.contains(&s.life) || freed.contains(&s.life);
+        // Members of groups that are being dissolved will be free, unless they are in a new group
+        // already: the old one is known for as long as a lost member of it is listed.
+        let lives = |dissolving: bool| -> HashSet<&ServerLife> {
+            let groups = self.groups.values().filter(|group| group.dissolving == dissolving);
+            groups.flat_map(PlannedGroup::lives).collect()
+        };
+        let (freed, kept) = (lives(true), lives(false));
+        let is_free = |s: &&&FleetServer| {
+            !plan.held.contains(&s.life) || (freed.contains(&s.life) && !kept.contains(&s.life))
+        };
         let all: Vec<&FleetServer> = view.servers.iter().copied().filter(fits).collect();
         let mut servers: Vec<&FleetServer> = all.iter().filter(is_free).copied().collect();
         servers.truncate(size);
--- a/crates/policy/tests/fleet_share/main.rs
+++ b/crates/policy/tests/fleet_share/main.rs
@@ -100,3 +100,24 @@
         "of the fair groups, by seed and whether a domain is dark: {shares:.2?}"
     );
 }
+
+/// Guards against too little being served (SHORT): the servers of a repaired group counted as free
+/// for as long as the list still showed the server that it lost, so a small group was closed to
+/// form another large group of them, which never could be.
+#[test]
+fn repaired_group_is_not_taken_for_free_servers() {
+    let settings = SimSettings {
+        domains: 1,
+        domain_size: 16,
+        work: vec![100.0, 10.0],
+        loads_at_once: 20,
+        ..mixed_fleet(0)
+    };
+    let mut fleet = SimFleet::new(settings);
+    fleet.run_until(1.0, |_| {});
+    assert_eq!(fleet.serving()[0], 1, "large groups before the loss");
+    fleet.lose_member_of("large");
+    fleet.run_until(12.0, |_| {});
+    assert_eq!(fleet.serving()[0], 1, "the large group was repaired");
+    assert_eq!(fleet.closed, 1, "small groups closed, of which the repair needs one");
+}
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -170,6 +170,21 @@
         }
     }
 
+    /// Loses the last member of a group of the model.
+    pub fn lose_member_of(&mut self, model: &str) {
+        let engine = &self.engine;
+        let runs_model = |server: &SimServer| {
+            let membership = server.entry.membership.as_ref();
+            let group = membership.and_then(|own| group_model(engine, &own.group));
+            group.is_some_and(|pooled| pooled.name.as_str() == model)
+        };
+        let rank = |server: &SimServer| server.entry.membership.as_ref().map(|own| own.rank);
+        let members: Vec<usize> =
+            (0..self.servers.len()).filter(|index| runs_model(&self.servers[*index])).collect();
+        let last = members.into_iter().max_by_key(|index| rank(&self.servers[*index])).unwrap();
+        self.servers[last].lost_at = Some(self.now);
+    }
+
     /// Loses all servers of a fabric domain.
     pub fn lose_domain(&mut self, domain: usize) {
         let name = FabricDomain::from(format!("d{domain:02}"));
