Keep the wait that a server asked for when refusals say nothing

Cause: a refusal that asks for nothing could replace the end of a wait by the later end of a pause, and news of the server at another node then ended both. Two ends are kept now, and only the pause ends by news.

The new test failed before (permitted 0.5 s after a server had asked for 1 s) and passes; the tests of waiting and refusing servers at 7 and 89 nodes pass as before.

--- a/crates/policy/src/server_waits.rs
+++ b/crates/policy/src/server_waits.rs
@@ -43,23 +43,36 @@
 /// A refusal of a server that no node heard of counts as one after so many.
 const UNHEARD_REFUSALS: u32 = 3;
 
-/// The wait of one server.
+/// Why one server is left alone, and for how long.
 #[derive(Clone, Copy, Debug)]
 struct ServerWait {
-    /// When the server may get the next request; now, if it asked for no wait.
-    until: Instant,
+    /// The end of the wait that the server asked for.
+    asked_until: Instant,
 
-    /// Requests in a row that it refused, and when the last one was.
+    /// The end of the pause after refusals that asked for nothing.
+    paused_until: Instant,
+
+    /// Requests in a row that it refused without asking for a wait.
     refusals: u32,
-    refused_at: Instant,
 
-    /// Whether the server asked for the wait.
-    is_asked: bool,
+    /// When it last refused one.
+    refused_at: Instant,
 
-    /// When the last request was sent after the wait; `None` if none was.
+    /// When the last request was sent to it; `None` if none was since it last refused one.
     tried_at: Option<Instant>,
 }
 
+impl ServerWait {
+    fn new(now: Instant) -> Self {
+        Self { asked_until: now, paused_until: now, refusals: 0, refused_at: now, tried_at: None }
+    }
+
+    /// When the server may get the next request.
+    fn until(&self) -> Instant {
+        self.asked_until.max(self.paused_until)
+    }
+}
+
 /// Servers that asked this node to wait, by lifetime: a server that restarted asked for nothing.
 ///
 /// What a server asks binds the node that got the answer, and no other one. After the wait a server
@@ -80,47 +93,41 @@
     /// Records that a server refused a request and asked this node to wait. A wait that ends later
     /// stays in force.
     pub fn record_wait(&mut self, now: Instant, life: &ServerLife, wait: Duration) {
-        self.extend(now, life, wait.min(self.settings.longest), true);
+        let asked_until = now + wait.min(self.settings.longest);
+        let wait = self.refused(now, life);
+        wait.asked_until = wait.asked_until.max(asked_until);
     }
 
     /// Records that a server refused a request and asked for no wait. It looks idle, so it would get
     /// most requests, and refuse them as well: after some in a row it is left alone for a while, and
     /// sooner if no node `heard` of it lately, since all of them would have to find that out.
     pub fn record_refusal(&mut self, now: Instant, life: &ServerLife, heard: bool) {
-        let mut refusals = self.waits.get(life).map_or(0, |wait| wait.refusals);
-        if !heard {
-            refusals = refusals.max(UNHEARD_REFUSALS);
-        }
         let WaitSettings { first_pause, pause_factor, longest_pause, .. } = self.settings;
+        let wait = self.refused(now, life);
+        let refusals = if heard { wait.refusals } else { wait.refusals.max(UNHEARD_REFUSALS) };
         let pause = match refusals.checked_sub(1) {
             Some(steps) => first_pause.saturating_mul(pause_factor.saturating_pow(steps)),
             None => Duration::ZERO,
         };
-        self.extend(now, life, pause.min(longest_pause), false);
-        if let Some(wait) = self.waits.get_mut(life) {
-            wait.refusals = refusals.saturating_add(1);
-        }
+        wait.refusals = refusals.saturating_add(1);
+        wait.paused_until = wait.paused_until.max(now + pause.min(longest_pause));
     }
 
     /// Records that a node received data from a server at `heard_at`. If that was after its last
     /// refusal, it takes requests again, and is left alone no longer than it asked for.
     pub fn record_heard(&mut self, now: Instant, life: &ServerLife, heard_at: Instant) {
         let Some(wait) = self.waits.get_mut(life) else { return };
-        if !wait.is_asked && heard_at > wait.refused_at {
-            wait.until = wait.until.min(now);
+        if heard_at > wait.refused_at {
+            wait.paused_until = wait.paused_until.min(now);
         }
     }
 
-    fn extend(&mut self, now: Instant, life: &ServerLife, wait: Duration, is_asked: bool) {
-        let empty =
-            ServerWait { until: now, refusals: 0, refused_at: now, is_asked, tried_at: None };
-        let known = self.waits.entry(life.clone()).or_insert(empty);
-        known.refused_at = now;
-        if known.until <= now + wait {
-            known.until = now + wait;
-            known.is_asked = is_asked;
-            known.tried_at = None;
-        }
+    /// The wait of a server that refused a request now.
+    fn refused(&mut self, now: Instant, life: &ServerLife) -> &mut ServerWait {
+        let wait = self.waits.entry(life.clone()).or_insert(ServerWait::new(now));
+        wait.refused_at = now;
+        wait.tried_at = None;
+        wait
     }
 
     /// Records that a server took a request of this node. That ends no wait: it may be the answer to
@@ -140,7 +147,7 @@
 
     /// Whether a server wants nothing from this node now.
     pub fn is_waiting(&self, now: Instant, life: &ServerLife) -> bool {
-        self.waits.get(life).is_some_and(|wait| now < wait.until)
+        self.waits.get(life).is_some_and(|wait| now < wait.until())
     }
 
     /// Whether this node may send a request to a server now, as far as its waits go.
@@ -151,19 +158,19 @@
     /// Time until this node may send a request to a server.
     pub fn time_to_next(&self, now: Instant, life: &ServerLife) -> Duration {
         let Some(wait) = self.waits.get(life) else { return Duration::ZERO };
-        let tried_at = wait.tried_at.filter(|at| *at >= wait.until);
-        let next_at = tried_at.map_or(wait.until, |at| at + self.settings.trial_pause);
+        let tried_at = wait.tried_at.filter(|at| *at >= wait.until());
+        let next_at = tried_at.map_or(wait.until(), |at| at + self.settings.trial_pause);
         next_at.saturating_duration_since(now)
     }
 
     /// The number of servers that want nothing from this node now.
     pub fn waiting(&self, now: Instant) -> usize {
-        self.waits.values().filter(|wait| now < wait.until).count()
+        self.waits.values().filter(|wait| now < wait.until()).count()
     }
 
     /// Forgets servers for which `keep` is false, once their wait is over: a server that drops out of
     /// the list may come back.
     pub fn retain(&mut self, now: Instant, keep: impl Fn(&ServerLife) -> bool) {
-        self.waits.retain(|life, wait| now < wait.until || keep(life));
+        self.waits.retain(|life, wait| now < wait.until() || keep(life));
     }
 }
--- a/crates/policy/tests/server_waits.rs
+++ b/crates/policy/tests/server_waits.rs
@@ -177,6 +177,18 @@
     assert!(!waits.permits(start + ms(100), &asking), "what it asked for holds");
 }
 
+/// Guards against a refusal without a word that ends the wait which the server asked for before.
+#[test]
+fn refusal_without_a_word_does_not_end_what_was_asked_for() {
+    let mut waits = ServerWaits::default();
+    let (start, server) = (Instant::now(), life(1, 1));
+    waits.record_wait(start, &server, ms(1000));
+    waits.record_refusal(start + ms(10), &server, false);
+    waits.record_heard(start + ms(500), &server, start + ms(400));
+    assert!(!waits.permits(start + ms(999), &server));
+    assert!(waits.permits(start + ms(1000), &server));
+}
+
 /// Guards against a full server, which takes some requests and refuses others, being left alone.
 #[test]
 fn server_that_takes_requests_in_between_is_not_left_alone() {
