Forget the room of a server soon after the wait that it asked for

Cause: what a server ran when it turned requests away counted for minutes, and grew by one each 10 s, although the trouble had passed. Ruled out: the waits.

It now counts for three times the wait, at least 2 s and at most 60 s.

--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -57,7 +57,7 @@
         self.refresh_loads();
         // Without the request that was turned away.
         let running = self.loads.running(life).saturating_sub(1);
-        self.rooms.borrow_mut().record_refusal(now, life, running);
+        self.rooms.borrow_mut().record_refusal(now, life, running, wait);
     }
 
     /// Whether this node may open a connection for another node to a server now.
--- a/crates/policy/src/server_rooms.rs
+++ b/crates/policy/src/server_rooms.rs
@@ -7,27 +7,31 @@
 
 use comfreyturn_types::ServerLife;
 
+/// The longest time for which it counts, whatever wait a server asks for.
+const LONGEST_TIME: Duration = Duration::from_secs(60);
+
 /// Settings of [`ServerRooms`].
 #[derive(Clone, Copy, Debug)]
 pub struct RoomSettings {
-    /// A server is assumed to take more requests each time that this has passed.
-    pub growth_period: Duration,
+    /// What a server ran when it turned a request away counts for this many times the wait that it
+    /// asked for. It may have been a passing trouble.
+    pub kept_waits: u32,
 
-    /// By how much: one in so many of what it ran, and at least one.
-    pub growth_divisor: u32,
+    /// It counts for at least this time.
+    pub least_time: Duration,
 }
 
 impl Default for RoomSettings {
     fn default() -> Self {
-        Self { growth_period: Duration::from_secs(10), growth_divisor: 4 }
+        Self { kept_waits: 3, least_time: Duration::from_secs(2) }
     }
 }
 
-/// What a server ran when it turned a request away, and when.
+/// What a server ran when it turned a request away, and until when that counts.
 #[derive(Clone, Copy, Debug)]
 struct ServerRoom {
     running: u32,
-    at: Instant,
+    until: Instant,
 }
 
 /// How many requests servers run when they turn one away and ask this node to wait. A server may
@@ -45,24 +49,28 @@
         Self { settings, rooms: HashMap::new() }
     }
 
-    /// Records that a server turned a request away while it ran `running` others. One that ran none
-    /// did so for another reason than its room.
-    pub fn record_refusal(&mut self, now: Instant, life: &ServerLife, running: u32) {
+    /// Records that a server turned a request away while it ran `running` others, and asked for a
+    /// wait. One that ran none did so for another reason than its room.
+    pub fn record_refusal(
+        &mut self,
+        now: Instant,
+        life: &ServerLife,
+        running: u32,
+        wait: Duration,
+    ) {
         if running == 0 {
             self.rooms.remove(life);
-        } else {
-            self.rooms.insert(life.clone(), ServerRoom { running, at: now });
+            return;
         }
+        let RoomSettings { kept_waits, least_time } = self.settings;
+        let time = wait.saturating_mul(kept_waits).clamp(least_time, LONGEST_TIME);
+        self.rooms.insert(life.clone(), ServerRoom { running, until: now + time });
     }
 
-    /// How many requests a server is assumed to take; `None` if it has not turned any away.
+    /// How many requests a server is assumed to take; `None` if it has not turned any away lately.
     pub fn room(&self, now: Instant, life: &ServerLife) -> Option<u32> {
-        let ServerRoom { running, at } = *self.rooms.get(life)?;
-        let age = now.saturating_duration_since(at).as_millis();
-        let periods = age / self.settings.growth_period.as_millis().max(1);
-        let growth = (running / self.settings.growth_divisor.max(1)).max(1);
-        let grown = growth.saturating_mul(u32::try_from(periods).unwrap_or(u32::MAX));
-        Some(running.saturating_add(grown))
+        let room = self.rooms.get(life)?;
+        (now < room.until).then_some(room.running)
     }
 
     /// Keeps only the servers for which `keep` is true.
