End a pause after refusals when the server is heard of

Cause: a pause ended only by data that another node received, and the record of a refusal never aged.

--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -93,7 +93,7 @@
 
     /// Whether this node may send a request to a server now, as far as the server asked for less.
     pub(crate) fn send_permit(&self, now: Instant, life: &ServerLife) -> SendPermit {
-        let heard_at = self.stalls.borrow().peer_seen_at(life);
+        let heard_at = self.stalls.borrow().seen_at(life);
         let mut waits = self.waits.borrow_mut();
         if let Some(heard_at) = heard_at {
             waits.record_heard(now, life, heard_at);
--- a/crates/gateway/src/stall_tracker.rs
+++ b/crates/gateway/src/stall_tracker.rs
@@ -73,6 +73,12 @@
         self.activities.get(life)?.peer_last_seen_at
     }
 
+    /// When any node last received data from the server.
+    pub fn seen_at(&self, life: &ServerLife) -> Option<Instant> {
+        let activity = self.activities.get(life)?;
+        activity.last_seen_at.max(activity.peer_last_seen_at)
+    }
+
     /// When this node's streams last received data, by server, if that is at most `max_age` ago.
     pub fn own_seen(&self, now: Instant, max_age: Duration) -> HashMap<ServerLife, Instant> {
         let seen = self.activities.iter().filter_map(|(life, activity)| {
@@ -91,9 +97,7 @@
 
     /// Whether any node received data from the server within `max_age`.
     pub fn was_seen(&self, now: Instant, life: &ServerLife, max_age: Duration) -> bool {
-        let Some(activity) = self.activities.get(life) else { return false };
-        let last_seen_at = activity.last_seen_at.max(activity.peer_last_seen_at);
-        last_seen_at.is_some_and(|at| now.saturating_duration_since(at) < max_age)
+        self.seen_at(life).is_some_and(|at| now.saturating_duration_since(at) < max_age)
     }
 
     /// Whether the server stalled within `retention`, and this node received nothing from it since.
--- a/crates/policy/src/server_waits.rs
+++ b/crates/policy/src/server_waits.rs
@@ -103,7 +103,12 @@
     /// sooner if no node `heard` of it lately, since all of them would have to find that out.
     pub fn record_refusal(&mut self, now: Instant, life: &ServerLife, heard: bool) {
         let WaitSettings { first_pause, pause_factor, longest_pause, .. } = self.settings;
+        let last_refused_at = self.waits.get(life).map_or(now, |wait| wait.refused_at);
         let wait = self.refused(now, life);
+        let age = now.saturating_duration_since(last_refused_at);
+        if age > longest_pause * 2 {
+            wait.refusals = 0;
+        }
         let refusals = if heard { wait.refusals } else { wait.refusals.max(UNHEARD_REFUSALS) };
         let pause = match refusals.checked_sub(1) {
             Some(steps) => first_pause.saturating_mul(pause_factor.saturating_pow(steps)),
@@ -130,10 +135,10 @@
         wait
     }
 
-    /// Records that a server took a request of this node. That ends no wait: it may be the answer to
-    /// a request that was sent before.
+    /// Records that a server took a request of this node. That ends no wait that it asked for: it may
+    /// be the answer to a request that was sent before.
     pub fn record_answer(&mut self, now: Instant, life: &ServerLife) {
-        if !self.is_waiting(now, life) {
+        if self.waits.get(life).is_some_and(|wait| now >= wait.asked_until) {
             self.waits.remove(life);
         }
     }
