--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,5 +1,5 @@
-//! What servers ask of this node: rate limits, of which it has a part, and waits. Everything that
-//! is sent to a server is permitted here.
+//! What servers ask of this node: rate limits, of which it has a part, and waits. Each request, probe
+//! and connection for another node is permitted here; orders are not.
 
 use std::{
     net::SocketAddr,
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -101,8 +101,8 @@
     }
 }
 
-/// A permit for one connection to a server for another node. The node doesn't stop before the
-/// connection is closed.
+/// A permit for one connection to a server for another node. A node that stops waits until the
+/// connection is closed, as long as it may.
 pub struct TunnelPermit {
     _in_flight: InFlightGuard,
 }
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -94,7 +94,7 @@
         &mut runs.current
     }
 
-    /// The time within which a request of a kind ends as a rule; `None` if too few are known.
+    /// The longest time that a request of a kind should take; `None` if too few are known.
     /// `running` is the age of the oldest one that has not ended.
     pub fn bound(&self, now: Instant, kind: &K, running: Duration) -> Option<Duration> {
         let KindRuns { current, previous, .. } =
--- a/crates/policy/src/server_waits.rs
+++ b/crates/policy/src/server_waits.rs
@@ -1,4 +1,4 @@
-//! Servers that asked this node to wait.
+//! Servers that asked this node to wait, or refuse again and again.
 
 use std::{
     collections::HashMap,
--- a/crates/policy/src/shutdown_term.rs
+++ b/crates/policy/src/shutdown_term.rs
@@ -36,7 +36,7 @@
 /// the signal, also if the process was frozen since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownTerm {
-    /// When the stop signal came, or the latest moment before it might have come.
+    /// The earliest moment at which the stop signal may have come.
     pub stopped_at: Instant,
 
     /// From then on no new request is taken.
