Send nothing new to evacuated failure domains

Operators had no means to take a failure domain out of use: nodes chose its servers as long as they were listed.

Nodes read rows evacuate/ZONE of the operators' table together with the configuration and tell each other the set, with the version of the store at which it was read. Choice of servers, tunnels, probes and the planner leave these domains out; groups there stay as they are, and the demand is planned for the other servers. A datagram's set is applied before its attestation, so a node with a usable configuration knows the evacuations that the attestation covers.

--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -14,10 +14,6 @@
     gateway_state::GatewayState,
 };
 
-/// The configuration is confirmed again once its last confirmation is older than `config_limit`
-/// divided by this.
-const CONFIG_RENEWAL_DIVISOR: u32 = 2;
-
 /// A node whose poll of the configuration takes this much longer than the poll may wait no longer
 /// counts as one that reads it.
 const CONFIG_ANSWER_TIME: Duration = Duration::from_millis(400);
@@ -84,7 +80,7 @@
 
     /// Whether the configuration must be confirmed again.
     pub(crate) fn needs_config(&self, now: Instant) -> bool {
-        let is_old = |age: Duration| age >= self.settings.config_limit / CONFIG_RENEWAL_DIVISOR;
+        let is_old = |age: Duration| age >= self.settings.renewal_age();
         self.confirmed.get().age(now).is_none_or(is_old)
     }
 
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -29,7 +29,12 @@
         let mut is_connected = true;
         loop {
             let wait = self.await_config_poll().await;
-            match self.ports.config_feed.next(wait).await {
+            let reading = self.ports.config_feed.next(wait).await;
+            // Before the confirmation, so that a usable configuration implies known evacuations.
+            if let Some(evacuation) = self.ports.config_feed.evacuation() {
+                self.state.apply_evacuation_reading(evacuation);
+            }
+            match reading {
                 Ok(reading) => {
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
@@ -76,7 +81,7 @@
         let Self { ports, state, .. } = self;
         loop {
             if self.is_config_watcher() {
-                return state.settings.config_poll_timeout.min(state.settings.config_limit / 2);
+                return state.settings.config_poll_timeout.min(state.settings.renewal_age());
             }
             let period = state.settings.heartbeat_period;
             ports.clock.sleep(period).await;
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -253,6 +253,7 @@
         let now = self.gateway.ports.clock.now();
         let servers = state.servers.borrow();
         let lost = state.lost.borrow();
+        let evacuated = state.evacuation.borrow();
         let unlisted_servers = state.unlisted.borrow();
         let unlisted = unlisted_servers.keys().cloned().collect();
         let mut plans = self.plans.borrow_mut();
@@ -270,6 +271,7 @@
             servers: servers.all().chain(dropped).filter(|s| s.service == *name).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            evacuated: &evacuated,
             work: &work,
             before_traffic: !state.has_traffic.get(),
             is_work_measured,
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -21,6 +21,9 @@
     /// No server of the service is available.
     NoServer,
 
+    /// All servers that could take it are in evacuated failure domains.
+    Evacuated,
+
     /// All slots of the service's servers are occupied.
     NoRoom,
 
@@ -52,7 +55,10 @@
 impl NotRunReason {
     /// Whether another server, or one more, could serve the request.
     pub(crate) fn is_lack_of_capacity(self) -> bool {
-        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited | Self::ServersWait)
+        matches!(
+            self,
+            Self::NoServer | Self::Evacuated | Self::NoRoom | Self::RateLimited | Self::ServersWait
+        )
     }
 
     /// Whether another node could serve the request.
@@ -62,6 +68,7 @@
                 RefusalCause::Node
             }
             Self::NoServer
+            | Self::Evacuated
             | Self::NoRoom
             | Self::RateLimited
             | Self::ServersWait
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -16,6 +16,10 @@
     /// within this time.
     pub config_limit: Duration,
 
+    /// Time after which nothing new may be sent to an evacuated failure domain; `None` if none is
+    /// stated. Nodes read the store often enough to learn of an evacuation in time.
+    pub evacuation_limit: Option<Duration>,
+
     /// Number of nodes that poll the configuration all the time. The others rely on the
     /// attestations of these nodes.
     pub config_watchers: usize,
@@ -172,10 +176,27 @@
     pub planner: FleetPlannerSettings,
 }
 
+/// The configuration is confirmed again once its last confirmation is older than a limit divided by
+/// this.
+const RENEWAL_DIVISOR: u32 = 2;
+
+/// Shorter limits for evacuations count as this, so that nodes don't call the store all the time.
+const MIN_EVACUATION_LIMIT: Duration = Duration::from_secs(1);
+
+impl GatewaySettings {
+    /// The age from which on the configuration must be confirmed again.
+    pub(crate) fn renewal_age(&self) -> Duration {
+        let evacuation_limit =
+            self.evacuation_limit.map_or(Duration::MAX, |limit| limit.max(MIN_EVACUATION_LIMIT));
+        evacuation_limit.min(self.config_limit) / RENEWAL_DIVISOR
+    }
+}
+
 impl Default for GatewaySettings {
     fn default() -> Self {
         Self {
             config_limit: Duration::from_millis(4500),
+            evacuation_limit: None,
             config_watchers: 4,
             config_poll_timeout: Duration::from_millis(700),
             list_readers: 2,
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,9 +8,10 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
-    ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
+    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, EvacuationSet, HeadPicker,
+    PathMonitor, RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas,
+    SenderRoster, ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits,
+    return_delay,
 };
 use comfreyturn_types::{
     FleetServer, ModelName, NodeId, RouteName, ServerLife, ServiceName, ServiceSpec,
@@ -54,6 +55,9 @@
     /// How many requests servers ran when they turned one away.
     pub(crate) rooms: RefCell<ServerRooms>,
 
+    /// The evacuated failure domains.
+    pub(crate) evacuation: RefCell<EvacuationSet>,
+
     /// The rate limits that servers state.
     pub(crate) limits: RefCell<StatedLimits>,
 
@@ -149,6 +153,7 @@
             leaving_servers: RefCell::default(),
             waits: RefCell::new(ServerWaits::new(settings.server_waits)),
             rooms: RefCell::default(),
+            evacuation: RefCell::default(),
             limits: RefCell::default(),
             quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
             senders: RefCell::default(),
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -40,6 +40,9 @@
         gauge!("comfreyturn_quarantined_parts").set(count(quarantined));
         gauge!("comfreyturn_suspect_requests").set(count(state.suspects.borrow().len()));
         gauge!("comfreyturn_servers_limited").set(count(state.limits.borrow().limited()));
+        let domains = state.evacuation.borrow().len();
+        gauge!("comfreyturn_evacuated_domains").set(count(domains));
+        gauge!("comfreyturn_servers_evacuated").set(count(state.evacuated_servers()));
         gauge!("comfreyturn_servers_waiting").set(count(state.waits.borrow().waiting(now)));
         gauge!("comfreyturn_peers_heard").set(count(peers));
     }
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -229,6 +229,7 @@
             reads_config: state.reads_config(now),
             list_version: Some(encode_version(state.list_version())),
             list_age_ms: encode_age(snapshot.list_age.map(|age| age + MILLISECOND)),
+            evacuated: state.encode_evacuation(),
             ..Default::default()
         };
         encode_sender(&identity.node, &self.own_status(), &mut beat);
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -95,6 +95,8 @@
         let is_stray = is_digest && !view.choice.record_digest(now, node);
         drop(view);
         state.record_peer_config(beat.newest_config);
+        // Before the attestation, so that a usable configuration implies known evacuations.
+        state.apply_told_evacuation(node, beat.evacuated.as_ref());
         let echoed_at = self.echoed(beat).map(|(assembled_at, _)| assembled_at);
         if let Some(attestation) = attestation(beat, echoed_at) {
             state.apply_attestation(&attestation);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod beat_codec;
 mod config_view;
+mod evacuation;
 mod event_splitter;
 mod feed_loops;
 mod fleet_demand;
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -54,6 +54,9 @@
     ) -> Result<FleetServer, NotRunReason> {
         self.refresh_loads();
         let mut candidates = self.candidates(service, model);
+        if candidates.is_empty() && !self.heads(service, model, true).is_empty() {
+            return Err(NotRunReason::Evacuated);
+        }
         let retention = self.settings.stall_retention;
         let stalls = self.stalls.borrow();
         candidates.retain(|head| {
@@ -132,11 +135,22 @@
         elsewhere * age.as_secs_f64()
     }
 
-    /// The servers of a plain service, or the heads of the groups that serve a model.
+    /// The servers of a plain service, or the heads of the groups that serve a model. Not those in
+    /// evacuated failure domains, nor groups with a member there.
     pub(crate) fn candidates(
         &self,
         service: &ServiceSpec,
         model: Option<&ModelName>,
+    ) -> Vec<HeadCandidate> {
+        self.heads(service, model, false)
+    }
+
+    /// The same either for evacuated ones or for the others.
+    fn heads(
+        &self,
+        service: &ServiceSpec,
+        model: Option<&ModelName>,
+        evacuated: bool,
     ) -> Vec<HeadCandidate> {
         let mut servers = self.servers.borrow_mut();
         let candidate = |head: &FleetServer, slots: u32| HeadCandidate {
@@ -150,6 +164,7 @@
         let stays = |head: &&FleetServer| !leaving.contains(&head.life);
         let Some(engine) = &service.engine else {
             let plain = servers.plain(&service.name).filter(stays);
+            let plain = plain.filter(|head| self.is_evacuated(head) == evacuated);
             return plain.map(|head| candidate(head, head.slots)).collect();
         };
         let groups = servers.serving_groups(&service.name, engine);
@@ -157,6 +172,12 @@
             model.is_none_or(|model| group.model.name == *model)
                 && !self.has_lost(group.members.iter().flatten().copied())
         });
+        let unlisted = self.groups_with_evacuated_unlisted();
+        let serving = serving.filter(|group| {
+            let is_evacuated = group.members.iter().flatten().any(|m| self.is_evacuated(m))
+                || unlisted.contains(&(group.group.clone(), group.epoch));
+            is_evacuated == evacuated
+        });
         let heads = serving.filter_map(|group| group.head()).filter(stays);
         heads.map(|head| candidate(head, engine.slots)).collect()
     }
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -63,6 +63,11 @@
     /// Whether this node may open a connection for another node to a server now.
     pub(crate) fn permits_tunnel(&self, now: Instant, server: SocketAddr) -> bool {
         let lives = self.lives_at(server);
+        let servers = self.servers.borrow();
+        let mut listed = lives.iter().filter_map(|life| servers.get(life));
+        if listed.any(|server| self.is_evacuated(server)) {
+            return false;
+        }
         let mut waits = self.waits.borrow_mut();
         let leaving = self.leaving_servers.borrow();
         let is_permitted =
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -84,7 +84,9 @@
     fn answering_server(&self, now: Instant) -> Option<FleetServer> {
         let (servers, stalls) = (self.servers.borrow(), self.stalls.borrow());
         let waits = self.waits.borrow();
-        let free = servers.all().filter(|server| !waits.is_waiting(now, &server.life));
+        let free = servers
+            .all()
+            .filter(|server| !waits.is_waiting(now, &server.life) && !self.is_evacuated(server));
         let answering = free.filter(|server| {
             let seen_at = stalls.peer_seen_at(&server.life);
             seen_at.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MAX_AGE)
--- a/crates/gateway/src/server_prober.rs
+++ b/crates/gateway/src/server_prober.rs
@@ -58,7 +58,8 @@
     }
 
     /// The servers to probe: members of groups whose head stalled, members that left the list, and
-    /// lost servers, which may have recovered. Not those that asked this node to wait.
+    /// lost servers, which may have recovered. Not those that asked this node to wait or are in
+    /// evacuated failure domains.
     fn suspects(&self, now: Instant) -> Vec<FleetServer> {
         let state = &self.gateway.state;
         let stalled = state.stalls.borrow().stalled(now, state.settings.stall_retention);
@@ -81,7 +82,7 @@
         };
         let waits = state.waits.borrow();
         let probed = suspects.iter().filter(|life| !waits.is_waiting(now, life));
-        probed.filter_map(find).cloned().collect()
+        probed.filter_map(find).filter(|server| !state.is_evacuated(server)).cloned().collect()
     }
 
     fn record_probe(&self, life: ServerLife, is_alive: bool) {
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -2,6 +2,7 @@
 
 mod config_attestation;
 mod crashing_parts;
+mod evacuation;
 mod fleet_lease;
 mod fleet_view;
 mod leaving_servers;
--- a/crates/policy/src/fleet_conversion.rs
+++ b/crates/policy/src/fleet_conversion.rs
@@ -129,7 +129,8 @@
         let domains: HashSet<_> = view.servers.iter().map(|s| &s.fabric_domain).collect();
         let reserved: HashSet<&ServerLife> =
             self.conversions.iter().flat_map(|conversion| &conversion.servers).collect();
-        let groups = self.groups.values().filter(|group| !group.yielding);
+        let groups = self.groups.values();
+        let groups = groups.filter(|group| !group.yielding && !group.is_evacuated(view));
         let serving: Vec<&PlannedGroup> = groups
             .filter(|group| group.health(now, index, &self.settings) == GroupHealth::Serving)
             .collect();
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -8,7 +8,7 @@
 use comfreyturn_ports::FleetAction;
 use comfreyturn_types::{EngineSpec, FleetServer, ModelName, ServerLife, ServiceName};
 
-use crate::planned_group::PlannedGroup;
+use crate::{EvacuationSet, planned_group::PlannedGroup};
 
 /// Settings of a [`FleetPlanner`](crate::FleetPlanner).
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +68,10 @@
     /// Servers that do not answer.
     pub lost: &'a HashSet<ServerLife>,
 
+    /// Failure domains whose servers get no orders. Their groups stay as they are, and the demand
+    /// is planned for the other servers.
+    pub evacuated: &'a EvacuationSet,
+
     /// Work of each model, in requests in flight; before the first request, in any unit.
     pub work: &'a HashMap<ModelName, f64>,
 
@@ -79,6 +83,12 @@
     pub is_work_measured: bool,
 }
 
+impl FleetView<'_> {
+    pub(crate) fn is_evacuated(&self, server: &FleetServer) -> bool {
+        self.evacuated.contains(&server.failure_domain)
+    }
+}
+
 /// An order to one server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetOrder {
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -97,6 +97,9 @@
         self.stage_weights(now, &index, &mut plan);
         let mut orders = std::mem::take(&mut plan.orders);
         self.last_plan = plan;
+        let is_evacuated =
+            |life: &ServerLife| index.find(life).is_some_and(|server| view.is_evacuated(server));
+        orders.retain(|order| !is_evacuated(&order.life));
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
             self.sent.insert((order.life.clone(), order.action.clone()), now);
@@ -166,7 +169,8 @@
     ///
     /// The row of a group is written before its first order and removed when it is dissolved, so
     /// members that report an unknown group missed its dissolution. If every member still reports
-    /// it, the group is kept and gets a row; otherwise it is dissolved.
+    /// it, the group is kept and gets a row; otherwise it is dissolved. Groups in evacuated domains
+    /// wait for the end of the evacuation.
     fn match_reported_groups(&mut self, now: Instant, index: &FleetIndex<'_>) {
         let view = index.view;
         let reported = reported_groups(view.servers.iter().copied(), view.service, view.engine);
@@ -176,6 +180,9 @@
                 continue;
             }
             let whole = reported.members.iter().all(Option::is_some);
+            if !whole && reported.is_evacuated(view) {
+                continue;
+            }
             let record = reported_record(view.service, reported);
             let group =
                 PlannedGroup { dissolving: !whole, ..PlannedGroup::new(record, now, !whole) };
@@ -186,7 +193,9 @@
         let obsolete = &mut self.obsolete;
         self.groups.retain(|name, group| {
             let is_recent = now.saturating_duration_since(group.since) < form_timeout;
-            let keep = names.contains(name) || (is_recent && !group.dissolving);
+            let keep = names.contains(name)
+                || (is_recent && !group.dissolving)
+                || group.is_evacuated(view);
             if !keep && group.is_saved {
                 obsolete.push(name.clone());
             }
@@ -206,6 +215,11 @@
         plan: &mut FleetPlan,
     ) {
         let Some(group) = self.groups.get_mut(name) else { return };
+        if group.is_evacuated(index.view) {
+            group.suspend(now);
+            plan.hold(group);
+            return;
+        }
         let health = group.health(now, index, &self.settings);
         let is_head_listed = index.is_listed(&group.record.head().life);
         group.head_was_seen |= is_head_listed && group.head_phase(index).is_some();
@@ -289,6 +303,7 @@
         && !server.leaving
         && !view.unlisted.contains(&server.life)
         && !view.lost.contains(&server.life)
+        && !view.is_evacuated(server)
 }
 
 pub(crate) fn membership_model<'a>(
--- a/crates/policy/src/fleet_staging.rs
+++ b/crates/policy/src/fleet_staging.rs
@@ -78,8 +78,9 @@
         let shortage = GroupShortage { view, targets, active: &plan.active };
         let mut loads = Vec::new();
         for group in self.groups.values() {
-            let is_stable =
-                !group.yielding && group.health(now, index, &self.settings) == GroupHealth::Serving;
+            let is_stable = !group.yielding
+                && !group.is_evacuated(view)
+                && group.health(now, index, &self.settings) == GroupHealth::Serving;
             let model = shortage.second_model(&group.record.model);
             let Some(model) = model.filter(|_| is_stable) else { continue };
             let kept = group.record.members.len().div_ceil(2);
--- a/crates/policy/src/fleet_state.rs
+++ b/crates/policy/src/fleet_state.rs
@@ -7,6 +7,8 @@
     PooledModel, ServerLife, ServiceName,
 };
 
+use crate::FleetView;
+
 /// Names a group after its model, so that a server's entry shows which model the group runs.
 pub fn group_name(model: &ModelName, epoch: u64) -> GroupId {
     GroupId::from(format!("{model}.{epoch}"))
@@ -49,6 +51,11 @@
         self.members.iter().all(|member| member.as_ref().is_some_and(is_ready))
     }
 
+    /// Whether a member that reports the group is in an evacuated failure domain.
+    pub(crate) fn is_evacuated(&self, view: &FleetView<'_>) -> bool {
+        self.members.iter().flatten().any(|server| view.is_evacuated(server))
+    }
+
     /// Whether the head takes requests.
     pub fn is_open(&self) -> bool {
         let head = self.head().filter(|head| !head.leaving);
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -113,6 +113,19 @@
         self.record.members.iter().map(|member| &member.life)
     }
 
+    /// Whether a member is in an evacuated failure domain.
+    pub(crate) fn is_evacuated(&self, view: &FleetView<'_>) -> bool {
+        let mut members = self.record.members.iter();
+        members.any(|member| view.evacuated.contains(&member.failure_domain))
+    }
+
+    /// Keeps the group as it is during an evacuation. It is not given up for another one any more,
+    /// and the times within which its members must act begin anew.
+    pub(crate) fn suspend(&mut self, now: Instant) {
+        self.since = now;
+        self.yielding = false;
+    }
+
     /// Determines the health of the group.
     pub(crate) fn health(
         &self,
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, group_model};
+use comfreyturn_policy::{
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, group_model,
+};
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
     EngineSpec, FabricDomain, FailureDomain, FleetServer, GroupMembership, MemberPhase, ModelName,
@@ -269,6 +271,7 @@
             servers: self.servers[..self.listed].iter().map(|server| &server.entry).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            evacuated: &EvacuationSet::default(),
             work: &work,
             before_traffic: !has_traffic,
             is_work_measured: has_traffic,
--- a/crates/ports/src/gateway_feeds.rs
+++ b/crates/ports/src/gateway_feeds.rs
@@ -1,12 +1,13 @@
 //! The platform's feeds to a gateway: the operators' configuration and the list of servers.
 
 use std::{
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
-use comfreyturn_types::{FleetServer, GatewayConfig, StoreVersion, VmId};
+use comfreyturn_types::{FailureDomain, FleetServer, GatewayConfig, StoreVersion, VmId};
 
 /// Error of reading a feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -34,11 +35,25 @@
     pub proven_at: Option<Instant>,
 }
 
+/// The evacuated failure domains, as read from the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuationReading {
+    /// The store's version up to which changes are included.
+    pub version: StoreVersion,
+
+    /// The domains whose servers get nothing new.
+    pub domains: BTreeSet<FailureDomain>,
+}
+
 /// The operators' configuration.
 #[async_trait(?Send)]
 pub trait ConfigFeed {
     /// Waits for the next reading, at most about `wait`.
     async fn next(&self, wait: Duration) -> FeedResult<ConfigReading>;
+
+    /// The evacuated failure domains as last read; `None` before the first reading. They are known
+    /// also if the configuration of the same reading is malformed.
+    fn evacuation(&self) -> Option<EvacuationReading>;
 }
 
 /// A change of the list of servers.
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -10,9 +10,9 @@
 
 use async_trait::async_trait;
 use comfreyturn_ports::{
-    Clock, ConfigFeed, ConfigReading, DatagramLink, FeedError, FeedResult, FleetAction,
-    FleetControl, FleetError, FleetResult, NodeEntry, NodeRegistry, OrderOutcome, ServerFeed,
-    ServerReading, TableResult,
+    Clock, ConfigFeed, ConfigReading, DatagramLink, EvacuationReading, FeedError, FeedResult,
+    FleetAction, FleetControl, FleetError, FleetResult, NodeEntry, NodeRegistry, OrderOutcome,
+    ServerFeed, ServerReading, TableResult,
 };
 use comfreyturn_types::{FencingNumber, FleetServer, GatewayConfig, NodeId};
 
@@ -26,6 +26,10 @@
     clock: Rc<dyn Clock>,
     config: Rc<RefCell<Option<Rc<GatewayConfig>>>>,
     readings: Rc<RefCell<VecDeque<ServerReading>>>,
+
+    /// What the store holds, and what the last reading returned.
+    evacuation: Rc<RefCell<Option<EvacuationReading>>>,
+    read_evacuation: Rc<RefCell<Option<EvacuationReading>>>,
     is_unreachable: Rc<Cell<bool>>,
     lacks_list: Rc<Cell<bool>>,
 }
@@ -37,6 +41,8 @@
             clock,
             config: Rc::default(),
             readings: Rc::default(),
+            evacuation: Rc::default(),
+            read_evacuation: Rc::default(),
             is_unreachable: Rc::default(),
             lacks_list: Rc::default(),
         }
@@ -47,6 +53,11 @@
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
+    /// Sets the evacuated failure domains that the next reading returns.
+    pub fn put_evacuation(&self, reading: EvacuationReading) {
+        *self.evacuation.borrow_mut() = Some(reading);
+    }
+
     /// Adds a reading of the list of servers.
     pub fn add_reading(&self, reading: ServerReading) {
         self.readings.borrow_mut().push_back(reading);
@@ -76,8 +87,13 @@
         if self.is_unreachable.get() {
             return Err(FeedError::Unreachable);
         }
+        *self.read_evacuation.borrow_mut() = self.evacuation.borrow().clone();
         Ok(ConfigReading { config, proven_at: Some(self.clock.now()) })
     }
+
+    fn evacuation(&self) -> Option<EvacuationReading> {
+        self.read_evacuation.borrow().clone()
+    }
 }
 
 #[async_trait(?Send)]
