Send cold servers no more than they tolerate

A server that has just started, or turned cold, crashes under the load that a warm one takes, and looks empty to all nodes. Nodes ignored what the list, the configuration and answers say about it.

Nodes now know which servers are cold, from entries, from answers (which they tell each other) and from lives that are first listed during traffic. Requests and tunnels to a cold server are sent only by the first nodes of its rendezvous order, each at a part that keeps the sum within the bound in any second, also with two senders too many. SendQuotas does that for stated limits and for cold servers, with different settings. Only services that state a rate are concerned.

An equal part for each node was ruled out: at 400 nodes one request of each is above the bound.

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::LimitStatement;
+use comfreyturn_policy::{ColdStatement, LONGEST_COLD_TIME, LimitStatement};
 use comfreyturn_proto::peer;
 use comfreyturn_types::{
     FabricDomain, FailureDomain, FleetServer, GroupId, GroupMembership, Incarnation, ModelName,
@@ -13,7 +13,10 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{LoggedChange, ModelRate, PartReport, ViewReport, peer_table::PeerStatus};
+use crate::{
+    LoggedChange, ModelRate, PartReport, ViewReport, node_snapshot::whole_ms,
+    peer_table::PeerStatus,
+};
 
 /// Data heard from a server longer ago than this is not reported.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(2);
@@ -63,6 +66,7 @@
     beat.deaths = report.crashes.iter().map(death).collect();
     report.parts.encode(now, beat);
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
+    beat.cold_servers = (!report.cold.is_empty()).then(|| encode_cold(now, &report.cold));
 }
 
 fn encode_limits(
@@ -96,6 +100,37 @@
     decoded.collect()
 }
 
+fn encode_cold(now: Instant, statements: &HashMap<ServerLife, ColdStatement>) -> peer::ColdServers {
+    let milliseconds = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let mut cold = peer::ColdServers::default();
+    for (life, statement) in statements {
+        let left = if statement.is_cold() {
+            statement.until.saturating_duration_since(now)
+        } else {
+            Duration::ZERO
+        };
+        cold.servers.push(server_tag(life));
+        cold.left_ms.push(milliseconds(left));
+        cold.ages_ms.push(milliseconds(now.saturating_duration_since(statement.at)));
+    }
+    cold
+}
+
+fn decode_cold(
+    now: Instant,
+    cold: &peer::ColdServers,
+    find: impl Fn(u32) -> Option<ServerLife>,
+) -> HashMap<ServerLife, ColdStatement> {
+    let entries = cold.servers.iter().zip(&cold.left_ms).zip(&cold.ages_ms);
+    let decoded = entries.filter_map(|((tag, left), age)| {
+        let at = now.checked_sub(Duration::from_millis(u64::from(*age)))?;
+        let left = Duration::from_millis(u64::from(*left));
+        let until = if left.is_zero() { at } else { now + left.min(LONGEST_COLD_TIME) };
+        Some((find(*tag)?, ColdStatement { until, at }))
+    });
+    decoded.collect()
+}
+
 fn encode_rate(model: &ModelName, rate: ModelRate) -> peer::ModelRates {
     #[expect(
         clippy::cast_possible_truncation,
@@ -139,6 +174,9 @@
     if let Some(limits) = &beat.limits {
         report.limits = decode_limits(now, limits, &find);
     }
+    if let Some(cold) = &beat.cold_servers {
+        report.cold = decode_cold(now, cold, &find);
+    }
     report.crashes = beat.deaths.iter().map(|death| (death.fingerprint, death.death)).collect();
     report
 }
@@ -238,6 +276,7 @@
         model: server.model.as_ref().map(ToString::to_string),
         staged: server.staged.iter().map(ToString::to_string).collect(),
         membership: server.membership.as_ref().map(membership),
+        cold_left_ms: whole_ms(server.cold_left),
     }
 }
 
@@ -272,5 +311,6 @@
         model: message.model.as_deref().map(ModelName::from),
         staged: message.staged.iter().map(|model| ModelName::from(model.as_str())).collect(),
         membership,
+        cold_left: Duration::from_millis(message.cold_left_ms),
     })
 }
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -27,6 +27,9 @@
     /// All servers with free slots stated a rate limit, and this node has used its part of that.
     RateLimited,
 
+    /// All servers with free slots are cold, and this node has used its part of what those tolerate.
+    ServersCold,
+
     /// All servers that could take it asked this node to wait.
     ServersWait,
 
@@ -52,7 +55,14 @@
 impl NotRunReason {
     /// Whether another server, or one more, could serve the request.
     pub(crate) fn is_lack_of_capacity(self) -> bool {
-        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited | Self::ServersWait)
+        matches!(
+            self,
+            Self::NoServer
+                | Self::NoRoom
+                | Self::RateLimited
+                | Self::ServersCold
+                | Self::ServersWait
+        )
     }
 
     /// Whether another node could serve the request.
@@ -64,6 +74,7 @@
             Self::NoServer
             | Self::NoRoom
             | Self::RateLimited
+            | Self::ServersCold
             | Self::ServersWait
             | Self::Declined
             | Self::Suspect
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use comfreyturn_policy::ColdCause;
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::ServiceName;
 use metrics::{counter, histogram};
@@ -10,6 +11,7 @@
 const REQUESTS: &str = "comfreyturn_requests_total";
 const ATTEMPTS: &str = "comfreyturn_attempts_total";
 const LIMITED_SENDS: &str = "comfreyturn_limited_sends_total";
+const COLD_SENDS: &str = "comfreyturn_cold_sends_total";
 const REQUESTED_WAITS: &str = "comfreyturn_requested_waits_total";
 const RESUMES: &str = "comfreyturn_resumes_total";
 const ORDERS: &str = "comfreyturn_orders_total";
@@ -72,6 +74,12 @@
     counter!(LIMITED_SENDS, "service" => service.to_string()).increment(1);
 }
 
+/// Counts an attempt at a cold server, or a connection to one for another node.
+pub(crate) fn count_cold_send(cause: ColdCause) {
+    let cause: &'static str = cause.into();
+    counter!(COLD_SENDS, "cause" => cause).increment(1);
+}
+
 /// Counts an answer of a server that asked this node to wait.
 pub(crate) fn count_requested_wait() {
     counter!(REQUESTED_WAITS).increment(1);
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
-    RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings, WaitSettings,
+    RelaySettings, ReturnSettings, RunTimeSettings, SecondBound, SendQuotaSettings, WaitSettings,
 };
 
 use crate::PeerTimeouts;
@@ -161,8 +161,11 @@
     /// Parts of the rate limits that servers state.
     pub send_quotas: SendQuotaSettings,
 
+    /// Parts of what cold servers tolerate.
+    pub cold_quotas: SendQuotaSettings,
+
     /// Before this time after its start, a node does not know which other nodes share a limit, and
-    /// sends nothing to servers that state one.
+    /// sends nothing to servers that state one or are cold.
     pub sender_settling_time: Duration,
 
     /// Choice of servers.
@@ -226,6 +229,7 @@
             whole_answer_limit: 1024 * 1024,
             server_waits: WaitSettings::default(),
             send_quotas: SendQuotaSettings::default(),
+            cold_quotas: SendQuotaSettings::within_second(SecondBound::default()),
             sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
             planner: FleetPlannerSettings::default(),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,9 +8,10 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
-    ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
+    ArrivalMeter, ColdServers, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker,
+    PathMonitor, RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas,
+    SenderRoster, ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits,
+    return_delay,
 };
 use comfreyturn_types::{
     FleetServer, ModelName, NodeId, RouteName, ServerLife, ServiceName, ServiceSpec,
@@ -62,6 +63,15 @@
 
     /// The nodes that share these limits.
     pub(crate) senders: RefCell<SenderRoster>,
+
+    /// Servers that tolerate only a low rate of requests.
+    pub(crate) cold: RefCell<ColdServers>,
+
+    /// This node's part of what cold servers tolerate.
+    pub(crate) cold_quotas: RefCell<SendQuotas>,
+
+    /// The nodes that share what cold servers tolerate.
+    pub(crate) cold_senders: RefCell<SenderRoster>,
     pub(crate) view: RefCell<PeerView>,
 
     /// Changes of the list of servers, for other nodes.
@@ -150,8 +160,11 @@
             waits: RefCell::new(ServerWaits::new(settings.server_waits)),
             rooms: RefCell::default(),
             limits: RefCell::default(),
-            quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node)),
+            quotas: RefCell::new(SendQuotas::new(settings.send_quotas, node.clone())),
             senders: RefCell::default(),
+            cold: RefCell::default(),
+            cold_quotas: RefCell::new(SendQuotas::new(settings.cold_quotas, node)),
+            cold_senders: RefCell::new(SenderRoster::for_cold_servers()),
             view: RefCell::new(PeerView::new(settings.relay_choice)),
             list_log: RefCell::default(),
             budgets: RefCell::default(),
@@ -250,6 +263,7 @@
             crashes: crashes.iter().map(|(_, request, crash)| (*request, *crash)).collect(),
             parts: self.parts.borrow().report(now),
             limits: self.limits.borrow().own_recent(now, self.settings.send_quotas.trial_age),
+            cold: self.cold.borrow().own_recent(now),
         }
     }
 
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -40,6 +40,7 @@
         gauge!("comfreyturn_quarantined_parts").set(count(quarantined));
         gauge!("comfreyturn_suspect_requests").set(count(state.suspects.borrow().len()));
         gauge!("comfreyturn_servers_limited").set(count(state.limits.borrow().limited()));
+        gauge!("comfreyturn_servers_cold").set(count(state.count_cold(now)));
         gauge!("comfreyturn_servers_waiting").set(count(state.waits.borrow().waiting(now)));
         gauge!("comfreyturn_peers_heard").set(count(peers));
     }
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{ConfigAttestation, SuspectLedger};
+use comfreyturn_policy::{AnswerReceiver, ConfigAttestation, SuspectLedger};
 use comfreyturn_proto::peer;
 use comfreyturn_types::NodeId;
 use prost::Message;
@@ -165,6 +165,9 @@
         for (life, statement) in &report.limits {
             state.record_told_limit(life, *statement);
         }
+        for (life, statement) in &report.cold {
+            state.record_cold_answer(life, *statement, AnswerReceiver::Other);
+        }
         state.parts.borrow_mut().apply(&report.parts);
         let mut suspects = state.suspects.borrow_mut();
         for (fingerprint, crash) in &report.crashes {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! a configuration may still be used.
 
 mod beat_codec;
+mod cold_limits;
 mod config_view;
 mod event_splitter;
 mod feed_loops;
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -26,6 +26,9 @@
     /// This node has used its part of a server's rate limit.
     by_limit: bool,
 
+    /// A server is cold, and this node has used its part of what it tolerates.
+    by_cold: bool,
+
     /// A server asked this node to wait.
     by_wait: bool,
 }
@@ -34,8 +37,11 @@
     /// Why no server takes a request; `all` if none is a candidate.
     fn reason(self, all: bool) -> NotRunReason {
         match self {
-            Self { by_wait: true, by_limit: false } if all => NotRunReason::ServersWait,
+            Self { by_wait: true, by_limit: false, by_cold: false } if all => {
+                NotRunReason::ServersWait
+            }
             Self { by_limit: true, .. } => NotRunReason::RateLimited,
+            Self { by_cold: true, .. } => NotRunReason::ServersCold,
             Self { .. } => NotRunReason::NoRoom,
         }
     }
@@ -68,8 +74,8 @@
             rooms.room(now, &head.life).is_none_or(|room| head.running < room || urgent)
         });
         let mut withheld = Withheld::default();
-        candidates.retain_mut(|head| match self.send_permit(now, &head.life) {
-            SendPermit::Unlimited => true,
+        candidates.retain_mut(|head| match self.send_permit(now, &head.life, service.cold) {
+            SendPermit::Unlimited | SendPermit::ColdQuota => true,
             SendPermit::Quota => {
                 head.has_quota = true;
                 true
@@ -78,6 +84,10 @@
                 withheld.by_limit = true;
                 false
             }
+            SendPermit::ColdWithheld => {
+                withheld.by_cold = true;
+                false
+            }
             SendPermit::Waiting => {
                 withheld.by_wait = true;
                 false
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -6,9 +6,9 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::{AnswerReceiver, LimitStatement, SendPermit};
+use comfreyturn_policy::{AnswerReceiver, ColdStatement, LimitStatement, SendPermit};
 use comfreyturn_ports::ServerNotice;
-use comfreyturn_types::{FleetServer, NodeId, ServerLife};
+use comfreyturn_types::{ColdSpec, FleetServer, NodeId, ServerLife};
 
 use crate::{Gateway, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
 
@@ -40,6 +40,10 @@
         if notice.is_leaving && self.leaving_servers.borrow_mut().insert(life.clone()) {
             log::info!(server:% = life; "limits: server says that it is leaving.");
         }
+        if let Some(left) = notice.cold_left {
+            let statement = ColdStatement::new(now, left);
+            self.record_cold_answer(life, statement, AnswerReceiver::This);
+        }
         match notice.wait.filter(|wait| !wait.is_zero()) {
             Some(wait) => self.record_wait(now, life, wait),
             None if notice.is_refusal => {
@@ -63,12 +67,16 @@
     /// Whether this node may open a connection for another node to a server now.
     pub(crate) fn permits_tunnel(&self, now: Instant, server: SocketAddr) -> bool {
         let lives = self.lives_at(server);
+        let cold: Vec<_> =
+            lives.iter().filter_map(|life| Some((life, self.cold_spec(life)?))).collect();
         let mut waits = self.waits.borrow_mut();
         let leaving = self.leaving_servers.borrow();
         let is_permitted =
-            lives.iter().all(|life| waits.permits(now, life) && !leaving.contains(life));
+            lives.iter().all(|life| waits.permits(now, life) && !leaving.contains(life))
+                && cold.iter().all(|(life, spec)| self.cold_permit(now, life, *spec).is_sendable());
         if is_permitted {
             lives.iter().for_each(|life| waits.record_send(now, life));
+            cold.iter().for_each(|(life, spec)| self.record_cold_send(now, life, *spec));
         }
         is_permitted && !lives.is_empty()
     }
@@ -89,10 +97,18 @@
         let view = self.view.borrow();
         let others = view.peers.alive(now, self.settings.peer_timeouts).map(|(node, _)| node);
         self.senders.borrow_mut().update(now, own, others);
+        // Also those that are not heard: they may be cut off from this node, and send.
+        let known = view.peers.named().map(|(node, _)| node);
+        self.cold_senders.borrow_mut().update(now, own, known);
     }
 
     /// Whether this node may send a request to a server now, as far as the server asked for less.
-    pub(crate) fn send_permit(&self, now: Instant, life: &ServerLife) -> SendPermit {
+    pub(crate) fn send_permit(
+        &self,
+        now: Instant,
+        life: &ServerLife,
+        cold: Option<ColdSpec>,
+    ) -> SendPermit {
         let heard_at = self.stalls.borrow().seen_at(life);
         let mut waits = self.waits.borrow_mut();
         if let Some(heard_at) = heard_at {
@@ -101,17 +117,23 @@
         if !waits.permits(now, life) {
             return SendPermit::Waiting;
         }
-        let Some(limit) = self.limits.borrow().limit(life) else { return SendPermit::Unlimited };
+        let cold = cold.map_or(SendPermit::Unlimited, |spec| self.cold_permit(now, life, spec));
+        let Some(limit) = self.limits.borrow().limit(life) else { return cold };
         if !self.was_running_for(now, self.settings.sender_settling_time) {
             return SendPermit::Withheld;
         }
         let senders = self.senders.borrow();
-        self.quotas.borrow_mut().permit(now, life, limit, &senders, rand::random())
+        let stated = self.quotas.borrow_mut().permit(now, life, limit, &senders, rand::random());
+        // A server that is limited and cold gets only what both allow.
+        if stated == SendPermit::Quota && cold != SendPermit::Unlimited { cold } else { stated }
     }
 
     /// Records that this node sends a request to a server.
     pub(crate) fn record_send(&self, now: Instant, server: &FleetServer) {
         self.waits.borrow_mut().record_send(now, &server.life);
+        if let Some(spec) = self.cold_spec(&server.life) {
+            self.record_cold_send(now, &server.life, spec);
+        }
         if self.limits.borrow().limit(&server.life).is_some() {
             self.quotas.borrow_mut().record_send(now, &server.life);
             gateway_metrics::count_limited_send(&server.service);
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -25,6 +25,7 @@
             // Changes that other nodes sent are newer than this answer of the platform.
             return;
         }
+        let first = self.first_listing();
         let applied = self.servers.borrow_mut().apply(reading, keep_missing);
         let servers = self.servers.borrow();
         let mut log = self.list_log.borrow_mut();
@@ -34,6 +35,7 @@
         }
         log.complete_at(version);
         drop((servers, log));
+        self.record_cold_entries(now, first, &applied);
         self.record_dropped(now, applied.dropped);
     }
 
@@ -56,6 +58,7 @@
             version: StoreVersion::default(),
             changes: changes.iter().map(server_change).collect(),
         };
+        let first = self.first_listing();
         let applied = self.servers.borrow_mut().apply(reading, false);
         let mut log = self.list_log.borrow_mut();
         for change in changes.into_iter().filter(|change| applied.changed.contains(&change.vm)) {
@@ -65,6 +68,7 @@
             log.complete_at(complete);
         }
         drop(log);
+        self.record_cold_entries(now, first, &applied);
         self.record_dropped(now, applied.dropped);
     }
 
@@ -119,6 +123,7 @@
         self.rooms.borrow_mut().retain(known);
         self.waits.borrow_mut().retain(now, known);
         self.quotas.borrow_mut().retain(|life| limits.limit(life).is_some());
+        self.cold_quotas.borrow_mut().retain(known);
         self.lost.borrow_mut().retain(known);
     }
 
@@ -156,5 +161,6 @@
             rank: u32::try_from(rank).unwrap_or(u32::MAX),
             phase,
         }),
+        cold_left: Duration::ZERO,
     }
 }
--- a/crates/gateway/src/stall_tracker.rs
+++ b/crates/gateway/src/stall_tracker.rs
@@ -105,6 +105,12 @@
         self.activities.get(life).is_some_and(|activity| activity.is_stalled(now, retention))
     }
 
+    /// When the server last stalled, if no node has received data from it since.
+    pub fn unheard_stall(&self, life: &ServerLife) -> Option<Instant> {
+        let stalled_at = self.activities.get(life)?.stalled_at?;
+        self.seen_at(life).is_none_or(|seen| seen <= stalled_at).then_some(stalled_at)
+    }
+
     /// All servers that are stalled, as seen by any node.
     pub fn stalled(&self, now: Instant, retention: Duration) -> Vec<ServerLife> {
         let stalled =
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::LimitStatement;
+use comfreyturn_policy::{ColdStatement, LimitStatement};
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
 use crate::PartReport;
@@ -54,6 +54,9 @@
     /// What servers said recently about their rate limits.
     pub limits: HashMap<ServerLife, LimitStatement>,
 
+    /// What servers that are cold, or were until shortly, said about that.
+    pub cold: HashMap<ServerLife, ColdStatement>,
+
     /// Which prompt parts may have crashed servers, and which did not.
     pub parts: PartReport,
 }
@@ -90,6 +93,12 @@
                 *newest = *statement;
             }
         }
+        for (life, statement) in &other.cold {
+            let newest = self.cold.entry(life.clone()).or_insert(*statement);
+            if newest.at < statement.at {
+                *newest = *statement;
+            }
+        }
     }
 
     /// Takes this node's own figures out of a digest that includes them.
@@ -109,9 +118,20 @@
         self.limits.retain(|life, statement| {
             own.limits.get(life).is_none_or(|own| own.rate != statement.rate)
         });
+        self.cold.retain(|life, statement| {
+            own.cold.get(life).is_none_or(|own| !is_echo(own, statement))
+        });
     }
 }
 
+/// A statement that comes back through other nodes seems to end later than it did, by at most this.
+const ECHO_DELAY: Duration = Duration::from_secs(1);
+
+fn is_echo(own: &ColdStatement, told: &ColdStatement) -> bool {
+    let later = told.until.saturating_duration_since(own.until);
+    own.is_cold() == told.is_cold() && told.until >= own.until && later < ECHO_DELAY
+}
+
 /// The newest report of each node that reports to this one.
 #[derive(Debug, Default)]
 pub struct ViewReports {
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -70,6 +70,7 @@
         name: ServiceName::from(name),
         max_connections: 100,
         engine,
+        cold: None,
     };
     let services = [service("plain", None), service("models", Some(engine))];
     GatewayConfig {
@@ -109,6 +110,7 @@
             rank: 0,
             phase: MemberPhase::Open,
         }),
+        cold_left: Duration::ZERO,
     }))
 }
 
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -33,6 +33,7 @@
         model: Some(ModelName::from("m")),
         staged: Vec::new(),
         membership: Some(GroupMembership { group: GroupId::from("m.7"), epoch: 7, rank, phase }),
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/gateway/tests/nodes/fleet_view.rs
+++ b/crates/gateway/tests/nodes/fleet_view.rs
@@ -162,6 +162,7 @@
         model: None,
         staged: Vec::new(),
         membership: None,
+        cold_left: Duration::ZERO,
     }))
 }
 
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -1,5 +1,6 @@
 //! Several nodes of one deployment, on virtual time.
 
+mod cold_servers;
 mod config_attestation;
 mod crashing_parts;
 mod fleet_lease;
--- a/crates/gateway/tests/nodes/plain_service.rs
+++ b/crates/gateway/tests/nodes/plain_service.rs
@@ -19,8 +19,12 @@
 
 /// One public route to one service.
 pub fn plain_config(kind: RequestKind) -> GatewayConfig {
-    let service =
-        ServiceSpec { name: ServiceName::from(SERVICE), max_connections: 100, engine: None };
+    let service = ServiceSpec {
+        name: ServiceName::from(SERVICE),
+        max_connections: 100,
+        engine: None,
+        cold: None,
+    };
     let route = RouteSpec {
         name: RouteName::from("route"),
         host: HostName::from(HOST),
@@ -56,6 +60,7 @@
         model: None,
         staged: Vec::new(),
         membership: None,
+        cold_left: Duration::ZERO,
     }))
 }
 
--- a/crates/gateway/tests/nodes/rate_limits.rs
+++ b/crates/gateway/tests/nodes/rate_limits.rs
@@ -133,7 +133,7 @@
 }
 
 /// The most arrivals within any span of this length.
-fn most_within(arrivals: &[Instant], span: Duration) -> usize {
+pub fn most_within(arrivals: &[Instant], span: Duration) -> usize {
     let count = |(first, at): (usize, &Instant)| {
         arrivals[first..].iter().take_while(|other| **other - *at < span).count()
     };
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -166,7 +166,12 @@
 
     /// A fleet that starts for the first time, all nodes at the same moment.
     pub fn first_start(count: u16) -> Self {
-        let settings = GatewaySettings { fencing_checked: true, ..GatewaySettings::default() };
+        Self::first_start_with(count, GatewaySettings::default())
+    }
+
+    /// The same with other settings.
+    pub fn first_start_with(count: u16, settings: GatewaySettings) -> Self {
+        let settings = GatewaySettings { fencing_checked: true, ..settings };
         let mut nodes = Self::new(settings, true);
         (1..=count).for_each(|number| nodes.start(number));
         nodes
--- a/crates/policy/src/send_quotas.rs
+++ b/crates/policy/src/send_quotas.rs
@@ -27,6 +27,63 @@
 
     /// A limit that no node heard of for this time may be over: now and then a node tries.
     pub trial_age: Duration,
+
+    /// A bound on the requests within any one second; `None` if only the rate is kept.
+    pub second_bound: Option<SecondBound>,
+}
+
+/// A bound on the requests that all nodes together send to a server within any one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SecondBound {
+    /// The bound is the limit times this, plus `slack`.
+    pub over: f64,
+
+    /// Requests beyond the limit times `over`.
+    pub slack: f64,
+
+    /// The bound holds with so many senders more than there should be, since nodes may know
+    /// different nodes for a while.
+    pub spare_senders: u32,
+}
+
+impl Default for SecondBound {
+    fn default() -> Self {
+        Self { over: 1.0, slack: 0.0, spare_senders: 2 }
+    }
+}
+
+/// Requests per second of a sender that never sends two of them within one second. A bit less than
+/// one, since the way to the server doesn't take the same time for all.
+const SINGLE_RATE: f64 = 0.95;
+
+impl SecondBound {
+    /// The largest number of requests within a second.
+    pub fn most(&self, limit: RequestRate) -> f64 {
+        limit.per_second() * self.over.max(0.0) + self.slack.max(0.0)
+    }
+
+    /// The number of senders: so many that each sends less than one request a second, if there are
+    /// as many nodes and the bound admits one request of each, and of the spare ones, at once.
+    fn senders(&self, limit: RequestRate, nodes: usize) -> usize {
+        let admitted = self.most(limit) - f64::from(self.spare_senders);
+        let wanted = limit.per_second().ceil() + 1.0;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "at least one, and a conversion that is out of range takes the largest value"
+        )]
+        let senders = wanted.min(admitted.floor()).max(1.0) as usize;
+        senders.min(nodes.max(1))
+    }
+
+    /// The rate of each of some senders. Within a second, a sender that saves up one request sends
+    /// at most one more than its rate, and at most one at [`SINGLE_RATE`].
+    fn part(&self, limit: RequestRate, senders: usize) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
+        let senders = senders.max(1) as f64;
+        let admitted = self.most(limit) / (senders + f64::from(self.spare_senders)) - 1.0;
+        (limit.per_second() / senders).min(admitted.max(SINGLE_RATE))
+    }
 }
 
 impl Default for SendQuotaSettings {
@@ -37,17 +94,35 @@
             burst: 1.5,
             choice_period: Duration::from_secs(1),
             trial_age: Duration::from_secs(5),
+            second_bound: None,
         }
     }
 }
 
 impl SendQuotaSettings {
+    /// Settings for servers that tolerate no more than a bound within a second. A sender saves up
+    /// one request, and none goes to a server beyond the parts to see whether it tolerates more.
+    pub fn within_second(bound: SecondBound) -> Self {
+        Self { burst: 1.0, trial_age: Duration::MAX, second_bound: Some(bound), ..Self::default() }
+    }
+
     /// The number of nodes that send to a server with this limit.
     fn senders(&self, limit: RequestRate, nodes: usize) -> usize {
+        if let Some(bound) = &self.second_bound {
+            return bound.senders(limit, nodes);
+        }
         let further = limit.milli / self.rate_per_sender.milli.max(1);
         let further = usize::try_from(further).unwrap_or(usize::MAX);
         further.saturating_add(1).max(self.least_senders).min(nodes)
     }
+
+    /// The rate of each of some senders, in requests per second.
+    fn part(&self, limit: RequestRate, senders: usize) -> f64 {
+        match &self.second_bound {
+            Some(bound) => bound.part(limit, senders),
+            None => limit.per_second() / senders as f64,
+        }
+    }
 }
 
 /// What a server said about its limit, as this node knows it.
@@ -74,6 +149,19 @@
 
     /// The server asked this node to wait.
     Waiting,
+
+    /// The server is cold, and this node has not used its part of what it tolerates yet.
+    ColdQuota,
+
+    /// The server is cold, and this node has no part of what it tolerates, or has used it.
+    ColdWithheld,
+}
+
+impl SendPermit {
+    /// Whether the request may be sent.
+    pub fn is_sendable(self) -> bool {
+        matches!(self, Self::Unlimited | Self::Quota | Self::ColdQuota)
+    }
 }
 
 /// This node's part of one server's limit.
@@ -180,5 +268,5 @@
 ) -> f64 {
     let mut senders = rendezvous_order(&life.to_string(), roster.nodes());
     senders.truncate(settings.senders(limit, roster.len()));
-    if senders.contains(&node) { limit.per_second() / senders.len() as f64 } else { 0.0 }
+    if senders.contains(&node) { settings.part(limit, senders.len()) } else { 0.0 }
 }
--- a/crates/policy/src/sender_roster.rs
+++ b/crates/policy/src/sender_roster.rs
@@ -7,9 +7,13 @@
 
 use comfreyturn_types::NodeId;
 
-/// A node that was last alive longer ago than this has no share any more.
+/// A node that was last alive longer ago than this has no share of a stated limit any more.
 const SENDER_RETENTION: Duration = Duration::from_secs(60);
 
+/// The same for cold servers. Two parts of a fleet that are cut off from each other for longer share
+/// what a cold server tolerates no more, and each uses all of it.
+const COLD_RETENTION: Duration = Duration::from_secs(300);
+
 /// Interval at which the nodes are taken in.
 const UPDATE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -17,15 +21,29 @@
 ///
 /// A node that seems to have crashed may only be cut off, and then still sends. So it keeps its
 /// place for a while, and a node that hears nobody keeps all places as they were.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SenderRoster {
     /// When each node was last known to be alive.
     nodes: BTreeMap<NodeId, Instant>,
 
     updated_at: Option<Instant>,
+
+    /// How long a node that is not heard keeps its place.
+    retention: Duration,
+}
+
+impl Default for SenderRoster {
+    fn default() -> Self {
+        Self { nodes: BTreeMap::new(), updated_at: None, retention: SENDER_RETENTION }
+    }
 }
 
 impl SenderRoster {
+    /// A roster for cold servers, which keeps places for longer.
+    pub fn for_cold_servers() -> Self {
+        Self { retention: COLD_RETENTION, ..Self::default() }
+    }
+
     /// Records which other nodes are alive, and this one, `own`, unless that was done shortly before.
     pub fn update<'a>(
         &mut self,
@@ -50,7 +68,7 @@
         }
         self.nodes.insert(own.clone(), now);
         if !is_alone {
-            self.nodes.retain(|_, at| now.saturating_duration_since(*at) < SENDER_RETENTION);
+            self.nodes.retain(|_, at| now.saturating_duration_since(*at) < self.retention);
         }
     }
 
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -51,6 +51,7 @@
         model: None,
         staged: staged.iter().map(|name| ModelName::from(*name)).collect(),
         membership: None,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -143,6 +143,7 @@
             model: None,
             staged: Vec::new(),
             membership: None,
+            cold_left: Duration::ZERO,
         };
         self.next_vm += 1;
         self.servers.push(SimServer { entry, load: None, change: None, lost_at: None });
--- a/crates/ports/src/server_link.rs
+++ b/crates/ports/src/server_link.rs
@@ -92,6 +92,10 @@
     /// response ends no wait.
     pub wait: Option<Duration>,
 
+    /// For how long the server still tolerates only a low rate of requests; `None` if it does not
+    /// say.
+    pub cold_left: Option<Duration>,
+
     /// Whether the server is leaving: it wants nothing new from any node, for the rest of its
     /// lifetime.
     pub is_leaving: bool,
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -92,6 +92,9 @@
     arrivals: RefCell<Vec<ServerArrival>>,
     rate_limits: RefCell<HashMap<VmId, RequestRate>>,
 
+    /// Until when servers say that they are cold.
+    cold: RefCell<HashMap<ServerLife, Instant>>,
+
     /// Servers that say that they are leaving.
     leaving: RefCell<HashSet<ServerLife>>,
     events: Cell<u32>,
@@ -120,8 +123,10 @@
     }
 
     /// What a server asks for in each of its answers.
-    fn notice(&self, life: &ServerLife) -> ServerNotice {
+    fn notice(&self, now: Instant, life: &ServerLife) -> ServerNotice {
+        let cold_until = self.cold.borrow().get(life).copied();
         ServerNotice {
+            cold_left: cold_until.map(|until| until.saturating_duration_since(now)),
             rate_limit: self.rate_limits.borrow().get(&life.vm).copied(),
             is_leaving: self.leaving.borrow().contains(life),
             ..ServerNotice::default()
@@ -144,6 +149,11 @@
         };
     }
 
+    /// Makes a server say in its answers that it is cold until some time.
+    pub fn set_cold(&self, life: &ServerLife, until: Instant) {
+        self.state.cold.borrow_mut().insert(life.clone(), until);
+    }
+
     /// Makes a server say in its answers that it is leaving, or no more.
     pub fn set_leaving(&self, life: &ServerLife, is_leaving: bool) {
         let mut leaving = self.state.leaving.borrow_mut();
@@ -265,7 +275,7 @@
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
-        let notice = state.notice(&life);
+        let notice = state.notice(clock.now(), &life);
         let answer = EventAnswer {
             state: state.clone(),
             clock: clock.clone(),
@@ -289,7 +299,8 @@
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
         }
-        let notice = ServerNotice { wait: Some(wait), is_refusal: true, ..state.notice(&life) };
+        let notice =
+            ServerNotice { wait: Some(wait), is_refusal: true, ..state.notice(clock.now(), &life) };
         state.waiting.record_asked(WaitAsked { life, seen, at: clock.now(), wait });
         ServerReply { notice: Some(notice), answer: Err(LinkError::NotRun) }
     }
--- a/crates/types/src/fleet_server.rs
+++ b/crates/types/src/fleet_server.rs
@@ -1,6 +1,6 @@
 //! Backend servers as the platform's list describes them.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -88,6 +88,10 @@
 
     /// Its place in a group, if it has one.
     pub membership: Option<GroupMembership>,
+
+    /// For how long it tolerates only a low rate of requests, as of its entry; zero if it does not
+    /// say so. The time counts from when a node receives the entry.
+    pub cold_left: Duration,
 }
 
 /// A member of a group, as stored in the group's row.
--- a/crates/types/src/gateway_config.rs
+++ b/crates/types/src/gateway_config.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{CustomerName, HostName, ModelName, RouteName, ServiceName};
+use crate::{CustomerName, HostName, ModelName, RequestRate, RouteName, ServiceName};
 
 /// One version of the operators' configuration, as far as a gateway needs it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -113,6 +113,20 @@
 
     /// How its servers run models; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+
+    /// What its servers tolerate while they are cold; `None` if they never are.
+    pub cold: Option<ColdSpec>,
+}
+
+/// What the servers of a service tolerate while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdSpec {
+    /// How long a server is cold after it started while callers send requests. Zero if only servers
+    /// that say so are cold.
+    pub start_time: Duration,
+
+    /// Requests that a cold server tolerates from all nodes together.
+    pub rate: RequestRate,
 }
 
 /// How the servers of a service run models.
