Rule out chance in the test of a rate limit that ended

all_nodes_use_a_server_again_that_has_no_rate_limit_any_more failed once with 8 of 9 nodes. It sends 600 requests in 6 s, each at a random node and to one of nine servers: 7.4 on average for each node and server, so that by chance one of the 27 checked pairs gets none in 1.6 % of the runs. A node that is still limited was ruled out: the counts of the servers that had a limit do not differ from the others.

Four times as many requests are sent in the same 6 s, 29.6 for each pair, which leaves chance less than 1e-11.

--- a/crates/gateway/tests/nodes/rate_limits.rs
+++ b/crates/gateway/tests/nodes/rate_limits.rs
@@ -100,10 +100,17 @@
 
     /// Sends requests to random nodes among some.
     fn send_for(&mut self, milliseconds: u64, to: impl Fn(u16) -> bool) {
+        self.send_batches(milliseconds, 1, to);
+    }
+
+    /// Sends several requests at a time to random nodes among some.
+    fn send_batches(&mut self, milliseconds: u64, batch: usize, to: impl Fn(u16) -> bool) {
         let receivers: Vec<u16> = (1..=self.size).filter(|node| to(*node)).collect();
         for _ in 0..milliseconds / REQUEST_PAUSE_MS {
-            let number = receivers[self.rng.random_range(0..receivers.len())];
-            self.nodes.send(number, plain_request(self.now()));
+            for _ in 0..batch {
+                let number = receivers[self.rng.random_range(0..receivers.len())];
+                self.nodes.send(number, plain_request(self.now()));
+            }
             self.nodes.run(REQUEST_PAUSE_MS);
         }
     }
@@ -196,7 +203,9 @@
     site.set_limits(|_| None);
     site.send_for(3000, |_| true);
     let since = site.now();
-    site.send_for(6000, |_| true);
+    // 30 requests of each node to each server on average; one at a time these would be 7, and in one
+    // run of 60 a node would send a server none by mere chance.
+    site.send_batches(6000, 4, |_| true);
     let arrivals = site.nodes.servers.arrivals();
     for index in 0..LIMITED_SERVERS {
         let vm = VmId::from(server_name(index));
