--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -30,6 +30,9 @@
     /// All servers with free slots stated a rate limit, and this node has used its part of that.
     RateLimited,
 
+    /// All servers with free slots are cold, and this node has used its part of what those tolerate.
+    ServersCold,
+
     /// All servers that could take it asked this node to wait.
     ServersWait,
 
@@ -57,7 +60,12 @@
     pub(crate) fn is_lack_of_capacity(self) -> bool {
         matches!(
             self,
-            Self::NoServer | Self::Evacuated | Self::NoRoom | Self::RateLimited | Self::ServersWait
+            Self::NoServer
+                | Self::Evacuated
+                | Self::NoRoom
+                | Self::RateLimited
+                | Self::ServersCold
+                | Self::ServersWait
         )
     }
 
@@ -71,6 +79,7 @@
             | Self::Evacuated
             | Self::NoRoom
             | Self::RateLimited
+            | Self::ServersCold
             | Self::ServersWait
             | Self::Declined
             | Self::Suspect
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -43,6 +43,7 @@
         let domains = state.evacuation.borrow().len();
         gauge!("comfreyturn_evacuated_domains").set(count(domains));
         gauge!("comfreyturn_servers_evacuated").set(count(state.evacuated_servers()));
+        gauge!("comfreyturn_servers_cold").set(count(state.count_cold(now)));
         gauge!("comfreyturn_servers_waiting").set(count(state.waits.borrow().waiting(now)));
         gauge!("comfreyturn_peers_heard").set(count(peers));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! a configuration may still be used.
 
 mod beat_codec;
+mod cold_limits;
 mod config_view;
 mod evacuation;
 mod event_splitter;
