--- a/crates/gateway/tests/nodes/evacuation.rs
+++ b/crates/gateway/tests/nodes/evacuation.rs
@@ -155,6 +155,18 @@
     assert_eq!(senders.len(), usize::from(SIZES[0]), "all nodes use the domain again");
 }
 
+/// Guards against an evacuation that nobody reads because the nodes that poll the store lost it, while
+/// others still reach it.
+#[test]
+fn nodes_that_reach_the_store_read_an_evacuation_if_those_that_poll_it_cannot() {
+    let mut site = EvacuationSite::started(SIZES[0], RequestKind::Idempotent);
+    (1..SIZES[0]).for_each(|number| site.nodes.feeds[&number].set_unreachable(true));
+    site.nodes.run(LIMIT_MS);
+    site.evacuate(&["a"]);
+    site.nodes.run(LIMIT_MS);
+    assert_eq!(site.senders(), BTreeSet::new());
+}
+
 /// Guards against a set that outlives a restored store: numbers of the new era are lower.
 #[test]
 fn restored_store_ends_an_evacuation_that_it_does_not_hold() {
--- a/crates/policy/src/fleet_summary.rs
+++ b/crates/policy/src/fleet_summary.rs
@@ -23,11 +23,16 @@
         });
         let models: String = models.collect();
         let (grouped, free, lost) = (grouped.len(), free.len(), view.lost.len());
+        let evacuated = view.servers.iter().filter(|server| view.is_evacuated(server)).count();
+        let evacuated = match evacuated {
+            0 => String::new(),
+            count => format!(", {count} evacuated"),
+        };
         let loading = self.loading(view);
         let pools = self.pools(view, &self.last_plan.held);
         let pools: String = pools.iter().map(|pool| pool.summary(&view.engine.models)).collect();
         format!(
-            "{grouped} in groups, {free} free, {staged} of these staged, {loading} loading, {lost} lost;\
+            "{grouped} in groups, {free} free, {staged} of these staged, {loading} loading, {lost} lost{evacuated};\
              {models} free by domain, by staged model and unstaged:{pools}"
         )
     }
