Check kept rows and refused tunnels during an evacuation

Two broken variants passed the tests: a planner that drops the rows of suspended groups after a pause, and a node that connects to an evacuated server for another node. The planner test looked at removed rows only after they were stored, and no node without knowledge of the evacuation asked for a tunnel.

The planner test now looks before, with pauses beyond the forming time, and the node test asks for tunnels itself. Both variants fail now.

--- a/crates/gateway/tests/nodes/evacuation.rs
+++ b/crates/gateway/tests/nodes/evacuation.rs
@@ -1,6 +1,6 @@
 //! Evacuation of a failure domain: nothing new reaches its servers.
 
-use std::{cell::Cell, collections::BTreeSet, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use comfreyturn_gateway::{ForwardAnswer, NotRunReason};
 use comfreyturn_ports::{EvacuationReading, ServerChange, ServerReading};
@@ -85,6 +85,12 @@
         self.arrivals_in_a(before)
     }
 
+    /// Whether a node connects to each of the servers for another node.
+    fn tunnels(&self, number: u16) -> [bool; 4] {
+        let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        [1, 2, 3, 4].map(|port| self.nodes.gateways[&number].admit_tunnel(address(port)).is_some())
+    }
+
     fn arrivals_in_a(&self, before: usize) -> BTreeSet<NodeId> {
         let arrivals = self.nodes.servers.arrivals().into_iter().skip(before);
         let there = arrivals.filter(|arrival| arrival.life.vm.as_str().starts_with('a'));
@@ -113,7 +119,8 @@
 
 /// Guards against a node that sends new requests to an evacuated domain, or goes on avoiding one
 /// whose evacuation ended: nodes that poll the store, others, one that lost the store, and one that
-/// reaches the servers only through other nodes.
+/// reaches the servers only through other nodes. Nor may a node connect there for one that knows of
+/// no evacuation.
 #[test]
 fn evacuation_holds_at_every_node_until_it_ends() {
     for size in SIZES {
@@ -126,6 +133,7 @@
         for _ in 0..5 {
             assert_eq!(site.senders(), BTreeSet::new(), "{size} nodes");
         }
+        assert_eq!(site.tunnels(1), [false, false, true, true]);
         site.evacuate(&[]);
         site.nodes.run(LIMIT_MS);
         let senders: BTreeSet<_> = (0..5).flat_map(|_| site.senders()).collect();
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -605,12 +605,15 @@
         self.evacuated.apply_reading(StoreVersion::first_era(number), domains);
     }
 
-    /// Plans for some seconds. No order goes to domain `a`, and no group loses its row.
+    /// Plans for some time, with pauses in which forming groups time out. No order goes to domain
+    /// `a`, and no group loses its row.
     fn settle_without_a(&mut self) {
         for _ in 0..8 {
-            let orders = self.orders();
-            assert!(orders.iter().all(|order| !self.is_in("a", &order.life)), "{orders:?}");
+            self.now += Duration::from_secs(3);
+            let mut orders = self.plan_once();
             assert_eq!(self.planner.row_changes().1, []);
+            orders.extend(self.orders());
+            assert!(orders.iter().all(|order| !self.is_in("a", &order.life)), "{orders:?}");
             self.carry_out(&orders);
         }
     }
