Test that a server that returns gets no herd

Also that connections to a cold server for other nodes count against the part of the node that opens them. Without the rule for servers that return, the first test fails: 28 requests in a second at 7 nodes, 26 allowed.

--- a/crates/gateway/tests/nodes/cold_servers.rs
+++ b/crates/gateway/tests/nodes/cold_servers.rs
@@ -58,6 +58,7 @@
     server.life.born = born;
     server.cold_left = cold_left;
     server.slots = 100;
+    server.address.set_port(2000 + vm[1..].parse::<u16>().unwrap());
     ServerChange::Listed(server)
 }
 
@@ -238,3 +239,49 @@
         site.check(listed_at + NEWS_TIME, site.now(), "frozen and restarted");
     }
 }
+
+/// Guards against a herd: a server that froze looks empty to all nodes when they use it again, and may
+/// have turned cold, which none of them knows before its first answer.
+#[test]
+fn server_that_returns_gets_no_herd() {
+    for size in [7, 71] {
+        let mut site = ColdSite::started(size);
+        // Longer answers, so that the other servers are loaded.
+        site.nodes.servers.set_events(12);
+        site.send_for(1500, |_| true);
+        let thaws_at = site.now() + Duration::from_millis(2500);
+        site.nodes.servers.freeze(&life(COLD, 1), thaws_at);
+        site.nodes.servers.set_cold(&life(COLD, 1), thaws_at + COLD_TIME);
+        let frozen_at = site.now();
+        site.send_for(9000, |_| true);
+        let stalled_at = frozen_at + Duration::from_millis(1500);
+        site.check(stalled_at, site.now(), "returns");
+        assert!(!site.arrivals(thaws_at, site.now()).is_empty(), "{size} nodes: never used again");
+    }
+}
+
+/// Guards against nodes that open connections to a cold server for others beyond their own part:
+/// the server sees them as the senders.
+#[test]
+fn connections_for_other_nodes_count_against_the_part() {
+    let mut site = ColdSite::started(7);
+    for number in 1..=3 {
+        site.nodes.servers.set_cut(&name(number), address(number), true);
+    }
+    site.send_for(3000, |_| true);
+    let listed_at = site.change(entry(COLD, 1, COLD_TIME), |_| true);
+    site.send_for(7000, |_| true);
+    let since = listed_at + NEWS_TIME;
+    site.check(since, site.now(), "tunnels");
+    let arrivals = site.nodes.servers.arrivals();
+    let own = arrivals.iter().filter(|arrival| arrival.life.vm.as_str() == COLD);
+    let recent: Vec<_> = own.filter(|arrival| arrival.at >= since).collect();
+    let tunnelled = recent.iter().filter(|arrival| arrival.seen != arrival.node).count();
+    assert!(tunnelled > 0, "no request went through another node");
+    for number in 4..=7 {
+        let seen = recent.iter().filter(|arrival| arrival.seen == name(number)).count();
+        let part = BOUND.most(RATE) / 9.0 - 1.0;
+        let allowed = part * (site.now() - since).as_secs_f64() + 1.0;
+        assert!(seen as f64 <= allowed, "node {number} was seen {seen} times, allowed {allowed}");
+    }
+}
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -95,6 +95,9 @@
     /// Until when servers say that they are cold.
     cold: RefCell<HashMap<ServerLife, Instant>>,
 
+    /// Until when servers answer nothing.
+    frozen: RefCell<HashMap<ServerLife, Instant>>,
+
     /// Servers that say that they are leaving.
     leaving: RefCell<HashSet<ServerLife>>,
     events: Cell<u32>,
@@ -149,6 +152,11 @@
         };
     }
 
+    /// Makes a server answer nothing until some time.
+    pub fn freeze(&self, life: &ServerLife, until: Instant) {
+        self.state.frozen.borrow_mut().insert(life.clone(), until);
+    }
+
     /// Makes a server say in its answers that it is cold until some time.
     pub fn set_cold(&self, life: &ServerLife, until: Instant) {
         self.state.cold.borrow_mut().insert(life.clone(), until);
@@ -271,6 +279,10 @@
                 return answered(self.turned_away(life, seen, wait).await);
             }
         };
+        let frozen_until = state.frozen.borrow().get(&life).copied();
+        if let Some(until) = frozen_until.filter(|until| *until > at) {
+            clock.sleep(until.saturating_duration_since(at)).await;
+        }
         clock.sleep(START_DELAY).await;
         if state.is_crashed(&life) {
             return LinkError::Broken.into();
