Heed what servers say in answers to probes about being cold

A server states in answers to probes how long it is cold; only answers to requests were read. FleetControl::probe returns the time. Answers to orders are not read.

--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyturn_policy::{AnswerReceiver, ColdStatement};
 use comfreyturn_types::{FleetServer, ServerLife};
 use futures_util::future::{Either, select};
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
@@ -137,6 +138,11 @@
         let Self { ports, state, .. } = self;
         let limit = ports.clock.sleep(state.settings.probe_timeout);
         let answer = select(ports.fleet.probe(server), limit).await;
-        matches!(answer, Either::Left((Ok(()), _)))
+        let Either::Left((Ok(cold_left), _)) = answer else { return false };
+        if let Some(left) = cold_left {
+            let statement = ColdStatement::new(ports.clock.now(), left);
+            state.record_cold_answer(&server.life, statement, AnswerReceiver::This);
+        }
+        true
     }
 }
--- a/crates/ports/src/fleet_control.rs
+++ b/crates/ports/src/fleet_control.rs
@@ -1,5 +1,7 @@
 //! Orders to servers that form groups, and liveness probes.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use comfreyturn_types::{FencingNumber, FleetServer, GroupId, ModelName, VmId};
 
@@ -99,6 +101,7 @@
         fencing: FencingNumber,
     ) -> FleetResult<OrderOutcome>;
 
-    /// Checks that a server responds.
-    async fn probe(&self, server: &FleetServer) -> FleetResult<()>;
+    /// Checks that a server responds. Returns for how long it still tolerates only a low rate of
+    /// requests; `None` if it does not say.
+    async fn probe(&self, server: &FleetServer) -> FleetResult<Option<Duration>>;
 }
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -101,7 +101,7 @@
         Ok(OrderOutcome::Taken)
     }
 
-    async fn probe(&self, _server: &FleetServer) -> FleetResult<()> {
+    async fn probe(&self, _server: &FleetServer) -> FleetResult<Option<Duration>> {
         Err(FleetError)
     }
 }
