Count refusals of requests that were under way together once

A server that is full for a moment refuses together the requests that are under way to it, while others stream there. Each of them counted as one refusal in a row: six of them, with data heard from the server, made a node leave it alone for 15 s until it heard data again.

A refusal now counts only if its request was sent after the last refusal that counted arrived. The node that opened a connection for another one doesn't know when the request was sent, and counts as before.

Tests: calls of record_refusal pass the time of sending, equal to that of the refusal as each of them was a request of its own.

--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -235,7 +235,7 @@
             let sending = self.ports.servers.send(&call);
             let reply = self.await_server(&server.life, limit, sending).await;
             if let Ok(ServerReply { notice: Some(notice), .. }) = &reply {
-                self.state.record_notice(self.now(), &server.life, *notice);
+                self.state.record_notice(self.now(), &server.life, now, *notice);
             }
             let reply = reply.map(|reply| reply.answer);
             if helper.is_none() {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -21,22 +21,37 @@
     pub fn record_tunnel_answer(&self, server: SocketAddr, notice: ServerNotice) {
         let Self { state, ports, .. } = self;
         let now = ports.clock.now();
-        state.lives_at(server).iter().for_each(|life| state.record_own_notice(now, life, notice));
+        // When the request was sent is known to the node that it belongs to only.
+        let lives = state.lives_at(server);
+        lives.iter().for_each(|life| state.record_own_notice(now, life, now, notice));
     }
 }
 
 impl GatewayState {
-    /// Records what a server asked of the nodes in an answer to this one.
-    pub(crate) fn record_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
+    /// Records what a server asked of the nodes in the answer to a request that this one sent at
+    /// `sent_at`.
+    pub(crate) fn record_notice(
+        &self,
+        now: Instant,
+        life: &ServerLife,
+        sent_at: Instant,
+        notice: ServerNotice,
+    ) {
         if notice.rate_limit.is_some() || !notice.is_refusal {
             let statement = LimitStatement { rate: notice.rate_limit, at: now };
             self.record_limit(life, statement, AnswerReceiver::This);
         }
-        self.record_own_notice(now, life, notice);
+        self.record_own_notice(now, life, sent_at, notice);
     }
 
     /// Records what a server asked of this node alone, and whether it is leaving.
-    fn record_own_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
+    fn record_own_notice(
+        &self,
+        now: Instant,
+        life: &ServerLife,
+        sent_at: Instant,
+        notice: ServerNotice,
+    ) {
         if notice.is_leaving && self.leaving_servers.borrow_mut().insert(life.clone()) {
             log::info!(server:% = life; "limits: server says that it is leaving.");
         }
@@ -44,7 +59,7 @@
             Some(wait) => self.record_wait(now, life, wait),
             None if notice.is_refusal => {
                 let heard = self.stalls.borrow().was_seen(now, life, HEARD_MAX_AGE);
-                self.waits.borrow_mut().record_refusal(now, life, heard);
+                self.waits.borrow_mut().record_refusal(now, life, sent_at, heard);
             }
             None => self.waits.borrow_mut().record_answer(now, life),
         }
--- a/crates/policy/src/server_waits.rs
+++ b/crates/policy/src/server_waits.rs
@@ -58,13 +58,23 @@
     /// When it last refused one.
     refused_at: Instant,
 
+    /// When it last refused one that counted.
+    counted_at: Option<Instant>,
+
     /// When the last request was sent to it; `None` if none was since it last refused one.
     tried_at: Option<Instant>,
 }
 
 impl ServerWait {
     fn new(now: Instant) -> Self {
-        Self { asked_until: now, paused_until: now, refusals: 0, refused_at: now, tried_at: None }
+        Self {
+            asked_until: now,
+            paused_until: now,
+            refusals: 0,
+            refused_at: now,
+            counted_at: None,
+            tried_at: None,
+        }
     }
 
     /// When the server may get the next request.
@@ -98,13 +108,28 @@
         wait.asked_until = wait.asked_until.max(asked_until);
     }
 
-    /// Records that a server refused a request and asked for no wait. It looks idle, so it would get
-    /// most requests, and refuse them as well: after some in a row it is left alone for a while, and
-    /// sooner if no node `heard` of it lately, since all of them would have to find that out.
-    pub fn record_refusal(&mut self, now: Instant, life: &ServerLife, heard: bool) {
+    /// Records that a server refused a request, sent at `sent_at`, and asked for no wait. It looks
+    /// idle, so it would get most requests, and refuse them as well: after some in a row it is left
+    /// alone for a while, and sooner if no node `heard` of it lately, since all of them would have to
+    /// find that out. Requests that were under way together count once: a server that is full for a
+    /// moment refuses all of them.
+    pub fn record_refusal(
+        &mut self,
+        now: Instant,
+        life: &ServerLife,
+        sent_at: Instant,
+        heard: bool,
+    ) {
         let WaitSettings { first_pause, pause_factor, longest_pause, .. } = self.settings;
+        if let Some(wait) = self.waits.get_mut(life)
+            && wait.counted_at.is_some_and(|counted_at| sent_at < counted_at)
+        {
+            wait.refused_at = now;
+            return;
+        }
         let last_refused_at = self.waits.get(life).map_or(now, |wait| wait.refused_at);
         let wait = self.refused(now, life);
+        wait.counted_at = Some(now);
         let age = now.saturating_duration_since(last_refused_at);
         if age > longest_pause * 2 {
             wait.refusals = 0;
--- a/crates/policy/tests/server_waits.rs
+++ b/crates/policy/tests/server_waits.rs
@@ -135,14 +135,14 @@
     let settings = WaitSettings::default();
     let mut waits = ServerWaits::new(settings);
     let (start, server) = (Instant::now(), life(1, 1));
-    waits.record_refusal(start, &server, true);
+    waits.record_refusal(start, &server, start, true);
     assert!(waits.permits(start, &server), "one refusal says little");
     let mut now = start;
     let mut refusals = 0;
     while now < start + ms(10_000) {
         if waits.permits(now, &server) {
             waits.record_send(now, &server);
-            waits.record_refusal(now, &server, true);
+            waits.record_refusal(now, &server, now, true);
             refusals += 1;
         }
         now += ms(1);
@@ -157,7 +157,7 @@
 fn refusing_server_that_no_node_hears_of_is_left_alone_at_once() {
     let mut waits = ServerWaits::default();
     let (now, server) = (Instant::now(), life(1, 1));
-    waits.record_refusal(now, &server, false);
+    waits.record_refusal(now, &server, now, false);
     assert!(!waits.permits(now + ms(1000), &server));
 }
 
@@ -166,7 +166,7 @@
 fn server_that_another_node_hears_of_again_is_not_left_alone() {
     let mut waits = ServerWaits::default();
     let (start, refusing, asking) = (Instant::now(), life(1, 1), life(2, 1));
-    waits.record_refusal(start, &refusing, false);
+    waits.record_refusal(start, &refusing, start, false);
     waits.record_wait(start, &asking, ms(3000));
     for server in [&refusing, &asking] {
         waits.record_heard(start + ms(100), server, start - ms(1));
@@ -183,7 +183,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     waits.record_wait(start, &server, ms(1000));
-    waits.record_refusal(start + ms(10), &server, false);
+    waits.record_refusal(start + ms(10), &server, start + ms(10), false);
     waits.record_heard(start + ms(500), &server, start + ms(400));
     assert!(!waits.permits(start + ms(999), &server));
     assert!(waits.permits(start + ms(1000), &server));
@@ -198,7 +198,7 @@
         let now = start + ms(10 * round);
         assert!(waits.permits(now, &server), "round {round}");
         waits.record_send(now, &server);
-        waits.record_refusal(now, &server, true);
+        waits.record_refusal(now, &server, now, true);
         waits.record_answer(now + ms(5), &server);
     }
 }
@@ -211,7 +211,7 @@
     let (start, server) = (Instant::now(), life(1, 1));
     waits.record_wait(start, &server, ms(1500));
     // Requests that were under way are refused without a word.
-    waits.record_refusal(start + ms(10), &server, false);
+    waits.record_refusal(start + ms(10), &server, start + ms(10), false);
     waits.record_heard(start + ms(100), &server, start + ms(50));
     assert!(!waits.permits(start + ms(1000), &server));
 }
@@ -223,7 +223,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     for _ in 0..5 {
-        waits.record_refusal(start, &server, false);
+        waits.record_refusal(start, &server, start, false);
     }
     waits.record_wait(start + ms(10), &server, ms(3000));
     waits.record_heard(start + ms(100), &server, start + ms(50));
@@ -236,7 +236,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     for _ in 0..5 {
-        waits.record_refusal(start, &server, false);
+        waits.record_refusal(start, &server, start, false);
     }
     waits.record_answer(start + ms(500), &server);
     assert!(waits.permits(start + ms(1000), &server));
@@ -249,7 +249,7 @@
     let (start, server) = (Instant::now(), life(1, 1));
     let hour = ms(3_600_000);
     for hours in 0..4 {
-        waits.record_refusal(start + hour * hours, &server, true);
+        waits.record_refusal(start + hour * hours, &server, start + hour * hours, true);
     }
     assert!(
         waits.permits(start + hour * 3 + ms(200), &server),
@@ -257,3 +257,22 @@
         waits.time_to_next(start + hour * 3, &server)
     );
 }
+
+/// Guards against a server being left alone for seconds that is full for a moment: it refuses the
+/// requests together that are under way, while others stream there.
+#[test]
+fn refusals_of_requests_that_were_under_way_together_count_once() {
+    let mut waits = ServerWaits::default();
+    let (start, server) = (Instant::now(), life(1, 1));
+    for number in 0..6 {
+        waits.record_send(start + ms(number), &server);
+    }
+    for number in 0..6 {
+        waits.record_refusal(start + ms(20 + number), &server, start + ms(number), true);
+    }
+    assert!(waits.permits(start + ms(30), &server), "{:?}", waits.time_to_next(start, &server));
+    // One that was sent after the first refusal counts.
+    waits.record_refusal(start + ms(50), &server, start + ms(30), true);
+    assert!(!waits.permits(start + ms(60), &server));
+    assert!(waits.permits(start + ms(200), &server));
+}
