Tell other nodes of servers that refuse requests and ask for nothing

A server that refuses at once looks idle and gets most requests.

A node that is told leaves the server alone for an exponentially distributed time with a mean of 0.5 s times the number of nodes, at most 15 s, so all nodes together still try it. A node that gets data from a server of which it was told reports that too, also if nothing is in flight there; it ends the pause at all others. Waits that servers ask for are neither told nor ended. Absent fields mean behaviour as before, and older builds ignore the new one.

Ruled out: a fixed time for each node (all nodes would try together, or the rate of trials would grow with their number), and putting the trial off with each news (no node would try).

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -13,7 +13,9 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{LoggedChange, ModelRate, PartReport, ViewReport, peer_table::PeerStatus};
+use crate::{
+    LoggedChange, ModelRate, PartReport, RefusalReport, ViewReport, peer_table::PeerStatus,
+};
 
 /// Data heard from a server longer ago than this is not reported.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(2);
@@ -62,6 +64,7 @@
     };
     beat.deaths = report.crashes.iter().map(death).collect();
     report.parts.encode(now, beat);
+    beat.refusals = report.refusals.encode(now);
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
 }
 
@@ -136,6 +139,9 @@
     };
     report.rates = beat.rates.iter().map(rate).collect();
     report.parts = PartReport::decode(now, beat);
+    if let Some(refusals) = &beat.refusals {
+        report.refusals = RefusalReport::decode(now, refusals, &find);
+    }
     if let Some(limits) = &beat.limits {
         report.limits = decode_limits(now, limits, &find);
     }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -239,6 +239,7 @@
 
     /// What this node alone reports.
     pub(crate) fn own_report(&self, now: Instant) -> ViewReport {
+        let refusals = self.own_refusals(now);
         let stalls = self.stalls.borrow();
         let retention = self.settings.stall_retention;
         let crashes = self.crashes.borrow();
@@ -249,6 +250,7 @@
             rates: self.rates.borrow().clone(),
             crashes: crashes.iter().map(|(_, request, crash)| (*request, *crash)).collect(),
             parts: self.parts.borrow().report(now),
+            refusals,
             limits: self.limits.borrow().own_recent(now, self.settings.send_quotas.trial_age),
         }
     }
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -130,6 +130,7 @@
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_REPEAT_TIME;
         state.crashes.borrow_mut().retain(|(at, _, _)| is_recent(at));
         state.parts.borrow_mut().forget_told(now);
+        state.waits.borrow_mut().forget_told(now);
         state.refresh_loads();
     }
 
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -155,6 +155,7 @@
         {
             report.subtract(&own);
         }
+        state.record_told_refusals(now, &report.refusals);
         let mut stalls = state.stalls.borrow_mut();
         for (life, at) in &report.seen {
             stalls.record_peer_seen(*at, life);
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -2,6 +2,7 @@
 //! and connection for another node is permitted here; orders are not.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -10,11 +11,16 @@
 use comfreyturn_ports::ServerNotice;
 use comfreyturn_types::{FleetServer, NodeId, ServerLife};
 
-use crate::{Gateway, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
+use crate::{
+    Gateway, RefusalReport, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms,
+};
 
 /// A server that delivered data to no node within this time, and refuses requests, is not just full.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(1);
 
+/// That a server takes requests again is told to other nodes for this time after its last data.
+const ANSWERED_MAX_AGE: Duration = Duration::from_secs(2);
+
 impl Gateway {
     /// Records what a server asked for when it began to answer a request that this node passed on for
     /// another one. The server speaks of the node whose connection it sees.
@@ -65,6 +71,45 @@
         }
     }
 
+    // ---------------------------------------------------------------------------------------
+    // Refusals that nodes tell each other
+
+    /// What this node tells others of servers that refuse requests without asking for a wait.
+    pub(crate) fn own_refusals(&self, now: Instant) -> RefusalReport {
+        let waits = self.waits.borrow();
+        let stalls = self.stalls.borrow();
+        let mut refused = waits.refusing(now);
+        refused.retain(|life, _| !stalls.was_seen(now, life, HEARD_MAX_AGE));
+        let mut answered = stalls.own_seen(now, ANSWERED_MAX_AGE);
+        let told: HashSet<&ServerLife> = waits.told().collect();
+        answered.retain(|life, _| told.contains(life));
+        RefusalReport { refused, answered }
+    }
+
+    /// Records what another node tells of servers that refuse requests, or take them again.
+    pub(crate) fn record_told_refusals(&self, now: Instant, report: &RefusalReport) {
+        let mut stalls = self.stalls.borrow_mut();
+        for (life, at) in &report.answered {
+            stalls.record_peer_seen(*at, life);
+        }
+        let view = self.view.borrow();
+        let others = view.peers.alive(now, self.settings.peer_timeouts).count();
+        let mut waits = self.waits.borrow_mut();
+        for (life, refused_at) in &report.refused {
+            let was_heard = stalls.was_seen(now, life, HEARD_MAX_AGE)
+                || stalls.seen_at(life).is_some_and(|seen_at| seen_at >= *refused_at);
+            if !was_heard {
+                let pause = waits.shared_pause(others + 1, rand::random());
+                if waits.record_told_refusal(now, life, *refused_at, pause) {
+                    log::info!(server:% = life; "limits: another node says that server refuses requests.");
+                }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // Permits
+
     fn record_wait(&self, now: Instant, life: &ServerLife, wait: Duration) {
         gateway_metrics::count_requested_wait();
         log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -8,7 +8,7 @@
 use comfreyturn_policy::LimitStatement;
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
-use crate::PartReport;
+use crate::{PartReport, RefusalReport};
 
 /// What the sender of a report is to this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +56,9 @@
 
     /// Which prompt parts may have crashed servers, and which did not.
     pub parts: PartReport,
+
+    /// Which servers refuse requests without asking for a wait.
+    pub refusals: RefusalReport,
 }
 
 impl ViewReport {
@@ -84,6 +87,7 @@
             }
         }
         self.parts.merge(&other.parts);
+        self.refusals.merge(&other.refusals);
         for (life, statement) in &other.limits {
             let newest = self.limits.entry(life.clone()).or_insert(*statement);
             if newest.at < statement.at {
@@ -109,6 +113,7 @@
         self.limits.retain(|life, statement| {
             own.limits.get(life).is_none_or(|own| own.rate != statement.rate)
         });
+        self.refusals.subtract(&own.refusals);
     }
 }
 
--- a/crates/gateway/tests/nodes/refusing_servers.rs
+++ b/crates/gateway/tests/nodes/refusing_servers.rs
@@ -64,3 +64,40 @@
 fn refusing_servers_do_not_attract_requests_of_a_large_fleet() {
     assert_served(89);
 }
+
+/// Requests a second at a server that refuses everything, from all nodes together, at most: the
+/// shared trials, and those of the nodes that found out by themselves.
+const MOST_TRIALS: f64 = 4.0;
+
+/// Time after which nodes know that a server takes requests again, and share of the requests that
+/// the servers get then, which were a third.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+const LEAST_RETURNED: f64 = 0.2;
+
+/// Guards against a trial rate that grows with the number of nodes, and against nodes that leave a
+/// server alone for seconds after another one was answered.
+#[test]
+fn nodes_share_the_trials_of_refusing_servers_and_the_news_of_their_return() {
+    let size = 89;
+    let rate = NODE_RATE * f64::from(size);
+    let all: Vec<u16> = (1..=size).collect();
+    let mut site = WaitingSite::started(size, SLOTS, EVENTS);
+    site.turn_away(0..REFUSING, Duration::ZERO, SPAN);
+    site.send_for(SETTLING_TIME, rate, &all);
+    let from = site.now();
+    site.send_for(SPAN - SETTLING_TIME, rate, &all);
+    let to = site.now();
+    site.send_for(RETURN_TIME, rate, &all);
+    let returned = site.now();
+    site.send_for(SETTLING_TIME, rate, &all);
+    let end = site.now();
+    site.finish();
+    let trials = site.arrivals_at(0..REFUSING, from, to) as f64
+        / (to - from).as_secs_f64()
+        / REFUSING as f64;
+    let share =
+        site.arrivals_at(0..REFUSING, returned, end) as f64 / site.arrivals(returned, end) as f64;
+    println!("{trials:.2} trials a second at each server, then {share:.3} of the requests");
+    assert!(trials <= MOST_TRIALS, "{trials:.2} trials a second");
+    assert!(share >= LEAST_RETURNED, "{share:.3} of the requests");
+}
--- a/crates/gateway/tests/nodes/waiting_site.rs
+++ b/crates/gateway/tests/nodes/waiting_site.rs
@@ -234,6 +234,14 @@
         own.map(|arrival| arrival.seen).collect()
     }
 
+    /// Requests that reached the present lives of some servers within a span of time.
+    pub fn arrivals_at(&self, servers: Range<usize>, from: Instant, to: Instant) -> usize {
+        let lives = &self.lives[servers];
+        let arrivals = self.nodes.servers.arrivals();
+        let within = arrivals.iter().filter(|arrival| arrival.at >= from && arrival.at < to);
+        within.filter(|arrival| lives.contains(&arrival.life)).count()
+    }
+
     /// Requests that reached servers within a span of time.
     pub fn arrivals(&self, from: Instant, to: Instant) -> usize {
         let arrivals = self.nodes.servers.arrivals();
--- a/crates/policy/src/server_waits.rs
+++ b/crates/policy/src/server_waits.rs
@@ -26,6 +26,13 @@
 
     /// The longest such time.
     pub longest_pause: Duration,
+
+    /// Mean time between two trials of a server of which nodes tell each other that it refuses
+    /// requests, all nodes together.
+    pub shared_trial_period: Duration,
+
+    /// A refusal is told to other nodes for this time.
+    pub news_time: Duration,
 }
 
 impl Default for WaitSettings {
@@ -36,6 +43,8 @@
             first_pause: Duration::from_millis(100),
             pause_factor: 4,
             longest_pause: Duration::from_secs(15),
+            shared_trial_period: Duration::from_millis(500),
+            news_time: Duration::from_secs(2),
         }
     }
 }
@@ -43,6 +52,10 @@
 /// A refusal of a server that no node heard of counts as one after so many.
 const UNHEARD_REFUSALS: u32 = 3;
 
+/// Other nodes are told of a server that refused so many requests in a row, while no node heard of
+/// it. News from another node count as one.
+const TOLD_REFUSALS: u32 = 2;
+
 /// Why one server is left alone, and for how long.
 #[derive(Clone, Copy, Debug)]
 struct ServerWait {
@@ -55,10 +68,13 @@
     /// Requests in a row that it refused without asking for a wait.
     refusals: u32,
 
-    /// When it last refused one.
+    /// The same, while no node heard of it.
+    unheard_refusals: u32,
+
+    /// When it last refused one, at this node or, by what others tell, at another one.
     refused_at: Instant,
 
-    /// When it last refused one that counted.
+    /// When it last refused one at this node that counted.
     counted_at: Option<Instant>,
 
     /// When the last request was sent to it; `None` if none was since it last refused one.
@@ -71,6 +87,7 @@
             asked_until: now,
             paused_until: now,
             refusals: 0,
+            unheard_refusals: 0,
             refused_at: now,
             counted_at: None,
             tried_at: None,
@@ -92,12 +109,15 @@
 pub struct ServerWaits {
     settings: WaitSettings,
     waits: HashMap<ServerLife, ServerWait>,
+
+    /// Servers of which another node told that they refuse requests, and when it last did.
+    told: HashMap<ServerLife, Instant>,
 }
 
 impl ServerWaits {
     /// Creates waits of no server.
     pub fn new(settings: WaitSettings) -> Self {
-        Self { settings, waits: HashMap::new() }
+        Self { settings, waits: HashMap::new(), told: HashMap::new() }
     }
 
     /// Records that a server refused a request and asked this node to wait. A wait that ends later
@@ -133,7 +153,9 @@
         let age = now.saturating_duration_since(last_refused_at);
         if age > longest_pause * 2 {
             wait.refusals = 0;
+            wait.unheard_refusals = 0;
         }
+        wait.unheard_refusals = if heard { 0 } else { wait.unheard_refusals.saturating_add(1) };
         let refusals = if heard { wait.refusals } else { wait.refusals.max(UNHEARD_REFUSALS) };
         let pause = match refusals.checked_sub(1) {
             Some(steps) => first_pause.saturating_mul(pause_factor.saturating_pow(steps)),
@@ -149,7 +171,59 @@
         let Some(wait) = self.waits.get_mut(life) else { return };
         if heard_at > wait.refused_at {
             wait.paused_until = wait.paused_until.min(now);
+            wait.unheard_refusals = 0;
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // What nodes tell each other
+
+    /// Servers that refused several requests in a row at this node while no node heard of them, and
+    /// when they last did, if that is recent.
+    pub fn refusing(&self, now: Instant) -> HashMap<ServerLife, Instant> {
+        let refusing = self.waits.iter().filter_map(|(life, wait)| {
+            let at = wait.counted_at.filter(|_| wait.unheard_refusals >= TOLD_REFUSALS)?;
+            let is_recent = now.saturating_duration_since(at) < self.settings.news_time;
+            is_recent.then(|| (life.clone(), at))
+        });
+        refusing.collect()
+    }
+
+    /// Records that a server refused requests of another node, last at `refused_at`. It is left
+    /// alone for `pause`, unless it is already; see [`Self::shared_pause`]. Returns whether nothing
+    /// was told of it lately.
+    pub fn record_told_refusal(
+        &mut self,
+        now: Instant,
+        life: &ServerLife,
+        refused_at: Instant,
+        pause: Duration,
+    ) -> bool {
+        let longest_pause = self.settings.longest_pause;
+        let is_new = self.told.insert(life.clone(), now).is_none();
+        let wait = self.waits.entry(life.clone()).or_insert(ServerWait::new(refused_at));
+        wait.refused_at = wait.refused_at.max(refused_at);
+        wait.unheard_refusals = wait.unheard_refusals.max(1);
+        if wait.paused_until <= now {
+            wait.paused_until = now + pause.min(longest_pause);
         }
+        is_new
+    }
+
+    /// The time for which one of `nodes` leaves a server alone of which another one tells that it
+    /// refuses requests; `random` is in [0, 1). Such times have no memory, so all nodes together
+    /// try the server at the same mean rate whenever each of them began to wait.
+    pub fn shared_pause(&self, nodes: usize, random: f64) -> Duration {
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        let mean = self.settings.shared_trial_period.saturating_mul(nodes);
+        let factor = -(1.0 - random.clamp(0.0, 1.0)).max(f64::MIN_POSITIVE).ln();
+        Duration::try_from_secs_f64(mean.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+    }
+
+    /// Servers of which nodes told each other recently that they refuse requests. Some nodes may
+    /// still leave them alone.
+    pub fn told(&self) -> impl Iterator<Item = &ServerLife> {
+        self.told.keys()
     }
 
     /// The wait of a server that refused a request now.
@@ -198,9 +272,16 @@
         self.waits.values().filter(|wait| now < wait.until()).count()
     }
 
+    /// Forgets news that no pause depends on any more.
+    pub fn forget_told(&mut self, now: Instant) {
+        let retention = self.settings.longest_pause + self.settings.news_time;
+        self.told.retain(|_, at| now.saturating_duration_since(*at) < retention);
+    }
+
     /// Forgets servers for which `keep` is false, once their wait is over: a server that drops out of
     /// the list may come back.
     pub fn retain(&mut self, now: Instant, keep: impl Fn(&ServerLife) -> bool) {
         self.waits.retain(|life, wait| now < wait.until() || keep(life));
+        self.forget_told(now);
     }
 }
--- a/crates/policy/tests/server_waits.rs
+++ b/crates/policy/tests/server_waits.rs
@@ -276,3 +276,56 @@
     assert!(!waits.permits(start + ms(60), &server));
     assert!(waits.permits(start + ms(200), &server));
 }
+
+/// Guards against a server that refuses everything being tried by each of many nodes, and against
+/// one that takes requests again being left alone.
+#[test]
+fn server_that_refuses_requests_of_another_node_is_left_alone_until_a_node_hears_of_it() {
+    let mut waits = ServerWaits::default();
+    let (start, server) = (Instant::now(), life(1, 1));
+    waits.record_told_refusal(start, &server, start - ms(100), ms(4000));
+    assert!(!waits.permits(start + ms(3000), &server));
+    // Later news do not put the trial off.
+    waits.record_told_refusal(start + ms(3000), &server, start + ms(2900), ms(9000));
+    assert!(waits.permits(start + ms(4000), &server));
+    waits.record_told_refusal(start + ms(4000), &server, start + ms(3900), ms(9000));
+    waits.record_heard(start + ms(5000), &server, start + ms(3800));
+    assert!(!waits.permits(start + ms(5000), &server), "that was before");
+    waits.record_heard(start + ms(5000), &server, start + ms(4500));
+    assert!(waits.permits(start + ms(5000), &server));
+}
+
+/// Guards against one chance refusal being told to all nodes, and old ones.
+#[test]
+fn refusals_are_told_if_they_are_several_in_a_row_that_no_node_hears_of() {
+    let settings = WaitSettings::default();
+    let mut waits = ServerWaits::new(settings);
+    let (start, silent, heard) = (Instant::now(), life(1, 1), life(2, 1));
+    waits.record_refusal(start, &silent, start, false);
+    assert!(waits.refusing(start).is_empty());
+    let again = start + ms(1600);
+    for server in [&silent, &heard] {
+        waits.record_refusal(start, &heard, start, true);
+        waits.record_refusal(again, server, again, server == &heard);
+    }
+    assert_eq!(waits.refusing(again).into_iter().collect::<Vec<_>>(), [(silent.clone(), again)]);
+    assert!(waits.refusing(again + settings.news_time).is_empty());
+    waits.record_heard(again + ms(100), &silent, again + ms(50));
+    assert!(waits.refusing(again + ms(100)).is_empty());
+}
+
+/// Guards against a trial rate that grows with the number of nodes.
+#[test]
+fn shared_pauses_leave_the_same_number_of_trials_to_any_number_of_nodes() {
+    let settings = WaitSettings::default();
+    let waits = ServerWaits::new(settings);
+    for nodes in [2, 89, 400] {
+        let draws = (0..10_000_u32).map(|draw| (f64::from(draw) + 0.5) / 10_000.0);
+        let sum: Duration = draws.map(|random| waits.shared_pause(nodes, random)).sum();
+        let period = sum.div_f64(10_000.0 * nodes as f64).as_secs_f64();
+        let expected = settings.shared_trial_period.as_secs_f64();
+        assert!((period / expected - 1.0).abs() < 0.01, "{nodes} nodes: {period} s");
+    }
+    assert_eq!(waits.shared_pause(0, 0.5), Duration::ZERO);
+    assert!(waits.shared_pause(usize::MAX, 1.0) >= settings.longest_pause);
+}
