--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    LoggedChange, ModelRate, PartReport, ViewReport, node_snapshot::whole_ms,
+    LoggedChange, ModelRate, PartReport, RefusalReport, ViewReport, node_snapshot::whole_ms,
     peer_table::PeerStatus,
 };
 
@@ -65,6 +65,7 @@
     };
     beat.deaths = report.crashes.iter().map(death).collect();
     report.parts.encode(now, beat);
+    beat.refusals = report.refusals.encode(now);
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
     beat.cold_servers = (!report.cold.is_empty()).then(|| encode_cold(now, &report.cold));
 }
@@ -171,6 +172,9 @@
     };
     report.rates = beat.rates.iter().map(rate).collect();
     report.parts = PartReport::decode(now, beat);
+    if let Some(refusals) = &beat.refusals {
+        report.refusals = RefusalReport::decode(now, refusals, &find);
+    }
     if let Some(limits) = &beat.limits {
         report.limits = decode_limits(now, limits, &find);
     }
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -2,6 +2,7 @@
 //! and connection for another node is permitted here; orders are not.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -10,33 +11,53 @@
 use comfreyturn_ports::ServerNotice;
 use comfreyturn_types::{ColdSpec, FleetServer, NodeId, ServerLife};
 
-use crate::{Gateway, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms};
+use crate::{
+    Gateway, RefusalReport, gateway_metrics, gateway_state::GatewayState, node_snapshot::whole_ms,
+};
 
 /// A server that delivered data to no node within this time, and refuses requests, is not just full.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(1);
 
+/// That a server takes requests again is told to other nodes for this time after its last data.
+const ANSWERED_MAX_AGE: Duration = Duration::from_secs(2);
+
 impl Gateway {
     /// Records what a server asked for when it began to answer a request that this node passed on for
     /// another one. The server speaks of the node whose connection it sees.
     pub fn record_tunnel_answer(&self, server: SocketAddr, notice: ServerNotice) {
         let Self { state, ports, .. } = self;
         let now = ports.clock.now();
-        state.lives_at(server).iter().for_each(|life| state.record_own_notice(now, life, notice));
+        // When the request was sent is known to the node that it belongs to only.
+        let lives = state.lives_at(server);
+        lives.iter().for_each(|life| state.record_own_notice(now, life, now, notice));
     }
 }
 
 impl GatewayState {
-    /// Records what a server asked of the nodes in an answer to this one.
-    pub(crate) fn record_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
+    /// Records what a server asked of the nodes in the answer to a request that this one sent at
+    /// `sent_at`.
+    pub(crate) fn record_notice(
+        &self,
+        now: Instant,
+        life: &ServerLife,
+        sent_at: Instant,
+        notice: ServerNotice,
+    ) {
         if notice.rate_limit.is_some() || !notice.is_refusal {
             let statement = LimitStatement { rate: notice.rate_limit, at: now };
             self.record_limit(life, statement, AnswerReceiver::This);
         }
-        self.record_own_notice(now, life, notice);
+        self.record_own_notice(now, life, sent_at, notice);
     }
 
     /// Records what a server asked of this node alone, and whether it is leaving.
-    fn record_own_notice(&self, now: Instant, life: &ServerLife, notice: ServerNotice) {
+    fn record_own_notice(
+        &self,
+        now: Instant,
+        life: &ServerLife,
+        sent_at: Instant,
+        notice: ServerNotice,
+    ) {
         if notice.is_leaving && self.leaving_servers.borrow_mut().insert(life.clone()) {
             log::info!(server:% = life; "limits: server says that it is leaving.");
         }
@@ -48,12 +69,51 @@
             Some(wait) => self.record_wait(now, life, wait),
             None if notice.is_refusal => {
                 let heard = self.stalls.borrow().was_seen(now, life, HEARD_MAX_AGE);
-                self.waits.borrow_mut().record_refusal(now, life, heard);
+                self.waits.borrow_mut().record_refusal(now, life, sent_at, heard);
             }
             None => self.waits.borrow_mut().record_answer(now, life),
         }
     }
 
+    // ---------------------------------------------------------------------------------------
+    // Refusals that nodes tell each other
+
+    /// What this node tells others of servers that refuse requests without asking for a wait.
+    pub(crate) fn own_refusals(&self, now: Instant) -> RefusalReport {
+        let waits = self.waits.borrow();
+        let stalls = self.stalls.borrow();
+        let mut refused = waits.refusing(now);
+        refused.retain(|life, _| !stalls.was_seen(now, life, HEARD_MAX_AGE));
+        let mut answered = stalls.own_seen(now, ANSWERED_MAX_AGE);
+        let told: HashSet<&ServerLife> = waits.told().collect();
+        answered.retain(|life, _| told.contains(life));
+        RefusalReport { refused, answered }
+    }
+
+    /// Records what another node tells of servers that refuse requests, or take them again.
+    pub(crate) fn record_told_refusals(&self, now: Instant, report: &RefusalReport) {
+        let mut stalls = self.stalls.borrow_mut();
+        for (life, at) in &report.answered {
+            stalls.record_peer_seen(*at, life);
+        }
+        let view = self.view.borrow();
+        let others = view.peers.alive(now, self.settings.peer_timeouts).count();
+        let mut waits = self.waits.borrow_mut();
+        for (life, refused_at) in &report.refused {
+            let was_heard = stalls.was_seen(now, life, HEARD_MAX_AGE)
+                || stalls.seen_at(life).is_some_and(|seen_at| seen_at >= *refused_at);
+            if !was_heard {
+                let pause = waits.shared_pause(others + 1, rand::random());
+                if waits.record_told_refusal(now, life, *refused_at, pause) {
+                    log::info!(server:% = life; "limits: another node says that server refuses requests.");
+                }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------
+    // Permits
+
     fn record_wait(&self, now: Instant, life: &ServerLife, wait: Duration) {
         gateway_metrics::count_requested_wait();
         log::info!(server:% = life, wait_ms = whole_ms(wait); "limits: server asks to wait.");
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -8,7 +8,7 @@
 use comfreyturn_policy::{ColdStatement, LimitStatement};
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
-use crate::PartReport;
+use crate::{PartReport, RefusalReport};
 
 /// What the sender of a report is to this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +59,9 @@
 
     /// Which prompt parts may have crashed servers, and which did not.
     pub parts: PartReport,
+
+    /// Which servers refuse requests without asking for a wait.
+    pub refusals: RefusalReport,
 }
 
 impl ViewReport {
@@ -87,6 +90,7 @@
             }
         }
         self.parts.merge(&other.parts);
+        self.refusals.merge(&other.refusals);
         for (life, statement) in &other.limits {
             let newest = self.limits.entry(life.clone()).or_insert(*statement);
             if newest.at < statement.at {
@@ -121,6 +125,7 @@
         self.cold.retain(|life, statement| {
             own.cold.get(life).is_none_or(|own| !is_echo(own, statement))
         });
+        self.refusals.subtract(&own.refusals);
     }
 }
 
--- a/crates/policy/tests/server_waits.rs
+++ b/crates/policy/tests/server_waits.rs
@@ -135,14 +135,14 @@
     let settings = WaitSettings::default();
     let mut waits = ServerWaits::new(settings);
     let (start, server) = (Instant::now(), life(1, 1));
-    waits.record_refusal(start, &server, true);
+    waits.record_refusal(start, &server, start, true);
     assert!(waits.permits(start, &server), "one refusal says little");
     let mut now = start;
     let mut refusals = 0;
     while now < start + ms(10_000) {
         if waits.permits(now, &server) {
             waits.record_send(now, &server);
-            waits.record_refusal(now, &server, true);
+            waits.record_refusal(now, &server, now, true);
             refusals += 1;
         }
         now += ms(1);
@@ -157,7 +157,7 @@
 fn refusing_server_that_no_node_hears_of_is_left_alone_at_once() {
     let mut waits = ServerWaits::default();
     let (now, server) = (Instant::now(), life(1, 1));
-    waits.record_refusal(now, &server, false);
+    waits.record_refusal(now, &server, now, false);
     assert!(!waits.permits(now + ms(1000), &server));
 }
 
@@ -166,7 +166,7 @@
 fn server_that_another_node_hears_of_again_is_not_left_alone() {
     let mut waits = ServerWaits::default();
     let (start, refusing, asking) = (Instant::now(), life(1, 1), life(2, 1));
-    waits.record_refusal(start, &refusing, false);
+    waits.record_refusal(start, &refusing, start, false);
     waits.record_wait(start, &asking, ms(3000));
     for server in [&refusing, &asking] {
         waits.record_heard(start + ms(100), server, start - ms(1));
@@ -183,7 +183,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     waits.record_wait(start, &server, ms(1000));
-    waits.record_refusal(start + ms(10), &server, false);
+    waits.record_refusal(start + ms(10), &server, start + ms(10), false);
     waits.record_heard(start + ms(500), &server, start + ms(400));
     assert!(!waits.permits(start + ms(999), &server));
     assert!(waits.permits(start + ms(1000), &server));
@@ -198,7 +198,7 @@
         let now = start + ms(10 * round);
         assert!(waits.permits(now, &server), "round {round}");
         waits.record_send(now, &server);
-        waits.record_refusal(now, &server, true);
+        waits.record_refusal(now, &server, now, true);
         waits.record_answer(now + ms(5), &server);
     }
 }
@@ -211,7 +211,7 @@
     let (start, server) = (Instant::now(), life(1, 1));
     waits.record_wait(start, &server, ms(1500));
     // Requests that were under way are refused without a word.
-    waits.record_refusal(start + ms(10), &server, false);
+    waits.record_refusal(start + ms(10), &server, start + ms(10), false);
     waits.record_heard(start + ms(100), &server, start + ms(50));
     assert!(!waits.permits(start + ms(1000), &server));
 }
@@ -223,7 +223,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     for _ in 0..5 {
-        waits.record_refusal(start, &server, false);
+        waits.record_refusal(start, &server, start, false);
     }
     waits.record_wait(start + ms(10), &server, ms(3000));
     waits.record_heard(start + ms(100), &server, start + ms(50));
@@ -236,7 +236,7 @@
     let mut waits = ServerWaits::default();
     let (start, server) = (Instant::now(), life(1, 1));
     for _ in 0..5 {
-        waits.record_refusal(start, &server, false);
+        waits.record_refusal(start, &server, start, false);
     }
     waits.record_answer(start + ms(500), &server);
     assert!(waits.permits(start + ms(1000), &server));
@@ -249,7 +249,7 @@
     let (start, server) = (Instant::now(), life(1, 1));
     let hour = ms(3_600_000);
     for hours in 0..4 {
-        waits.record_refusal(start + hour * hours, &server, true);
+        waits.record_refusal(start + hour * hours, &server, start + hour * hours, true);
     }
     assert!(
         waits.permits(start + hour * 3 + ms(200), &server),
@@ -257,3 +257,75 @@
         waits.time_to_next(start + hour * 3, &server)
     );
 }
+
+/// Guards against a server being left alone for seconds that is full for a moment: it refuses the
+/// requests together that are under way, while others stream there.
+#[test]
+fn refusals_of_requests_that_were_under_way_together_count_once() {
+    let mut waits = ServerWaits::default();
+    let (start, server) = (Instant::now(), life(1, 1));
+    for number in 0..6 {
+        waits.record_send(start + ms(number), &server);
+    }
+    for number in 0..6 {
+        waits.record_refusal(start + ms(20 + number), &server, start + ms(number), true);
+    }
+    assert!(waits.permits(start + ms(30), &server), "{:?}", waits.time_to_next(start, &server));
+    // One that was sent after the first refusal counts.
+    waits.record_refusal(start + ms(50), &server, start + ms(30), true);
+    assert!(!waits.permits(start + ms(60), &server));
+    assert!(waits.permits(start + ms(200), &server));
+}
+
+/// Guards against a server that refuses everything being tried by each of many nodes, and against
+/// one that takes requests again being left alone.
+#[test]
+fn server_that_refuses_requests_of_another_node_is_left_alone_until_a_node_hears_of_it() {
+    let mut waits = ServerWaits::default();
+    let (start, server) = (Instant::now(), life(1, 1));
+    waits.record_told_refusal(start, &server, start - ms(100), ms(4000));
+    assert!(!waits.permits(start + ms(3000), &server));
+    // Later news do not put the trial off.
+    waits.record_told_refusal(start + ms(3000), &server, start + ms(2900), ms(9000));
+    assert!(waits.permits(start + ms(4000), &server));
+    waits.record_told_refusal(start + ms(4000), &server, start + ms(3900), ms(9000));
+    waits.record_heard(start + ms(5000), &server, start + ms(3800));
+    assert!(!waits.permits(start + ms(5000), &server), "that was before");
+    waits.record_heard(start + ms(5000), &server, start + ms(4500));
+    assert!(waits.permits(start + ms(5000), &server));
+}
+
+/// Guards against one chance refusal being told to all nodes, and old ones.
+#[test]
+fn refusals_are_told_if_they_are_several_in_a_row_that_no_node_hears_of() {
+    let settings = WaitSettings::default();
+    let mut waits = ServerWaits::new(settings);
+    let (start, silent, heard) = (Instant::now(), life(1, 1), life(2, 1));
+    waits.record_refusal(start, &silent, start, false);
+    assert!(waits.refusing(start).is_empty());
+    let again = start + ms(1600);
+    for server in [&silent, &heard] {
+        waits.record_refusal(start, &heard, start, true);
+        waits.record_refusal(again, server, again, server == &heard);
+    }
+    assert_eq!(waits.refusing(again).into_iter().collect::<Vec<_>>(), [(silent.clone(), again)]);
+    assert!(waits.refusing(again + settings.news_time).is_empty());
+    waits.record_heard(again + ms(100), &silent, again + ms(50));
+    assert!(waits.refusing(again + ms(100)).is_empty());
+}
+
+/// Guards against a trial rate that grows with the number of nodes.
+#[test]
+fn shared_pauses_leave_the_same_number_of_trials_to_any_number_of_nodes() {
+    let settings = WaitSettings::default();
+    let waits = ServerWaits::new(settings);
+    for nodes in [2, 89, 400] {
+        let draws = (0..10_000_u32).map(|draw| (f64::from(draw) + 0.5) / 10_000.0);
+        let sum: Duration = draws.map(|random| waits.shared_pause(nodes, random)).sum();
+        let period = sum.div_f64(10_000.0 * nodes as f64).as_secs_f64();
+        let expected = settings.shared_trial_period.as_secs_f64();
+        assert!((period / expected - 1.0).abs() < 0.01, "{nodes} nodes: {period} s");
+    }
+    assert_eq!(waits.shared_pause(0, 0.5), Duration::ZERO);
+    assert!(waits.shared_pause(usize::MAX, 1.0) >= settings.longest_pause);
+}
