Choose servers by the predicted time to the first event

Cause: servers were chosen by counts of requests. A count says nothing of a server that is slow, of long prompts that it still has to read, or of the distance to it.

Ruled out: polling servers for their state; only own evidence and reports of other nodes are used. Mixing counts and times in one choice: they can't be compared, so counts decide unless every candidate has an estimate.

Change: EngineTimes is decoded from the engine's stated timing and left out, with a log line, if it is malformed or implausible. TimeEstimator predicts the time to the first event; HeadPicker fills servers up to a common time instead of a common load. PaceMeter measures how much slower servers are than stated. Nodes tell each other unread prompt tokens and paces by server, in two new fields that are empty where no engine states its timing. The error of predictions is a histogram and a debug line.

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::LimitStatement;
+use comfreyturn_policy::{LEAST_PACE, LimitStatement, MOST_PACE};
 use comfreyturn_proto::peer;
 use comfreyturn_types::{
     FabricDomain, FailureDomain, FleetServer, GroupId, GroupMembership, Incarnation, ModelName,
@@ -51,8 +51,14 @@
             loads.servers.push(server_tag(life));
             loads.running.push(*running);
             loads.heard_age_ms.push(age(life));
+            loads.unread_tokens.push(report.unread.get(life).copied().unwrap_or(0));
+            loads.pace_milli.push(report.paces.get(life).map_or(0, |pace| encode_pace(*pace)));
         }
     }
+    if loads.unread_tokens.iter().chain(&loads.pace_milli).all(|number| *number == 0) {
+        loads.unread_tokens.clear();
+        loads.pace_milli.clear();
+    }
     beat.loads = Some(loads);
     beat.stalls = report.stalls.iter().map(server_tag).collect();
     beat.rates = report.rates.iter().map(|(model, rate)| encode_rate(model, *rate)).collect();
@@ -65,6 +71,16 @@
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
 }
 
+fn encode_pace(pace: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a pace is positive and bounded"
+    )]
+    let milli = (pace * 1000.0).round() as u32;
+    milli
+}
+
 fn encode_limits(
     now: Instant,
     statements: &HashMap<ServerLife, LimitStatement>,
@@ -119,8 +135,16 @@
     let mut report = ViewReport::default();
     if let Some(loads) = &beat.loads {
         let entries = loads.servers.iter().zip(&loads.running).zip(&loads.heard_age_ms);
-        for ((tag, running), age) in entries {
+        for (index, ((tag, running), age)) in entries.enumerate() {
             let Some(life) = find(*tag) else { continue };
+            // Older builds send neither.
+            if let Some(tokens) = loads.unread_tokens.get(index).filter(|tokens| **tokens > 0) {
+                report.unread.insert(life.clone(), *tokens);
+            }
+            if let Some(pace) = loads.pace_milli.get(index).filter(|pace| **pace > 0) {
+                let pace = f64::from(*pace) / 1000.0;
+                report.paces.insert(life.clone(), pace.clamp(LEAST_PACE, MOST_PACE));
+            }
             let heard_at = decode_age(u64::from(*age)).and_then(|age| now.checked_sub(age));
             if let Some(at) = heard_at {
                 report.seen.insert(life.clone(), at);
--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -5,7 +5,10 @@
 use comfreyturn_types::ServerLife;
 use http::{HeaderMap, StatusCode};
 
-use crate::{ForwardAnswer, NotRunReason, load_tracker::LoadGuard};
+use crate::{
+    ForwardAnswer, NotRunReason,
+    load_tracker::{LoadGuard, ReadingGuard},
+};
 
 /// A server's answer to one attempt.
 pub(crate) struct Attempt {
@@ -15,6 +18,9 @@
     /// Whether it took this node's own path.
     pub(crate) is_direct: bool,
     pub(crate) _load_guard: LoadGuard,
+
+    /// Counts the prompt as unread until the first event.
+    pub(crate) reading_guard: Option<ReadingGuard>,
 }
 
 /// Why an attempt failed.
--- a/crates/gateway/src/forward_request.rs
+++ b/crates/gateway/src/forward_request.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use comfreyturn_types::{ModelName, PromptPart, RequestId};
+use comfreyturn_types::{ModelName, PromptPart, RequestId, TokenCounts};
 use http::{HeaderMap, Method};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -34,6 +34,9 @@
     /// The requested model.
     pub model: Option<ModelName>,
 
+    /// The size of the prompt and of the answer, if the caller states it.
+    pub token_counts: Option<TokenCounts>,
+
     /// The parts of the prompt that other requests may have as well.
     pub shared_parts: Vec<PromptPart>,
 
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -131,6 +131,7 @@
     }
 
     async fn collect(&self, mut attempt: Attempt) -> Result<WholeAnswer, AttemptError> {
+        attempt.reading_guard = None;
         let status = attempt.answer.status();
         let headers = attempt.answer.headers().clone();
         let mut body = BytesMut::new();
@@ -208,11 +209,13 @@
             let now = self.now();
             self.check_sendable(now)?;
             let model = self.request.model.as_ref();
-            let server = self.state.pick(now, &self.service, model, &self.tried, urgent);
+            let server =
+                self.state.pick(now, &self.service, model, &self.tried, urgent, &self.demand());
             let server = server.map_err(AttemptError::NotMade)?;
             let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
             self.tried.push(server.life.clone());
             self.trace.attempt_started(&server.life);
+            let reading_guard = self.start_reading(now, &server);
             let load_guard = self.state.loads.start(&server.life);
             let call = ServerCall {
                 request: self.request.id.clone(),
@@ -249,7 +252,8 @@
                     self.trace.answered(self.sent);
                     let is_direct = helper.is_none();
                     let life = server.life;
-                    return Ok(Attempt { life, answer, is_direct, _load_guard: load_guard });
+                    let _load_guard = load_guard;
+                    return Ok(Attempt { life, answer, is_direct, _load_guard, reading_guard });
                 }
                 Ok(Err(LinkError::NotSent)) => self.trace.not_reached(),
                 Ok(Err(error)) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -99,7 +99,11 @@
         ports: GatewayPorts,
         settings: GatewaySettings,
     ) -> Rc<Self> {
-        let state = Rc::new(GatewayState::new(settings, identity.node.clone()));
+        let state = Rc::new(GatewayState::new(
+            settings,
+            identity.node.clone(),
+            identity.failure_domain.clone(),
+        ));
         Rc::new(Self { identity, ports, state })
     }
 
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyturn_ports::{FleetAction, OrderOutcome};
-use comfreyturn_types::ServiceName;
+use comfreyturn_types::{RouteName, ServiceName};
 use metrics::{counter, histogram};
 
 const REQUESTS: &str = "comfreyturn_requests_total";
@@ -15,6 +15,7 @@
 const ORDERS: &str = "comfreyturn_orders_total";
 const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
 const WHOLE_ANSWER: &str = "comfreyturn_whole_answer_seconds";
+const PREDICTION_ERROR: &str = "comfreyturn_prediction_error_seconds";
 
 /// Customers with a label value of their own; the others share [`OTHER_LABEL`].
 pub(crate) const LABELLED_CUSTOMERS: usize = 50;
@@ -67,6 +68,23 @@
     counter!(ATTEMPTS, "service" => service.to_string(), "end" => end).increment(1);
 }
 
+/// Records by how much the predicted time to the first event differs from the measured one.
+pub(crate) fn measure_prediction(
+    service: &ServiceName,
+    route: &RouteName,
+    predicted: Duration,
+    measured: Duration,
+) {
+    let side = if measured > predicted { "later" } else { "earlier" };
+    histogram!(
+        PREDICTION_ERROR,
+        "service" => service.to_string(),
+        "route" => route.to_string(),
+        "side" => side
+    )
+    .record(measured.abs_diff(predicted).as_secs_f64());
+}
+
 /// Counts an attempt at a server that stated a rate limit.
 pub(crate) fn count_limited_send(service: &ServiceName) {
     counter!(LIMITED_SENDS, "service" => service.to_string()).increment(1);
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use comfreyturn_policy::{
-    FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
-    RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings, WaitSettings,
+    FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PaceMeterSettings, PathSettings,
+    RelayChoiceSettings, RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings,
+    WaitSettings,
 };
 
 use crate::PeerTimeouts;
@@ -168,6 +169,9 @@
     /// Choice of servers.
     pub picker: HeadPickerSettings,
 
+    /// Measuring of the servers' pace.
+    pub pace_meter: PaceMeterSettings,
+
     /// Forming of groups.
     pub planner: FleetPlannerSettings,
 }
@@ -228,6 +232,7 @@
             send_quotas: SendQuotaSettings::default(),
             sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
+            pace_meter: PaceMeterSettings::default(),
             planner: FleetPlannerSettings::default(),
         }
     }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,12 +8,13 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PathMonitor,
-    RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas, SenderRoster,
-    ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits, return_delay,
+    ArrivalMeter, ConfirmedConfig, CrashLedger, CrashLedgerSettings, HeadPicker, PaceMeter,
+    PathMonitor, RefusalCause, RetryBudget, RetryBudgetSettings, RunTimes, SendQuotas,
+    SenderRoster, ServerRooms, ServerWaits, ShareRetryBudget, ShutdownTerm, StatedLimits,
+    return_delay,
 };
 use comfreyturn_types::{
-    FleetServer, ModelName, NodeId, RouteName, ServerLife, ServiceName, ServiceSpec,
+    FailureDomain, FleetServer, ModelName, NodeId, RouteName, ServerLife, ServiceName, ServiceSpec,
 };
 
 use crate::{
@@ -39,6 +40,15 @@
     pub(crate) confirmed: Cell<ConfirmedConfig>,
     pub(crate) servers: RefCell<ServerTable>,
     pub(crate) loads: LoadTracker,
+
+    /// The failure domain of this node.
+    pub(crate) failure_domain: FailureDomain,
+
+    /// By which factor servers are slower than stated, as measured by this node.
+    pub(crate) paces: RefCell<PaceMeter>,
+
+    /// The same, as measured by the other nodes.
+    pub(crate) others_paces: RefCell<HashMap<ServerLife, f64>>,
     pub(crate) stalls: RefCell<StallTracker>,
 
     /// Whether this node's own paths to the servers work.
@@ -132,7 +142,11 @@
 }
 
 impl GatewayState {
-    pub(crate) fn new(settings: GatewaySettings, node: NodeId) -> Self {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        node: NodeId,
+        failure_domain: FailureDomain,
+    ) -> Self {
         let suspects = CrashLedgerSettings {
             burst_crashes: 0,
             burst_quarantine_crashes: QUARANTINE_CRASHES,
@@ -144,6 +158,9 @@
             confirmed: Cell::default(),
             servers: RefCell::default(),
             loads: LoadTracker::default(),
+            failure_domain,
+            paces: RefCell::new(PaceMeter::new(settings.pace_meter)),
+            others_paces: RefCell::default(),
             stalls: RefCell::default(),
             paths: RefCell::new(PathMonitor::new(settings.paths)),
             leaving_servers: RefCell::default(),
@@ -244,6 +261,8 @@
         let crashes = self.crashes.borrow();
         ViewReport {
             loads: self.loads.own(),
+            unread: self.loads.own_unread(),
+            paces: self.paces.borrow_mut().recent(now),
             seen: stalls.own_seen(now, OWN_SEEN_MAX_AGE),
             stalls: stalls.own_stalls(now, retention),
             rates: self.rates.borrow().clone(),
@@ -262,7 +281,10 @@
     /// Sums up the loads of the other nodes, if there are new reports.
     pub(crate) fn refresh_loads(&self) {
         if self.has_new_reports.replace(false) {
-            self.loads.set_others(self.others_report().loads);
+            let others = self.others_report();
+            self.loads.set_others(others.loads);
+            self.loads.set_others_unread(others.unread);
+            *self.others_paces.borrow_mut() = others.paces;
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod server_paths;
 mod server_prober;
 mod server_table;
+mod server_times;
 mod shutdown;
 mod stall_tracker;
 mod view_reports;
--- a/crates/gateway/src/load_tracker.rs
+++ b/crates/gateway/src/load_tracker.rs
@@ -8,10 +8,12 @@
 struct LoadTotals {
     own: HashMap<ServerLife, u32>,
     others: HashMap<ServerLife, u32>,
+    own_unread: HashMap<ServerLife, u32>,
+    others_unread: HashMap<ServerLife, u32>,
 }
 
-/// Counts requests in flight at each server: exactly for this node, and as last reported for the
-/// other nodes.
+/// Counts requests in flight at each server, and prompt tokens that it still has to read: exactly
+/// for this node, and as last reported for the other nodes.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTracker {
     totals: Rc<RefCell<LoadTotals>>,
@@ -24,16 +26,42 @@
         LoadGuard { tracker: self.clone(), life: life.clone() }
     }
 
+    /// Counts prompt tokens that a server has to read, until the guard is dropped.
+    pub fn start_reading(&self, life: &ServerLife, tokens: u32) -> ReadingGuard {
+        let mut totals = self.totals.borrow_mut();
+        let unread = totals.own_unread.entry(life.clone()).or_default();
+        // What exceeds the range is not counted, so that the guard takes away what it added.
+        let tokens = tokens.min(u32::MAX - *unread);
+        *unread += tokens;
+        ReadingGuard { tracker: self.clone(), life: life.clone(), tokens }
+    }
+
     /// Replaces the sums over all other nodes.
     pub fn set_others(&self, loads: HashMap<ServerLife, u32>) {
         self.totals.borrow_mut().others = loads;
     }
 
+    /// Replaces the sums of unread prompt tokens over all other nodes.
+    pub fn set_others_unread(&self, unread: HashMap<ServerLife, u32>) {
+        self.totals.borrow_mut().others_unread = unread;
+    }
+
     /// Requests in flight at a server.
     pub fn running(&self, life: &ServerLife) -> u32 {
+        let (own, others) = self.split_running(life);
+        own.saturating_add(others)
+    }
+
+    /// Requests in flight at a server: those of this node, and those of all others.
+    pub fn split_running(&self, life: &ServerLife) -> (u32, u32) {
         let totals = self.totals.borrow();
-        let count = |counts: &HashMap<ServerLife, u32>| counts.get(life).copied().unwrap_or(0);
-        count(&totals.own) + count(&totals.others)
+        (count(&totals.own, life), count(&totals.others, life))
+    }
+
+    /// Prompt tokens that a server still has to read.
+    pub fn unread(&self, life: &ServerLife) -> u32 {
+        let totals = self.totals.borrow();
+        count(&totals.own_unread, life).saturating_add(count(&totals.others_unread, life))
     }
 
     /// This node's requests in flight, by server.
@@ -41,6 +69,21 @@
         self.totals.borrow().own.clone()
     }
 
+    /// Prompt tokens of this node's requests that servers still have to read.
+    pub fn own_unread(&self) -> HashMap<ServerLife, u32> {
+        self.totals.borrow().own_unread.clone()
+    }
+
+    fn finish_reading(&self, life: &ServerLife, tokens: u32) {
+        let mut totals = self.totals.borrow_mut();
+        if let Some(unread) = totals.own_unread.get_mut(life) {
+            *unread -= tokens;
+            if *unread == 0 {
+                totals.own_unread.remove(life);
+            }
+        }
+    }
+
     fn finish(&self, life: &ServerLife) {
         let mut totals = self.totals.borrow_mut();
         if let Some(running) = totals.own.get_mut(life) {
@@ -52,6 +95,10 @@
     }
 }
 
+fn count(counts: &HashMap<ServerLife, u32>, life: &ServerLife) -> u32 {
+    counts.get(life).copied().unwrap_or(0)
+}
+
 /// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
@@ -64,3 +111,17 @@
         self.tracker.finish(&self.life);
     }
 }
+
+/// Counts the tokens of one prompt as unread until dropped.
+#[derive(Debug)]
+pub struct ReadingGuard {
+    tracker: LoadTracker,
+    life: ServerLife,
+    tokens: u32,
+}
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        self.tracker.finish_reading(&self.life, self.tokens);
+    }
+}
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -10,6 +10,7 @@
     EventSplitter, ForwardAnswer,
     forward_attempt::{Attempt, AttemptError},
     forward_run::ForwardRun,
+    server_times::EventTimes,
 };
 
 /// Pause before another attempt to resume a stream when no server was available.
@@ -30,6 +31,9 @@
 
     /// Whether the server survived the answering of the request.
     is_proven: bool,
+
+    /// When its events arrived.
+    event_times: EventTimes,
 }
 
 /// The stream broke and can't be resumed; the caller received only a part of the answer.
@@ -135,6 +139,7 @@
             if self.splitter.partial_len() > MAX_EVENT_BYTES {
                 return Err(self.run.attempt_error(LinkError::Foreign));
             }
+            let asked_at = self.run.now();
             let Self { run, attempt, .. } = self;
             let chunk = run.await_server(&attempt.life, limit, attempt.answer.chunk()).await?;
             match chunk.map_err(|error| self.run.attempt_error(error))? {
@@ -142,6 +147,8 @@
                     let now = self.run.now();
                     self.run.state.stalls.borrow_mut().record_seen(now, &self.attempt.life);
                     self.splitter.push(&bytes);
+                    let times = &mut self.progress.event_times;
+                    self.run.record_event_time(times, &self.attempt.life, asked_at, now);
                 }
                 None if self.splitter.has_partial() => {
                     return Err(self.run.attempt_error(LinkError::Broken));
@@ -162,6 +169,7 @@
     /// Records that events were received.
     fn record_events(&mut self) {
         let now = self.run.now();
+        self.attempt.reading_guard = None;
         let first_at = *self.progress.first_event_at.get_or_insert(now);
         if now.saturating_duration_since(first_at) >= PROOF_TIME {
             self.record_proof();
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -13,7 +13,7 @@
 use crate::{
     DeniedReason, ForwardRequest, NotRunReason, UnknownReason,
     forward_attempt::AttemptError,
-    gateway_metrics::{AnswerLabels, count_attempt, count_resume},
+    gateway_metrics::{AnswerLabels, count_attempt, count_resume, measure_prediction},
     gateway_state::GatewayState,
     node_snapshot::{age_ms, whole_ms},
 };
@@ -32,6 +32,9 @@
     received_at: Instant,
     first_at: Cell<Option<Instant>>,
 
+    /// When the last attempt started, and the predicted time to its first event.
+    prediction: Cell<Option<(Instant, Duration)>>,
+
     /// Number of attempts that reached a server.
     sent: Cell<u32>,
 
@@ -57,6 +60,7 @@
             labels: AnswerLabels::default(),
             received_at: request.received_at,
             first_at: Cell::new(None),
+            prediction: Cell::new(None),
             sent: Cell::new(0),
             server: RefCell::default(),
             is_recorded: Cell::new(false),
@@ -85,6 +89,11 @@
         *self.server.borrow_mut() = Some(life.clone());
     }
 
+    /// The first event of the attempt that starts now is predicted to arrive after `time`.
+    pub(crate) fn predicted(&self, now: Instant, time: Option<Duration>) {
+        self.prediction.set(time.map(|time| (now, time)));
+    }
+
     /// The server of the current attempt was not reached.
     pub(crate) fn not_reached(&self) {
         self.count_attempt("not-sent");
@@ -143,7 +152,24 @@
             let now = self.clock.now();
             self.first_at.set(Some(now));
             self.labels.measure_first(now.saturating_duration_since(self.received_at));
+            self.measure_prediction(now);
+        }
+    }
+
+    /// Records by how much the predicted time of the attempt was wrong.
+    fn measure_prediction(&self, now: Instant) {
+        let Some((started_at, predicted)) = self.prediction.get() else { return };
+        let measured = now.saturating_duration_since(started_at);
+        if let (Some(service), Some(route)) = (&self.service, &self.route) {
+            measure_prediction(service, route, predicted, measured);
         }
+        log::debug!(
+            request:% = self.request,
+            server:% = self.server_text(),
+            predicted_ms = whole_ms(predicted),
+            measured_ms = whole_ms(measured);
+            "forward: first event was predicted."
+        );
     }
 
     // ---------------------------------------------------------------------------------------
@@ -151,6 +177,9 @@
 
     /// A server's answer was received completely.
     pub(crate) fn served(&self, status: StatusCode) {
+        if !status.is_success() {
+            self.prediction.set(None);
+        }
         self.first_piece();
         self.labels.measure_whole(self.elapsed());
         self.record_time(status.is_success());
--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use comfreyturn_policy::{ArrivalMeter, HeadCandidate, SendPermit};
+use comfreyturn_policy::{ArrivalMeter, HeadCandidate, RequestDemand, SendPermit};
 use comfreyturn_types::{FleetServer, ModelName, ServerLife, ServiceSpec};
 
 use crate::{NotRunReason, gateway_state::GatewayState};
@@ -51,6 +51,7 @@
         model: Option<&ModelName>,
         tried: &[ServerLife],
         urgent: bool,
+        demand: &RequestDemand,
     ) -> Result<FleetServer, NotRunReason> {
         self.refresh_loads();
         let mut candidates = self.candidates(service, model);
@@ -84,6 +85,7 @@
             }
         });
         let reason = withheld.reason(candidates.is_empty());
+        self.set_estimates(now, service, model, demand, &mut candidates);
         let unreported = self.unreported_requests(now, service, model);
         let picked = self.picker.pick(&candidates, unreported, rand::random(), urgent);
         let servers = self.servers.borrow();
@@ -139,12 +141,14 @@
         model: Option<&ModelName>,
     ) -> Vec<HeadCandidate> {
         let mut servers = self.servers.borrow_mut();
-        let candidate = |head: &FleetServer, slots: u32| HeadCandidate {
+        let mut delay = self.delays(service);
+        let mut candidate = |head: &FleetServer, slots: u32| HeadCandidate {
             life: head.life.clone(),
             running: self.loads.running(&head.life),
             slots: slots.max(1),
-            distance: Duration::ZERO,
+            distance: delay(&head.failure_domain),
             has_quota: false,
+            estimate: None,
         };
         let leaving = self.leaving_servers.borrow();
         let stays = |head: &&FleetServer| !leaving.contains(&head.life);
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyturn_policy::LimitStatement;
+use comfreyturn_policy::{LEAST_PACE, LimitStatement, MOST_PACE};
 use comfreyturn_types::{ModelName, NodeId, ServerLife};
 
 use crate::PartReport;
@@ -39,6 +39,12 @@
     /// Requests in flight at each server.
     pub loads: HashMap<ServerLife, u32>,
 
+    /// Prompt tokens sent to each server whose first event has not arrived.
+    pub unread: HashMap<ServerLife, u32>,
+
+    /// Measured paces of servers. Invariant: positive and finite.
+    pub paces: HashMap<ServerLife, f64>,
+
     /// When servers last delivered data to any of the nodes.
     pub seen: HashMap<ServerLife, Instant>,
 
@@ -61,6 +67,18 @@
 impl ViewReport {
     /// Adds another report to this one.
     pub fn merge(&mut self, other: &Self) {
+        // Before the loads are added, which are the weights of the paces.
+        for (life, pace) in &other.paces {
+            let (weight, added) = (pace_weight(&self.loads, life), pace_weight(&other.loads, life));
+            let merge = |mean: &mut f64| {
+                *mean = (*mean * weight + pace * added) / (weight + added);
+            };
+            self.paces.entry(life.clone()).and_modify(merge).or_insert(*pace);
+        }
+        for (life, tokens) in &other.unread {
+            let unread = self.unread.entry(life.clone()).or_default();
+            *unread = unread.saturating_add(*tokens);
+        }
         for (life, running) in &other.loads {
             *self.loads.entry(life.clone()).or_default() += running;
         }
@@ -94,6 +112,22 @@
 
     /// Takes this node's own figures out of a digest that includes them.
     pub fn subtract(&mut self, own: &Self) {
+        // Before the loads are subtracted, which are the weights of the paces.
+        for (life, pace) in &own.paces {
+            let weight = pace_weight(&self.loads, life);
+            let rest = weight - pace_weight(&own.loads, life);
+            if rest <= 0.0 {
+                self.paces.remove(life);
+            } else if let Some(mean) = self.paces.get_mut(life) {
+                let other = *mean + (*mean - pace) * (weight - rest) / rest;
+                *mean = other.clamp(LEAST_PACE, MOST_PACE);
+            }
+        }
+        for (life, tokens) in &own.unread {
+            if let Some(sum) = self.unread.get_mut(life) {
+                *sum = sum.saturating_sub(*tokens);
+            }
+        }
         for (life, running) in &own.loads {
             if let Some(sum) = self.loads.get_mut(life) {
                 *sum = sum.saturating_sub(*running);
@@ -112,6 +146,11 @@
     }
 }
 
+/// The weight of a pace: the requests in flight of those who measured it.
+fn pace_weight(loads: &HashMap<ServerLife, u32>, life: &ServerLife) -> f64 {
+    f64::from(loads.get(life).copied().unwrap_or(0).max(1))
+}
+
 /// The newest report of each node that reports to this one.
 #[derive(Debug, Default)]
 pub struct ViewReports {
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -65,6 +65,7 @@
         loads_at_once: 7,
         kept_models: 1,
         open_time: Duration::ZERO,
+        times: None,
     };
     let service = |name: &str, engine| ServiceSpec {
         name: ServiceName::from(name),
@@ -188,6 +189,7 @@
             body: Bytes::from_static(b"body"),
             key: Some("k".to_owned()),
             model: None,
+            token_counts: None,
             shared_parts: Vec::new(),
             deadline: Some(Duration::from_secs(3)),
             resume_after: None,
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -51,6 +51,7 @@
         loads_at_once: 7,
         kept_models: 1,
         open_time: Duration::ZERO,
+        times: None,
     }
 }
 
--- a/crates/gateway/tests/nodes/plain_service.rs
+++ b/crates/gateway/tests/nodes/plain_service.rs
@@ -70,6 +70,7 @@
         body: Bytes::new(),
         key: None,
         model: None,
+        token_counts: None,
         shared_parts: Vec::new(),
         deadline: Some(Duration::from_secs(3)),
         resume_after: None,
--- a/crates/policy/src/head_picker.rs
+++ b/crates/policy/src/head_picker.rs
@@ -4,6 +4,8 @@
 
 use comfreyturn_types::ServerLife;
 
+use crate::FirstEventEstimate;
+
 /// A backend server that could take a request, with its known load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HeadCandidate {
@@ -21,6 +23,10 @@
 
     /// Whether it has a rate limit, of which this node holds a part that it has not used yet.
     pub has_quota: bool,
+
+    /// The predicted time to the request's first event; `None` if the timing of the engine is not
+    /// known.
+    pub estimate: Option<FirstEventEstimate>,
 }
 
 /// Settings of a [`HeadPicker`].
@@ -32,16 +38,20 @@
     /// Cost of distance: the number of requests in flight that weigh as much as one second of
     /// delay.
     pub requests_per_second: f64,
+
+    /// Cost of a pause that exceeds the longest one of the streams at a server, relative to a delay
+    /// of the request itself. Above one, because the pause delays several streams.
+    pub pause_weight: f64,
 }
 
 impl Default for HeadPickerSettings {
     fn default() -> Self {
-        Self { queue_share: 0.25, requests_per_second: 200.0 }
+        Self { queue_share: 0.25, requests_per_second: 200.0, pause_weight: 4.0 }
     }
 }
 
-/// Picks the server with the fewest requests in flight, allowing for requests of other nodes that
-/// are not reported yet.
+/// Picks the server that is predicted to answer first, or has the fewest requests in flight if no
+/// prediction exists. Allows for requests of other nodes that are not reported yet.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HeadPicker {
     settings: HeadPickerSettings,
@@ -80,28 +90,50 @@
     ) -> Option<&'a HeadCandidate> {
         let available =
             candidates.iter().filter(|candidate| urgent || self.has_capacity(candidate));
-        let mut costs: Vec<_> =
-            available.map(|candidate| (self.cost(candidate), candidate)).collect();
-        costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-        let mean = costs.iter().map(|(cost, _)| cost).sum::<f64>() / costs.len().max(1) as f64;
-        let limited = costs.iter().find(|(_, candidate)| candidate.has_quota);
-        if let Some((_, candidate)) = limited.filter(|(cost, _)| *cost <= mean) {
-            return Some(candidate);
+        let available: Vec<_> = available.collect();
+        // Times and counts can't be compared.
+        let by_time = available.iter().all(|candidate| candidate.estimate.is_some());
+        let mut curves: Vec<_> =
+            available.into_iter().map(|candidate| self.curve(candidate, by_time)).collect();
+        curves.sort_by(|one, other| one.cost.total_cmp(&other.cost));
+        let mean = curves.iter().map(|curve| curve.cost).sum::<f64>() / curves.len().max(1) as f64;
+        let limited = curves.iter().find(|curve| curve.candidate.has_quota);
+        if let Some(curve) = limited.filter(|curve| curve.cost <= mean) {
+            return Some(curve.candidate);
         }
-        let level = fill_level(&costs, unseen.max(MIN_UNSEEN))?;
-        let share = |(cost, candidate): &(f64, &HeadCandidate)| {
-            (level - cost).max(0.0) * f64::from(candidate.slots)
-        };
-        let mut rest = draw * costs.iter().map(share).sum::<f64>();
-        let drawn = costs.iter().find(|candidate| {
-            rest -= share(candidate);
+        let level = fill_level(&curves, unseen.max(MIN_UNSEEN));
+        let mut rest = draw * curves.iter().map(|curve| curve.taken(level)).sum::<f64>();
+        let drawn = curves.iter().find(|curve| {
+            rest -= curve.taken(level);
             rest < 0.0
         });
-        drawn.or(costs.first()).map(|(_, candidate)| *candidate)
+        drawn.or(curves.first()).map(|curve| curve.candidate)
+    }
+
+    fn curve<'a>(&self, candidate: &'a HeadCandidate, by_time: bool) -> CostCurve<'a> {
+        let estimate = candidate.estimate.as_ref().filter(|_| by_time);
+        let slots = f64::from(candidate.slots);
+        let Some(estimate) = estimate else {
+            let cost = self.count_cost(candidate);
+            return CostCurve {
+                candidate,
+                cost,
+                width: slots,
+                bend: f64::INFINITY,
+                end_width: 0.0,
+            };
+        };
+        let cost = estimate.time.as_secs_f64()
+            + estimate.excess_pause.as_secs_f64() * self.settings.pause_weight;
+        let width = |delay: Duration| 1.0 / delay.max(MIN_DELAY).as_secs_f64();
+        let room = (slots - f64::from(candidate.running)).max(0.0);
+        let bend = cost + room / width(estimate.delay_per_request);
+        let end_width = width(estimate.delay_per_queued);
+        CostCurve { candidate, cost, width: width(estimate.delay_per_request), bend, end_width }
     }
 
     /// Requests in flight per slot, with the distance converted to requests and added.
-    fn cost(&self, candidate: &HeadCandidate) -> f64 {
+    fn count_cost(&self, candidate: &HeadCandidate) -> f64 {
         let distance = candidate.distance.as_secs_f64() * self.settings.requests_per_second;
         (f64::from(candidate.running) + distance) / f64::from(candidate.slots)
     }
@@ -111,18 +143,53 @@
 /// load.
 const MIN_UNSEEN: f64 = 1e-6;
 
-/// The load level that servers reach when `requests` are distributed to the least loaded ones
-/// first. `costs` must be in ascending order.
-fn fill_level(costs: &[(f64, &HeadCandidate)], requests: f64) -> Option<f64> {
-    let (mut slots, mut filled) = (0.0, 0.0);
-    let mut level = None;
-    for (cost, candidate) in costs {
-        if level.is_some_and(|level| level <= *cost) {
+/// Lower bound on the delay that a request causes, so that a server takes a finite number of
+/// requests up to a common level.
+const MIN_DELAY: Duration = Duration::from_micros(1);
+
+/// The cost of a candidate by the number of requests that are added to it: it rises linearly, and at
+/// another rate once its slots are taken.
+struct CostCurve<'a> {
+    candidate: &'a HeadCandidate,
+
+    /// The cost without further requests.
+    cost: f64,
+
+    /// Requests that raise the cost by one while slots are free. Invariant: positive.
+    width: f64,
+
+    /// The cost at which all slots are taken.
+    bend: f64,
+
+    /// Requests that raise the cost by one above `bend`.
+    end_width: f64,
+}
+
+impl CostCurve<'_> {
+    /// Requests that raise the cost to a level; none if it is higher already.
+    fn taken(&self, level: f64) -> f64 {
+        let first = (level.min(self.bend) - self.cost).max(0.0) * self.width;
+        let rest = if level > self.bend { (level - self.bend) * self.end_width } else { 0.0 };
+        first + rest
+    }
+}
+
+/// The cost that servers reach when `requests` are distributed to the cheapest ones first.
+fn fill_level(curves: &[CostCurve<'_>], requests: f64) -> f64 {
+    let starts = curves.iter().map(|curve| (curve.cost, curve.width));
+    let bends = curves.iter().map(|curve| (curve.bend, curve.end_width - curve.width));
+    let mut changes: Vec<(f64, f64)> =
+        starts.chain(bends.filter(|(bend, _)| bend.is_finite())).collect();
+    changes.sort_by(|(one, _), (other, _)| one.total_cmp(other));
+    let (mut level, mut width, mut rest) = (0.0, 0.0, requests);
+    for (cost, change) in changes {
+        let taken = (cost - level) * width;
+        if taken >= rest && width > 0.0 {
             break;
         }
-        slots += f64::from(candidate.slots);
-        filled += cost * f64::from(candidate.slots);
-        level = Some((filled + requests) / slots);
+        rest -= taken;
+        level = cost;
+        width += change;
     }
-    level
+    level + rest / width
 }
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -64,6 +64,7 @@
             loads_at_once: 7,
             kept_models: 1,
             open_time: Duration::from_millis(300),
+            times: None,
         };
         Self {
             service: ServiceName::from("pool"),
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -60,6 +60,7 @@
             loads_at_once: self.loads_at_once,
             kept_models: 1,
             open_time: Duration::from_millis(300),
+            times: None,
         }
     }
 }
--- a/crates/policy/tests/head_picker.rs
+++ b/crates/policy/tests/head_picker.rs
@@ -15,6 +15,7 @@
         slots: SLOTS,
         distance: Duration::ZERO,
         has_quota: false,
+        estimate: None,
     }
 }
 
--- a/crates/types/src/gateway_config.rs
+++ b/crates/types/src/gateway_config.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{CustomerName, HostName, ModelName, RouteName, ServiceName};
+use crate::{CustomerName, EngineTimes, HostName, ModelName, RouteName, ServiceName};
 
 /// One version of the operators' configuration, as far as a gateway needs it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -135,6 +135,9 @@
 
     /// Time from the order to open a group until it serves requests.
     pub open_time: Duration,
+
+    /// The timing of its steps; `None` if it is not stated, or not plausible.
+    pub times: Option<EngineTimes>,
 }
 
 /// One of the models that the servers of a service share.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod config_change;
 mod config_intent;
+mod engine_times;
 mod fleet_server;
 mod gateway_config;
 mod group_record;
@@ -21,6 +22,7 @@
 
 pub use config_change::*;
 pub use config_intent::*;
+pub use engine_times::*;
 pub use fleet_server::*;
 pub use gateway_config::*;
 pub use group_record::*;
