--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -32,6 +32,9 @@
     /// Whether the server survived the answering of the request.
     is_proven: bool,
 
+    /// Since when the next event is waited for.
+    asked_at: Option<Instant>,
+
     /// When its events arrived.
     event_times: EventTimes,
 }
@@ -147,8 +150,7 @@
                     let now = self.run.now();
                     self.run.state.stalls.borrow_mut().record_seen(now, &self.attempt.life);
                     self.splitter.push(&bytes);
-                    let times = &mut self.progress.event_times;
-                    self.run.record_event_time(times, &self.attempt.life, asked_at, now);
+                    self.progress.asked_at.get_or_insert(asked_at);
                 }
                 None if self.splitter.has_partial() => {
                     return Err(self.run.attempt_error(LinkError::Broken));
@@ -169,7 +171,12 @@
     /// Records that events were received.
     fn record_events(&mut self) {
         let now = self.run.now();
+        // Before the time is recorded: this prompt was read before the event.
         self.attempt.reading_guard = None;
+        if let Some(asked_at) = self.progress.asked_at.take() {
+            let times = &mut self.progress.event_times;
+            self.run.record_event_time(times, &self.attempt.life, asked_at, now);
+        }
         let first_at = *self.progress.first_event_at.get_or_insert(now);
         if now.saturating_duration_since(first_at) >= PROOF_TIME {
             self.record_proof();
--- a/crates/gateway/src/server_times.rs
+++ b/crates/gateway/src/server_times.rs
@@ -137,7 +137,7 @@
         Some(self.state.loads.start_reading(&server.life, tokens))
     }
 
-    /// Records that data of a stream arrived which was waited for from `asked_at` until `now`.
+    /// Records that an event of a stream arrived that was waited for from `asked_at` until `now`.
     pub(crate) fn record_event_time(
         &self,
         times: &mut EventTimes,
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -18,10 +18,10 @@
     ScriptEnd, ScriptedServers, ServerScript, run_for, run_until,
 };
 use comfreyturn_types::{
-    CallerLimits, CellName, CustomerName, EngineSpec, FabricDomain, FailureDomain, FleetServer,
-    GatewayConfig, GroupId, GroupMembership, HostName, Incarnation, KeyedCustomer, MemberPhase,
-    ModelName, NodeId, PooledModel, RequestId, RequestKind, RouteName, RouteSpec, RouteTarget,
-    ServerLife, ServiceName, ServiceSpec, StoreVersion, VmId,
+    CallerLimits, CellName, CustomerName, EngineSpec, EngineTimes, FabricDomain, FailureDomain,
+    FleetServer, GatewayConfig, GroupId, GroupMembership, HostName, Incarnation, KeyedCustomer,
+    MemberPhase, ModelName, NodeId, PooledModel, RequestId, RequestKind, RouteName, RouteSpec,
+    RouteTarget, ServerLife, ServiceName, ServiceSpec, StoreVersion, UsualTokens, VmId,
 };
 use http::{HeaderMap, Method};
 
@@ -447,6 +447,48 @@
     assert_eq!(calls[1].resume_after.as_deref(), Some("2"));
 }
 
+/// Two servers look alike by count; the one whose events come later than stated is avoided, until its
+/// measurement is too old.
+#[test]
+fn server_that_is_slower_than_stated_is_avoided_for_some_seconds() {
+    let mut site = TestSite::started();
+    let mut config = config(2, &["k"]);
+    let services = config.services.values_mut();
+    for engine in services.filter_map(|service| service.engine.as_mut()) {
+        engine.times = Some(EngineTimes {
+            step: Duration::from_millis(10),
+            step_per_request: Duration::ZERO,
+            step_per_kilotoken: Duration::ZERO,
+            read_rate: 10_000.0,
+            read_per_megapair: Duration::ZERO,
+            chunk: 512,
+            stride: 1,
+            usual: UsualTokens { prompt: 100.0, answer: 20.0 },
+            delays: Vec::new(),
+        });
+    }
+    site.feeds.put_config(config);
+    site.run(1000);
+    for (vm, pause) in [("m1", 50), ("m2", 10)] {
+        for _ in 0..150 {
+            let pieces = vec![(Duration::from_millis(pause), "id: 1\n\n"); 20];
+            let end = ScriptEnd::Whole;
+            site.servers.script(vm, ServerScript::Answer { status: 200, pieces, end });
+        }
+    }
+    let serve = |site: &mut TestSite| {
+        let answer = site.send_to("/stream/x");
+        assert!(site.read(answer).1);
+        site.servers.calls().last().unwrap().life.vm.to_string()
+    };
+    assert!((0..60).any(|_| serve(&mut site) == "m1"), "both are tried");
+    for _ in 0..5 {
+        assert_eq!(serve(&mut site), "m2");
+    }
+    site.run(20_000);
+    assert!((0..60).any(|_| serve(&mut site) == "m1"), "it is tried again");
+}
+
 /// Guards against a crash before the first event that is taken for an empty answer, since the answer
 /// has no marked end.
 #[test]
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -147,6 +147,43 @@
     assert_eq!(tracker.running(&life("a")), 0, "a removed node has no requests in flight");
 }
 
+#[test]
+fn prompt_counts_as_unread_until_its_guard_is_dropped() {
+    let tracker = LoadTracker::default();
+    tracker.set_others_unread(HashMap::from([(life("a"), 100)]));
+    let guards =
+        [tracker.start_reading(&life("a"), 40), tracker.start_reading(&life("a"), u32::MAX)];
+    assert_eq!(tracker.unread(&life("a")), u32::MAX, "the sum doesn't overflow");
+    assert_eq!(tracker.own_unread()[&life("a")], u32::MAX);
+    drop(guards);
+    assert_eq!(tracker.unread(&life("a")), 100);
+    assert!(tracker.own_unread().is_empty());
+}
+
+/// A node that doesn't take its own figures out of a digest counts them twice.
+#[test]
+fn paces_and_unread_tokens_of_others_are_what_remains_without_the_own_ones() {
+    let report = |running: u32, unread: u32, pace: Option<f64>| ViewReport {
+        loads: HashMap::from([(life("a"), running)]),
+        unread: HashMap::from([(life("a"), unread)]),
+        paces: pace.map(|pace| (life("a"), pace)).into_iter().collect(),
+        ..ViewReport::default()
+    };
+    let own = report(3, 500, Some(2.0));
+    let mut digest = own.clone();
+    digest.merge(&report(1, 200, Some(4.0)));
+    assert_eq!(digest.unread[&life("a")], 700);
+    assert!((digest.paces[&life("a")] - 2.5).abs() < 1e-9, "weighted by running requests");
+    digest.subtract(&own);
+    assert_eq!((digest.loads[&life("a")], digest.unread[&life("a")]), (1, 200));
+    assert!((digest.paces[&life("a")] - 4.0).abs() < 1e-9);
+    digest.merge(&report(5, 0, None));
+    assert!((digest.paces[&life("a")] - 4.0).abs() < 1e-9, "a node without a pace has no say");
+    let mut alone = own.clone();
+    alone.subtract(&own);
+    assert!(alone.paces.is_empty());
+}
+
 #[test]
 fn stall_ends_when_the_server_delivers_data() {
     let now = Instant::now();
