--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -10,6 +10,7 @@
     EventSplitter, ForwardAnswer,
     forward_attempt::{Attempt, AttemptError},
     forward_run::ForwardRun,
+    server_times::EventTimes,
 };
 
 /// Pause before another attempt to resume a stream when no server was available.
@@ -30,6 +31,12 @@
 
     /// Whether the server survived the answering of the request.
     is_proven: bool,
+
+    /// Since when the next event is waited for.
+    asked_at: Option<Instant>,
+
+    /// When its events arrived.
+    event_times: EventTimes,
 }
 
 /// The stream broke and can't be resumed; the caller received only a part of the answer.
@@ -135,6 +142,7 @@
             if self.splitter.partial_len() > MAX_EVENT_BYTES {
                 return Err(self.run.attempt_error(LinkError::Foreign));
             }
+            let asked_at = self.run.now();
             let Self { run, attempt, .. } = self;
             let chunk = run.await_server(&attempt.life, limit, attempt.answer.chunk()).await?;
             match chunk.map_err(|error| self.run.attempt_error(error))? {
@@ -142,6 +150,7 @@
                     let now = self.run.now();
                     self.run.state.stalls.borrow_mut().record_seen(now, &self.attempt.life);
                     self.splitter.push(&bytes);
+                    self.progress.asked_at.get_or_insert(asked_at);
                 }
                 None if self.splitter.has_partial() => {
                     return Err(self.run.attempt_error(LinkError::Broken));
@@ -162,6 +171,12 @@
     /// Records that events were received.
     fn record_events(&mut self) {
         let now = self.run.now();
+        // Before the time is recorded: this prompt was read before the event.
+        self.attempt.reading_guard = None;
+        if let Some(asked_at) = self.progress.asked_at.take() {
+            let times = &mut self.progress.event_times;
+            self.run.record_event_time(times, &self.attempt.life, asked_at, now);
+        }
         let first_at = *self.progress.first_event_at.get_or_insert(now);
         if now.saturating_duration_since(first_at) >= PROOF_TIME {
             self.record_proof();
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -6,7 +6,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, is_standby_group, newest_places,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, is_standby_group,
+    newest_places,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -66,6 +67,7 @@
             loads_at_once: 7,
             kept_models: 1,
             open_time: Duration::from_millis(300),
+            times: None,
         };
         Self {
             service: ServiceName::from("pool"),
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -7,7 +7,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, group_model, standby_model,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, group_model,
+    standby_model,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -62,6 +63,7 @@
             loads_at_once: self.loads_at_once,
             kept_models: 1,
             open_time: Duration::from_millis(300),
+            times: None,
         }
     }
 }
