Send servers the priority of a request's route

Servers order their queues by priority, but only customers' priorities were passed on. Urgent kinds of request therefore waited behind others under load, although the configuration states the priority of their route.

A request now has its customer's priority, else the one stated for its route, bounded to 0..=9. The route's is left out where all routes of the service have the same one or none: it would distinguish nothing, and the messages of such deployments stay as they were. A missing priority of a route is no longer taken for 0, since 0 is the most urgent one.

Sending the route's priority always was ruled out, because deployments that declare only one would get a header that changes nothing.

--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -1,13 +1,13 @@
 //! The configuration held by this node and the checks on its age.
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use comfreyturn_policy::{ConfigAttestation, KeyTable, RouteTable};
-use comfreyturn_types::{CustomerName, GatewayConfig};
+use comfreyturn_types::{CustomerName, GatewayConfig, KeyedCustomer, RouteSpec, ServiceName};
 
 use crate::{
     gateway_metrics::{LABELLED_CUSTOMERS, OTHER_LABEL},
@@ -22,6 +22,9 @@
 /// counts as one that reads it.
 const CONFIG_ANSWER_TIME: Duration = Duration::from_millis(400);
 
+/// The least urgent priority.
+pub(crate) const LEAST_PRIORITY: u8 = 9;
+
 /// A configuration and the lookup tables built from it.
 #[derive(Debug)]
 pub(crate) struct ConfigView {
@@ -29,6 +32,9 @@
     pub(crate) routes: RouteTable,
     pub(crate) keys: Option<KeyTable>,
 
+    /// Services whose routes don't all have the same priority, or don't all state one.
+    ranked_services: HashSet<ServiceName>,
+
     /// Customers that have a metric label of their own.
     labelled: HashSet<CustomerName>,
 }
@@ -39,7 +45,22 @@
         let keys = config.customers.as_deref().map(KeyTable::new);
         let customers = config.customers.iter().flatten().take(LABELLED_CUSTOMERS);
         let labelled = customers.map(|customer| customer.name.clone()).collect();
-        Self { config, routes, keys, labelled }
+        let ranked_services = ranked_services(&config);
+        Self { config, routes, keys, ranked_services, labelled }
+    }
+
+    /// The priority of a request, from 0 to [`LEAST_PRIORITY`]: the customer's, else the one that
+    /// the configuration states for the route. `None` if neither is declared, or if all routes of
+    /// the service are alike, so that the route's priority distinguishes nothing.
+    pub(crate) fn priority(
+        &self,
+        customer: Option<&KeyedCustomer>,
+        route: &RouteSpec,
+        service: &ServiceName,
+    ) -> Option<u8> {
+        let own = customer.and_then(|customer| customer.priority);
+        let stated = route.priority.filter(|_| self.ranked_services.contains(service));
+        own.or(stated).map(|priority| priority.min(LEAST_PRIORITY))
     }
 
     /// The value of the `customer` metric label.
@@ -52,6 +73,18 @@
     }
 }
 
+/// The services whose routes differ in priority.
+fn ranked_services(config: &GatewayConfig) -> HashSet<ServiceName> {
+    let mut priorities: HashMap<&ServiceName, HashSet<Option<u8>>> = HashMap::new();
+    for route in &config.routes {
+        for target in &route.targets {
+            priorities.entry(&target.service).or_default().insert(route.priority);
+        }
+    }
+    let ranked = priorities.into_iter().filter(|(_, found)| found.len() > 1);
+    ranked.map(|(service, _)| service.clone()).collect()
+}
+
 impl GatewayState {
     /// Whether the configuration was confirmed recently enough to accept or reject keys by it.
     pub(crate) fn config_is_usable(&self, now: Instant) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -175,7 +175,7 @@
             route: route.clone(),
             service: service.clone(),
             customer: customer.map(|customer| customer.name.clone()),
-            priority: customer.and_then(|customer| customer.priority),
+            priority: view.priority(customer, route, &service.name),
             tried: Vec::new(),
             sent: 0,
             may_have_run: false,
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -43,7 +43,7 @@
         timeout: Duration::from_secs(4),
         objective: Duration::from_millis(300),
         longest_pause: Some(Duration::from_millis(200)),
-        priority: 0,
+        priority: Some(0),
         max_attempts: if kind == RequestKind::NonIdempotent { 1 } else { 2 },
         public: prefix == "/public/",
         targets: vec![RouteTarget { service: ServiceName::from(service), weight: 1 }],
@@ -300,6 +300,44 @@
     assert_eq!(whole(site.send_to("/read/x")).0, 200);
 }
 
+// -------------------------------------------------------------------------------------------
+// Priorities
+
+/// The priority with which servers receive a request, where the routes of the plain service have
+/// these priorities: one for reads, one for the others.
+fn sent_priority(read: Option<u8>, other: Option<u8>, customer: Option<u8>) -> Option<u8> {
+    let mut site = TestSite::started();
+    let mut config = config(2, &["k"]);
+    for route in &mut config.routes {
+        route.priority = if route.prefix == "/read/" { read } else { other };
+    }
+    config.customers.as_mut().unwrap()[0].priority = customer;
+    site.feeds.put_config(config);
+    site.run(1000);
+    site.script_all("p", &ServerScript::whole(200, "ok"));
+    assert_eq!(whole(site.send_to("/read/x")).0, 200);
+    site.servers.calls()[0].priority
+}
+
+/// Guards against urgent kinds of request that wait at servers behind others, because servers are
+/// not told of the priority of their route.
+#[test]
+fn request_has_the_priority_of_its_customer_else_of_its_route() {
+    assert_eq!(sent_priority(Some(0), Some(2), None), Some(0));
+    assert_eq!(sent_priority(Some(3), Some(2), Some(1)), Some(1));
+    assert_eq!(sent_priority(Some(200), Some(2), None), Some(9));
+    assert_eq!(sent_priority(Some(3), Some(2), Some(77)), Some(9));
+}
+
+/// Guards against messages that change in deployments that declare no priorities, or only one.
+#[test]
+fn priority_is_not_sent_where_it_distinguishes_nothing() {
+    assert_eq!(sent_priority(None, None, None), None);
+    assert_eq!(sent_priority(None, Some(1), None), None);
+    assert_eq!(sent_priority(Some(1), Some(1), None), None);
+    assert_eq!(sent_priority(Some(1), Some(1), Some(4)), Some(4));
+}
+
 // -------------------------------------------------------------------------------------------
 // Plain services
 
--- a/crates/gateway/tests/nodes/plain_service.rs
+++ b/crates/gateway/tests/nodes/plain_service.rs
@@ -29,7 +29,7 @@
         timeout: Duration::from_secs(4),
         objective: Duration::from_millis(300),
         longest_pause: Some(Duration::from_millis(200)),
-        priority: 0,
+        priority: Some(0),
         max_attempts: 2,
         public: true,
         targets: vec![RouteTarget { service: service.name.clone(), weight: 1 }],
--- a/crates/policy/tests/route_table.rs
+++ b/crates/policy/tests/route_table.rs
@@ -17,7 +17,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(300),
         longest_pause: None,
-        priority: 0,
+        priority: Some(0),
         max_attempts: 2,
         public: false,
         targets: vec![target("a", 90), target("b", 10)],
--- a/crates/types/src/gateway_config.rs
+++ b/crates/types/src/gateway_config.rs
@@ -89,8 +89,8 @@
     /// Latency objective: the longest time between two events of a stream.
     pub longest_pause: Option<Duration>,
 
-    /// Priority among routes; 0 is the highest.
-    pub priority: u8,
+    /// Priority among routes; 0 is the highest. `None` if the configuration states none.
+    pub priority: Option<u8>,
 
     /// Number of backend servers that one request may be sent to. Invariant: at least one.
     pub max_attempts: u32,
