Let requests wait for a free place while they can be served in time

A request that found no server with capacity was refused at once, whatever its objective, priority and customer, and a short burst cost every request that met it. Holding requests in one queue until their callers give up makes nearly all of them late instead.

WaitingRoom decides on such requests: those with an objective wait while they will probably be served in time, by the rate at which requests finished lately and what waits before them, and are refused at once otherwise. In-time requests go before late ones, then by priority, kinds far below their served share, customers in turn, and earliest limit. Late ones get spare places, and one release of sixteen goes to what was passed over for longest. Heartbeats have the numbers of waiting and finished requests by model, so that nodes share free places in proportion.

A request that finds capacity runs as before. Routes without an objective never wait. Ruled out: earliest limit first among late requests (no clear difference in the loads played), and one or four of 32 releases for those passed over (the former serves fewer of the other kinds while the urgent one bursts, the latter recovers later).

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -18,6 +18,9 @@
 /// Data heard from a server longer ago than this is not reported.
 const HEARD_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Upper bound on the number of waiting requests of a model that nodes report.
+const MAX_WAITING: f64 = 1e6;
+
 /// A short hash of a server's life. Two servers with the same tag, one pair in some millions, share
 /// their counts; that misleads the choice of a server but breaks nothing.
 pub(crate) fn server_tag(life: &ServerLife) -> u32 {
@@ -107,6 +110,8 @@
         model: model.to_string(),
         refused_milli: milli(rate.refused),
         arrived_milli: milli(rate.arrived),
+        waiting_milli: milli(rate.waiting.min(MAX_WAITING)),
+        finished_milli: milli(rate.finished),
     }
 }
 
@@ -132,7 +137,10 @@
     let rate = |rates: &peer::ModelRates| {
         let refused = rates.refused_milli as f64 / 1000.0;
         let arrived = rates.arrived_milli as f64 / 1000.0;
-        (ModelName::from(rates.model.as_str()), ModelRate { refused, arrived })
+        let finished = rates.finished_milli as f64 / 1000.0;
+        let waiting = (rates.waiting_milli as f64 / 1000.0).min(MAX_WAITING);
+        let rate = ModelRate { refused, arrived, finished, waiting };
+        (ModelName::from(rates.model.as_str()), rate)
     };
     report.rates = beat.rates.iter().map(rate).collect();
     report.parts = PartReport::decode(now, beat);
--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -30,6 +30,9 @@
     /// All servers that could take it asked this node to wait.
     ServersWait,
 
+    /// It waited for a free place at a server, and would not get one in time any more.
+    WaitEnded,
+
     /// The servers that received the request reported that they didn't run it.
     Declined,
 
@@ -52,7 +55,10 @@
 impl NotRunReason {
     /// Whether another server, or one more, could serve the request.
     pub(crate) fn is_lack_of_capacity(self) -> bool {
-        matches!(self, Self::NoServer | Self::NoRoom | Self::RateLimited | Self::ServersWait)
+        matches!(
+            self,
+            Self::NoServer | Self::NoRoom | Self::RateLimited | Self::ServersWait | Self::WaitEnded
+        )
     }
 
     /// Whether another node could serve the request.
@@ -65,6 +71,7 @@
             | Self::NoRoom
             | Self::RateLimited
             | Self::ServersWait
+            | Self::WaitEnded
             | Self::Declined
             | Self::Suspect
             | Self::SuspectPart
--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -5,7 +5,7 @@
 use comfreyturn_types::ServerLife;
 use http::{HeaderMap, StatusCode};
 
-use crate::{ForwardAnswer, NotRunReason, load_tracker::LoadGuard};
+use crate::{ForwardAnswer, NotRunReason, forward_wait::FinishGuard, load_tracker::LoadGuard};
 
 /// A server's answer to one attempt.
 pub(crate) struct Attempt {
@@ -15,6 +15,9 @@
     /// Whether it took this node's own path.
     pub(crate) is_direct: bool,
     pub(crate) _load_guard: LoadGuard,
+
+    /// Dropped after the load guard, so that the place is free when waiting requests learn of it.
+    pub(crate) _finish_guard: FinishGuard,
 }
 
 /// Why an attempt failed.
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -54,6 +54,9 @@
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
 
+    /// Whether the request waited so long that it can't meet its objective any more.
+    pub(crate) is_late: bool,
+
     pub(crate) _in_flight: InFlightGuard,
     pub(crate) trace: RequestTrace,
 }
@@ -205,11 +208,8 @@
         urgent: bool,
     ) -> Result<Attempt, AttemptError> {
         for _ in 0..UNREACHED_LIMIT {
+            let server = self.choose(urgent).await?;
             let now = self.now();
-            self.check_sendable(now)?;
-            let model = self.request.model.as_ref();
-            let server = self.state.pick(now, &self.service, model, &self.tried, urgent);
-            let server = server.map_err(AttemptError::NotMade)?;
             let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
             self.tried.push(server.life.clone());
             self.trace.attempt_started(&server.life);
@@ -227,7 +227,7 @@
                     .saturating_duration_since(now)
                     .saturating_sub(RESPONSE_MARGIN),
                 customer: self.customer.clone(),
-                priority: self.priority,
+                priority: self.sent_priority(),
                 helper,
                 resume_after: resume_after.clone(),
             };
@@ -249,7 +249,13 @@
                     self.trace.answered(self.sent);
                     let is_direct = helper.is_none();
                     let life = server.life;
-                    return Ok(Attempt { life, answer, is_direct, _load_guard: load_guard });
+                    return Ok(Attempt {
+                        life,
+                        answer,
+                        is_direct,
+                        _load_guard: load_guard,
+                        _finish_guard: self.finish_guard(),
+                    });
                 }
                 Ok(Err(LinkError::NotSent)) => self.trace.not_reached(),
                 Ok(Err(error)) => {
@@ -276,7 +282,7 @@
     }
 
     /// Whether the request may be sent now.
-    fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
+    pub(crate) fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
         if now + RESPONSE_MARGIN >= self.ends_at() {
             return Err(AttemptError::NotMade(self.lateness()));
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -104,7 +104,7 @@
     }
 
     /// Starts the background tasks: polling of the feeds, heartbeats, gauges, watching of lost
-    /// paths, and forming of groups while this node holds the fleet's lease.
+    /// paths, release of waiting requests, and forming of groups while this node holds the fleet's lease.
     pub fn start(self: &Rc<Self>) {
         let spawn = |task| self.ports.spawner.spawn(task);
         spawn(Box::pin(self.clone().keep_node_rows()));
@@ -116,6 +116,7 @@
         spawn(Box::pin(FleetLoop::new(self.clone()).run()));
         spawn(Box::pin(self.clone().keep_gauges()));
         spawn(Box::pin(self.clone().watch_paths()));
+        spawn(Box::pin(self.clone().release_waiting()));
     }
 
     /// Answers a request.
@@ -179,6 +180,7 @@
             tried: Vec::new(),
             sent: 0,
             may_have_run: false,
+            is_late: false,
             _in_flight: InFlightGuard::start(state, now, work),
             trace,
             request,
@@ -306,9 +308,10 @@
         log::info!(in_flight = self.in_flight(); "gateway: leaving.");
     }
 
-    /// Refuses all new requests from now on.
+    /// Refuses all new requests from now on, and those that wait.
     pub fn refuse_new(&self) {
         self.state.refusing.set(true);
+        self.state.waiting.stop();
         log::info!(in_flight = self.in_flight(); "gateway: refuses new requests.");
     }
 
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -11,6 +11,8 @@
 const ATTEMPTS: &str = "comfreyturn_attempts_total";
 const LIMITED_SENDS: &str = "comfreyturn_limited_sends_total";
 const REQUESTED_WAITS: &str = "comfreyturn_requested_waits_total";
+const WAITS: &str = "comfreyturn_waits_total";
+const WAIT_SECONDS: &str = "comfreyturn_wait_seconds";
 const RESUMES: &str = "comfreyturn_resumes_total";
 const ORDERS: &str = "comfreyturn_orders_total";
 const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
@@ -77,6 +79,13 @@
     counter!(REQUESTED_WAITS).increment(1);
 }
 
+/// Counts a request that found no free place, and how long it waited for one.
+pub(crate) fn count_wait(service: &ServiceName, end: &'static str, waited: Duration) {
+    counter!(WAITS, "service" => service.to_string(), "end" => end).increment(1);
+    histogram!(WAIT_SECONDS, "service" => service.to_string(), "end" => end)
+        .record(waited.as_secs_f64());
+}
+
 /// Counts a stream that was resumed at another server.
 pub(crate) fn count_resume(service: &ServiceName) {
     counter!(RESUMES, "service" => service.to_string()).increment(1);
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -5,6 +5,7 @@
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PathSettings, RelayChoiceSettings,
     RelaySettings, ReturnSettings, RunTimeSettings, SendQuotaSettings, WaitSettings,
+    WaitingRoomSettings,
 };
 
 use crate::PeerTimeouts;
@@ -168,6 +169,9 @@
     /// Choice of servers.
     pub picker: HeadPickerSettings,
 
+    /// Requests that wait for a free place at a server.
+    pub waiting: WaitingRoomSettings,
+
     /// Forming of groups.
     pub planner: FleetPlannerSettings,
 }
@@ -228,6 +232,7 @@
             send_quotas: SendQuotaSettings::default(),
             sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
+            waiting: WaitingRoomSettings::default(),
             planner: FleetPlannerSettings::default(),
         }
     }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -19,7 +19,7 @@
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, ReportKind, ServerLog, ServerTable, StallTracker,
     ViewReport, config_view::ConfigView, in_flight::InFlightTable, part_suspects::PartSuspects,
-    peer_view::PeerView,
+    peer_view::PeerView, waiting_requests::WaitingRequests,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -129,6 +129,7 @@
     /// Whether this node orders servers into groups.
     pub(crate) forms_groups: Cell<bool>,
     pub(crate) picker: HeadPicker,
+    pub(crate) waiting: WaitingRequests,
 }
 
 impl GatewayState {
@@ -140,6 +141,7 @@
         };
         Self {
             picker: HeadPicker::new(settings.picker),
+            waiting: WaitingRequests::new(settings.waiting),
             config: RefCell::default(),
             confirmed: Cell::default(),
             servers: RefCell::default(),
@@ -282,6 +284,21 @@
         }
         for rate in rates.values_mut() {
             rate.refused *= 1.0 - weight;
+            rate.waiting = 0.0;
+            rate.finished = 0.0;
+        }
+        let room = self.waiting.room.borrow();
+        for (key, count) in room.waiting() {
+            if let Some(model) = &key.model {
+                #[expect(clippy::cast_precision_loss, reason = "waiting requests are few")]
+                let count = count as f64;
+                rates.entry(model.clone()).or_default().waiting += count;
+            }
+        }
+        for (key, rate) in room.finish_rates(now) {
+            if let Some(model) = &key.model {
+                rates.entry(model.clone()).or_default().finished += rate;
+            }
         }
     }
 
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -41,6 +41,9 @@
         gauge!("comfreyturn_suspect_requests").set(count(state.suspects.borrow().len()));
         gauge!("comfreyturn_servers_limited").set(count(state.limits.borrow().limited()));
         gauge!("comfreyturn_servers_waiting").set(count(state.waits.borrow().waiting(now)));
+        let room = state.waiting.room.borrow();
+        gauge!("comfreyturn_requests_waiting").set(count(room.len()));
+        gauge!("comfreyturn_waiting_bytes").set(count(room.bytes()));
         gauge!("comfreyturn_peers_heard").set(count(peers));
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod forward_records;
 mod forward_request;
 mod forward_run;
+mod forward_wait;
 mod gateway;
 mod gateway_metrics;
 mod gateway_settings;
@@ -50,6 +51,8 @@
 mod shutdown;
 mod stall_tracker;
 mod view_reports;
+mod waiting_loop;
+mod waiting_requests;
 
 pub use event_splitter::EventSplitter;
 pub use fleet_loop::FleetLoop;
--- a/crates/gateway/src/peer_view.rs
+++ b/crates/gateway/src/peer_view.rs
@@ -10,7 +10,7 @@
 };
 use comfreyturn_types::{Incarnation, ModelName, NodeId, StoreVersion};
 
-use crate::{LogPosition, PeerTable, ReportKind, ViewReports, peer_table::PeerTimeouts};
+use crate::{LogPosition, ModelRate, PeerTable, ReportKind, ViewReports, peer_table::PeerTimeouts};
 
 /// How long a node that is only known from its row may be chosen as a relay.
 const TRIAL_TIME: Duration = Duration::from_secs(3);
@@ -137,6 +137,14 @@
             .sum()
     }
 
+    /// The rates of a model at all other nodes together.
+    pub(crate) fn waiting_rate(&self, model: &ModelName) -> ModelRate {
+        let mut sum = ModelRate::default();
+        let reports = self.reports.reports();
+        reports.filter_map(|report| report.rates.get(model)).for_each(|rate| sum.add(rate));
+        sum
+    }
+
     /// Whether a relay answers this node.
     pub(crate) fn hears_relay(&self) -> bool {
         self.reports.nodes(ReportKind::Upstream).next().is_some()
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -32,6 +32,9 @@
     received_at: Instant,
     first_at: Cell<Option<Instant>>,
 
+    /// When the last attempt started.
+    attempted_at: Cell<Option<Instant>>,
+
     /// Number of attempts that reached a server.
     sent: Cell<u32>,
 
@@ -57,6 +60,7 @@
             labels: AnswerLabels::default(),
             received_at: request.received_at,
             first_at: Cell::new(None),
+            attempted_at: Cell::new(None),
             sent: Cell::new(0),
             server: RefCell::default(),
             is_recorded: Cell::new(false),
@@ -82,6 +86,7 @@
 
     /// An attempt at a server starts.
     pub(crate) fn attempt_started(&self, life: &ServerLife) {
+        self.attempted_at.set(Some(self.clock.now()));
         *self.server.borrow_mut() = Some(life.clone());
     }
 
@@ -143,6 +148,10 @@
             let now = self.clock.now();
             self.first_at.set(Some(now));
             self.labels.measure_first(now.saturating_duration_since(self.received_at));
+            if let (Some(route), Some(at)) = (&self.route, self.attempted_at.get()) {
+                let time = now.saturating_duration_since(at);
+                self.state.waiting.record_needed(route, time);
+            }
         }
     }
 
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -31,6 +31,29 @@
 
     /// All requests.
     pub arrived: f64,
+
+    /// Requests that finished.
+    pub finished: f64,
+
+    /// Number of requests that wait for a free place at a server; no rate.
+    pub waiting: f64,
+}
+
+impl ModelRate {
+    /// Adds the rates of other nodes.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.refused += other.refused;
+        self.arrived += other.arrived;
+        self.finished += other.finished;
+        self.waiting += other.waiting;
+    }
+
+    fn subtract(&mut self, own: &Self) {
+        self.refused = (self.refused - own.refused).max(0.0);
+        self.arrived = (self.arrived - own.arrived).max(0.0);
+        self.finished = (self.finished - own.finished).max(0.0);
+        self.waiting = (self.waiting - own.waiting).max(0.0);
+    }
 }
 
 /// What a node, or a set of nodes, reports about requests and servers.
@@ -74,9 +97,7 @@
             }
         }
         for (model, rate) in &other.rates {
-            let sum = self.rates.entry(model.clone()).or_default();
-            sum.refused += rate.refused;
-            sum.arrived += rate.arrived;
+            self.rates.entry(model.clone()).or_default().add(rate);
         }
         for crash in &other.crashes {
             if !self.crashes.contains(crash) {
@@ -101,8 +122,7 @@
         }
         for (model, rate) in &own.rates {
             if let Some(sum) = self.rates.get_mut(model) {
-                sum.refused = (sum.refused - rate.refused).max(0.0);
-                sum.arrived = (sum.arrived - rate.arrived).max(0.0);
+                sum.subtract(rate);
             }
         }
         // On its way through other nodes, a statement seems to become younger.
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -1,5 +1,6 @@
 //! Several nodes of one deployment, on virtual time.
 
+mod admission;
 mod config_attestation;
 mod crashing_parts;
 mod fleet_lease;
--- a/crates/policy/src/head_picker.rs
+++ b/crates/policy/src/head_picker.rs
@@ -55,8 +55,17 @@
 
     /// Whether a server can accept one more request.
     pub fn has_capacity(&self, candidate: &HeadCandidate) -> bool {
-        let slots = f64::from(candidate.slots);
-        f64::from(candidate.running) < (slots * (1.0 + self.settings.queue_share)).ceil()
+        candidate.running < self.places(candidate)
+    }
+
+    /// Requests that a server may have: those that it runs, and those that may queue there.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number of slots is small and not negative"
+    )]
+    pub fn places(&self, candidate: &HeadCandidate) -> u32 {
+        (f64::from(candidate.slots) * (1.0 + self.settings.queue_share)).ceil() as u32
     }
 
     /// Picks a candidate with capacity, or any candidate for an urgent request. `unseen` is the
