Leave nodes with few waiting requests their part of the places

A node that had most of the waiting requests of a model filled its queue up to the limit and took again, at the end of each period, the places that it had left to the others. What a node knew of the others' finished requests was also missing or old when its first request of a model had to wait, so it was refused at once.

Waiting requests are part of the demand by which groups are planned, as refused ones are.

Ruled out: the part of all free places only, which lets the largest queue take what it left to others.

--- a/crates/gateway/src/fleet_demand.rs
+++ b/crates/gateway/src/fleet_demand.rs
@@ -49,8 +49,9 @@
         let mut report = state.others_report();
         report.merge(&state.own_report(now));
         for model in &engine.models {
-            let refused = report.rates.get(&model.name).map_or(0.0, |rate| rate.refused);
-            *measured.entry(&model.name).or_default() += refused * REFUSED_RUN_TIME_S;
+            let rate = report.rates.get(&model.name).copied().unwrap_or_default();
+            *measured.entry(&model.name).or_default() +=
+                rate.refused * REFUSED_RUN_TIME_S + rate.waiting;
         }
         for model in &engine.models {
             let sample = measured.get(&model.name).copied().unwrap_or_default();
--- a/crates/gateway/src/forward_wait.rs
+++ b/crates/gateway/src/forward_wait.rs
@@ -66,6 +66,9 @@
     /// Waits until a place is free.
     async fn await_place(&mut self, now: Instant, key: &WaitingKey) -> Result<(), NotRunReason> {
         let request = self.waiting_request();
+        if !self.state.waiting.is_awaited(key) {
+            self.state.update_peers_waiting_for(now, key);
+        }
         let end = self.state.waiting.wait(now, key, request).await;
         let waited = self.now().saturating_duration_since(now);
         let text: &'static str = match end {
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -288,11 +288,9 @@
             rate.finished = 0.0;
         }
         let room = self.waiting.room.borrow();
-        for (key, count) in room.waiting() {
+        for (key, weight) in room.weights() {
             if let Some(model) = &key.model {
-                #[expect(clippy::cast_precision_loss, reason = "waiting requests are few")]
-                let count = count as f64;
-                rates.entry(model.clone()).or_default().waiting += count;
+                rates.entry(model.clone()).or_default().waiting += weight;
             }
         }
         for (key, rate) in room.finish_rates(now) {
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -35,7 +35,7 @@
     /// Requests that finished.
     pub finished: f64,
 
-    /// Number of requests that wait for a free place at a server; no rate.
+    /// Number of requests that wait for a free place at a server; no rate. Late ones count less.
     pub waiting: f64,
 }
 
--- a/crates/gateway/src/waiting_loop.rs
+++ b/crates/gateway/src/waiting_loop.rs
@@ -38,30 +38,31 @@
                 Either::Left(_) | Either::Right(_) => {}
             }
             let now = ports.clock.now();
-            let is_period = now >= period_ends_at;
-            if is_period {
+            let mut since = Duration::ZERO;
+            if now >= period_ends_at {
+                since = period;
                 period_ends_at = now + period;
                 state.update_waiting_peers(now);
             }
-            state.release_waiting(now, is_period);
+            state.release_waiting(now, since);
         }
     }
 }
 
 impl GatewayState {
-    /// Releases waiting requests into all free places, or only into those of requests that finished
-    /// here.
-    fn release_waiting(&self, now: Instant, all: bool) {
+    /// Releases waiting requests into all free places, or, if `since` is zero, only into those of
+    /// requests that finished here.
+    fn release_waiting(&self, now: Instant, since: Duration) {
         let finished = self.waiting.take_finished();
         self.refresh_loads();
         for key in self.waiting.keys() {
             let mut free = self.free_places(now, &key);
-            if !all {
+            if since.is_zero() {
                 let finished = finished.get(&key).copied().unwrap_or_default();
                 free.all = free.all.min(finished);
                 free.spare = free.spare.min(finished);
             }
-            self.waiting.release(now, &key, free);
+            self.waiting.release(now, &key, free, since);
         }
     }
 
@@ -97,38 +98,46 @@
         }
     }
 
-    /// Applies what other nodes report about their waiting requests.
+    /// Applies what other nodes report about their waiting requests, for all servers that requests
+    /// wait for here.
     fn update_waiting_peers(&self, now: Instant) {
+        for key in self.waiting.keys() {
+            self.update_peers_waiting_for(now, &key);
+        }
+    }
+
+    /// Applies what other nodes report about the requests that wait for some servers.
+    pub(crate) fn update_peers_waiting_for(&self, now: Instant, key: &WaitingKey) {
         let view = self.view.borrow();
         let heard = view.peers.alive(now, self.settings.peer_timeouts).count();
-        let known = view.peers.len();
         #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
-        let (heard, even) = (heard as f64, 1.0 / (known + 1) as f64);
+        let (heard, known) = (heard as f64, view.peers.len() as f64);
+        let others = if heard > 0.0 { heard } else { known };
+        let even = 1.0 / (others + 1.0);
         let mut room = self.waiting.room.borrow_mut();
-        let waiting: Vec<_> = room.waiting().map(|(key, len)| (key.clone(), len)).collect();
-        for (key, len) in waiting {
-            let mut peers = match &key.model {
-                Some(model) => {
-                    let rate = view.waiting_rate(model);
-                    PeersWaiting {
-                        requests: rate.waiting,
-                        finish_rate: rate.finished,
-                        largest_part: 1.0,
-                    }
+        let peers = match &key.model {
+            Some(model) => {
+                let rate = view.waiting_rate(model);
+                let largest_part = if heard > 0.0 { 1.0 } else { even };
+                let (requests, finish_rate) = (rate.waiting, rate.finished);
+                PeersWaiting {
+                    requests,
+                    finish_rate,
+                    shares_finished: true,
+                    even_part: even,
+                    largest_part,
                 }
-                // Heartbeats count by model: others are taken to have as many as this node.
-                #[expect(clippy::cast_precision_loss, reason = "waiting requests are few")]
-                None => PeersWaiting {
-                    requests: len as f64 * heard,
-                    finish_rate: room.finish_rate(now, &key) * heard,
-                    largest_part: 1.0,
-                },
-            };
-            if heard < 1.0 {
-                peers.largest_part = even;
             }
-            room.set_peers(&key, peers);
-        }
+            // Heartbeats count by model only.
+            None => PeersWaiting {
+                requests: 0.0,
+                finish_rate: room.finish_rate(now, key) * heard,
+                shares_finished: false,
+                even_part: even,
+                largest_part: even,
+            },
+        };
+        room.set_peers(key, peers);
     }
 }
 
--- a/crates/gateway/src/waiting_requests.rs
+++ b/crates/gateway/src/waiting_requests.rs
@@ -105,6 +105,11 @@
         self.room.borrow().waiting().map(|(key, _)| key.clone()).collect()
     }
 
+    /// Whether requests wait for these servers.
+    pub(crate) fn is_awaited(&self, key: &WaitingKey) -> bool {
+        self.room.borrow().waiting_for(key) > 0
+    }
+
     /// Whether a new request must not pass others that wait here.
     pub(crate) fn has_in_time(&self, key: &WaitingKey) -> bool {
         self.room.borrow().has_in_time(key)
@@ -142,9 +147,15 @@
     }
 
     /// Releases requests into free places, and wakes those that leave the room.
-    pub(crate) fn release(&self, now: Instant, key: &WaitingKey, free: FreePlaces) {
+    pub(crate) fn release(
+        &self,
+        now: Instant,
+        key: &WaitingKey,
+        free: FreePlaces,
+        since: Duration,
+    ) {
         let draw = rand::random();
-        let Releases { run, refused } = self.room.borrow_mut().release(now, key, free, draw);
+        let Releases { run, refused } = self.room.borrow_mut().release(now, key, free, since, draw);
         let mut unsent = self.unsent.borrow_mut();
         for released in run {
             *unsent.entry(key.clone()).or_default() += 1;
--- a/crates/policy/src/waiting_queue.rs
+++ b/crates/policy/src/waiting_queue.rs
@@ -54,6 +54,13 @@
 /// Least pause between two checks of a waiting request.
 const LEAST_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
+/// A node that has more than its even part of the waiting requests takes this part of those before a
+/// new one to be more.
+const LENT_DIVISOR: usize = 2;
+
+/// Periods within which other nodes learn of a place that this one leaves to them, and take it.
+const TAKING_PERIODS: f64 = 3.0;
+
 fn level_index(is_late: bool, priority: u8) -> usize {
     let priority = usize::from(priority.min(PRIORITIES - 1));
     if is_late { usize::from(PRIORITIES) + priority } else { priority }
@@ -131,18 +138,47 @@
     // ---------------------------------------------------------------------------------------
     // Predictions
 
+    /// The number of waiting requests, in which late ones count by the part of releases that is
+    /// reserved for them.
+    #[expect(clippy::cast_precision_loss, reason = "waiting requests are few")]
+    pub(crate) fn weight(&self, settings: &WaitingRoomSettings) -> f64 {
+        let late = self.late();
+        (self.len() - late) as f64 + late as f64 * settings.reserved_share()
+    }
+
     /// This node's part of the free places, if `more` requests join those that wait here.
     #[expect(clippy::cast_precision_loss, reason = "waiting requests are few")]
-    pub(crate) fn part(&self, more: usize) -> f64 {
-        let own = (self.len() + more) as f64;
+    pub(crate) fn part(&self, more: usize, settings: &WaitingRoomSettings) -> f64 {
+        let own = self.weight(settings) + more as f64;
         let part = if own > 0.0 { own / (own + self.peers.requests) } else { 0.0 };
         part.min(self.peers.largest_part)
     }
 
+    /// This node's part of the places that are free, `since` the last such release. Each node takes its
+    /// part of the places that its own requests free at once, and leaves the rest of these to the
+    /// others. So this one is due its part of those that were freed elsewhere.
+    pub(crate) fn due(
+        &self,
+        now: Instant,
+        free: u32,
+        since: Duration,
+        settings: &WaitingRoomSettings,
+    ) -> f64 {
+        let part = self.part(0, settings);
+        let free = f64::from(free);
+        if !self.peers.shares_finished {
+            return if since.is_zero() { free } else { part * free };
+        }
+        let since = since.as_secs_f64();
+        let freed_elsewhere = self.peers.finish_rate * since;
+        let left_to_others = (1.0 - part) * self.finish_rate(now) * since * TAKING_PERIODS;
+        (part * freed_elsewhere.max(free - left_to_others)).clamp(0.0, free)
+    }
+
     /// Places per second that this node gets, if `more` requests join those that wait here.
-    fn place_rate(&self, now: Instant, more: usize) -> f64 {
+    fn place_rate(&self, now: Instant, more: usize, settings: &WaitingRoomSettings) -> f64 {
         let finishes = self.finish_rate(now) + self.peers.finish_rate;
-        (finishes * self.part(more)).max(self.releases.rate(now))
+        (finishes * self.part(more, settings)).max(self.releases.rate(now))
     }
 
     /// Whether a request that has `ahead` others before it will probably be served in time for its
@@ -157,15 +193,15 @@
         more: usize,
         settings: &WaitingRoomSettings,
     ) -> bool {
-        let rate = self.place_rate(now, more);
-        let reserved = 1.0 / f64::from(settings.reserved_period.max(1));
+        let rate = self.place_rate(now, more, settings);
+        let reserved = settings.reserved_share();
         let left = |end: Instant| end.saturating_duration_since(now).as_secs_f64();
         let in_time = left(request.late_at()) * rate * (1.0 - reserved);
         if !is_late && ahead as f64 + 1.0 <= in_time {
             return true;
         }
         let late_rate = (rate * reserved).max(self.late_releases.rate(now));
-        let late = self.late() + usize::from(!is_late);
+        let late = self.late() + more.max(usize::from(!is_late));
         late as f64 <= left(request.ends_at()) * late_rate
     }
 
@@ -183,7 +219,12 @@
         settings: &WaitingRoomSettings,
     ) -> bool {
         let is_late = now >= request.late_at();
-        self.is_likely(now, request, is_late, self.ahead(request), 1, settings)
+        let mut ahead = self.ahead(request);
+        if self.part(1, settings) > self.peers.even_part {
+            // Leaves room for requests of nodes with fewer of them.
+            ahead += ahead / LENT_DIVISOR;
+        }
+        self.is_likely(now, request, is_late, ahead, 1, settings)
     }
 
     fn is_still_likely(
--- a/crates/policy/src/waiting_request.rs
+++ b/crates/policy/src/waiting_request.rs
@@ -77,19 +77,32 @@
 /// What this node knows of the requests that wait at other nodes for the same servers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeersWaiting {
-    /// Requests that wait there.
+    /// Requests that wait there, as by [`crate::WaitingRoom::weights`].
     pub requests: f64,
 
     /// Requests of these nodes that finish per second.
     pub finish_rate: f64,
 
+    /// Whether nodes share the places that their requests free. If their numbers are not known, each
+    /// keeps its own.
+    pub shares_finished: bool,
+
+    /// This node's even part of all nodes.
+    pub even_part: f64,
+
     /// The largest part of the free places that this node may take.
     pub largest_part: f64,
 }
 
 impl Default for PeersWaiting {
     fn default() -> Self {
-        Self { requests: 0.0, finish_rate: 0.0, largest_part: 1.0 }
+        Self {
+            requests: 0.0,
+            finish_rate: 0.0,
+            shares_finished: true,
+            even_part: 1.0,
+            largest_part: 1.0,
+        }
     }
 }
 
--- a/crates/policy/src/waiting_room.rs
+++ b/crates/policy/src/waiting_room.rs
@@ -39,6 +39,13 @@
     pub averaging_time: Duration,
 }
 
+impl WaitingRoomSettings {
+    /// The part of releases for requests that were passed over.
+    pub(crate) fn reserved_share(&self) -> f64 {
+        1.0 / f64::from(self.reserved_period.max(1))
+    }
+}
+
 impl Default for WaitingRoomSettings {
     fn default() -> Self {
         Self {
@@ -106,6 +113,18 @@
         queues.filter(|(_, len)| *len > 0)
     }
 
+    /// What requests wait for, and how many, for other nodes. Late ones count less, by the part of
+    /// places that is reserved for them.
+    pub fn weights(&self) -> impl Iterator<Item = (&WaitingKey, f64)> {
+        let queues = self.queues.iter().filter(|(_, queue)| queue.len() > 0);
+        queues.map(|(key, queue)| (key, queue.weight(&self.settings)))
+    }
+
+    /// The number of requests that wait for some servers.
+    pub fn waiting_for(&self, key: &WaitingKey) -> usize {
+        self.queues.get(key).map_or(0, WaitingQueue::len)
+    }
+
     /// Whether requests that can still meet their objective wait for these servers. New ones must
     /// not pass them.
     pub fn has_in_time(&self, key: &WaitingKey) -> bool {
@@ -174,7 +193,9 @@
 
     /// Takes out the requests that run now and those that are refused now. `free` are the places
     /// free at the servers; this node takes its part of them, which is that of its waiting requests
-    /// in those of all nodes. `draw` is a random number from 0 up to 1 by which the part is rounded.
+    /// in those of all nodes. `since` is the time since the last release into all free places; zero if
+    /// `free` are only those of requests that finished here. `draw` is a random number from 0 up to 1
+    /// by which the part is rounded.
     ///
     /// Order: requests that can meet their objective, then late ones, which get spare places only.
     /// Within each class by priority, kinds far below their served share first, in fair shares of
@@ -185,16 +206,16 @@
         now: Instant,
         key: &WaitingKey,
         free: FreePlaces,
+        since: Duration,
         draw: f64,
     ) -> Releases {
         let settings = self.settings;
         let Some(queue) = self.queues.get_mut(key) else { return Releases::default() };
         let mut releases = Releases::default();
         let refused = queue.advance(now, &settings);
-        let part = queue.part(0);
         let places = FreePlaces {
-            all: rounded(f64::from(free.all) * part, draw),
-            spare: rounded(f64::from(free.spare) * part, draw),
+            all: rounded(queue.due(now, free.all, since, &settings), draw),
+            spare: rounded(queue.due(now, free.spare, since, &settings), draw),
         };
         let run = queue.release(now, places, &settings);
         for (ticket, refusal, request) in refused {
