--- a/crates/gateway/src/forward_answer.rs
+++ b/crates/gateway/src/forward_answer.rs
@@ -36,6 +36,9 @@
     /// All servers that could take it asked this node to wait.
     ServersWait,
 
+    /// It waited for a free place at a server, and would not get one in time any more.
+    WaitEnded,
+
     /// The servers that received the request reported that they didn't run it.
     Declined,
 
@@ -66,6 +69,7 @@
                 | Self::RateLimited
                 | Self::ServersCold
                 | Self::ServersWait
+                | Self::WaitEnded
         )
     }
 
@@ -81,6 +85,7 @@
             | Self::RateLimited
             | Self::ServersCold
             | Self::ServersWait
+            | Self::WaitEnded
             | Self::Declined
             | Self::Suspect
             | Self::SuspectPart
--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ForwardAnswer, NotRunReason,
+    forward_wait::FinishGuard,
     load_tracker::{LoadGuard, ReadingGuard},
 };
 
@@ -21,6 +22,8 @@
 
     /// Counts the prompt as unread until the first event.
     pub(crate) reading_guard: Option<ReadingGuard>,
+    /// Dropped after the load guard, so that the place is free when waiting requests learn of it.
+    pub(crate) _finish_guard: FinishGuard,
 }
 
 /// Why an attempt failed.
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -5,7 +5,7 @@
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PaceMeterSettings, PathSettings,
     RelayChoiceSettings, RelaySettings, ReturnSettings, RunTimeSettings, SecondBound,
-    SendQuotaSettings, WaitSettings,
+    SendQuotaSettings, WaitSettings, WaitingRoomSettings,
 };
 
 use crate::PeerTimeouts;
@@ -179,6 +179,9 @@
     /// Measuring of the servers' pace.
     pub pace_meter: PaceMeterSettings,
 
+    /// Requests that wait for a free place at a server.
+    pub waiting: WaitingRoomSettings,
+
     /// Forming of groups.
     pub planner: FleetPlannerSettings,
 }
@@ -258,6 +261,7 @@
             sender_settling_time: Duration::from_secs(1),
             picker: HeadPickerSettings::default(),
             pace_meter: PaceMeterSettings::default(),
+            waiting: WaitingRoomSettings::default(),
             planner: FleetPlannerSettings::default(),
         }
     }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -20,7 +20,7 @@
 use crate::{
     GatewaySettings, LoadTracker, ModelRate, ReportKind, ServerLog, ServerTable, StallTracker,
     ViewReport, config_view::ConfigView, in_flight::InFlightTable, part_suspects::PartSuspects,
-    peer_view::PeerView,
+    peer_view::PeerView, waiting_requests::WaitingRequests,
 };
 
 /// Crashes after which a request is quarantined, regardless of other crashes at the time.
@@ -151,6 +151,7 @@
     /// Whether this node orders servers into groups.
     pub(crate) forms_groups: Cell<bool>,
     pub(crate) picker: HeadPicker,
+    pub(crate) waiting: WaitingRequests,
 }
 
 impl GatewayState {
@@ -166,6 +167,7 @@
         };
         Self {
             picker: HeadPicker::new(settings.picker),
+            waiting: WaitingRequests::new(settings.waiting),
             config: RefCell::default(),
             confirmed: Cell::default(),
             servers: RefCell::default(),
@@ -323,6 +325,19 @@
         }
         for rate in rates.values_mut() {
             rate.refused *= 1.0 - weight;
+            rate.waiting = 0.0;
+            rate.finished = 0.0;
+        }
+        let room = self.waiting.room.borrow();
+        for (key, weight) in room.weights() {
+            if let Some(model) = &key.model {
+                rates.entry(model.clone()).or_default().waiting += weight;
+            }
+        }
+        for (key, rate) in room.finish_rates(now) {
+            if let Some(model) = &key.model {
+                rates.entry(model.clone()).or_default().finished += rate;
+            }
         }
     }
 
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -45,6 +45,9 @@
         gauge!("comfreyturn_servers_evacuated").set(count(state.evacuated_servers()));
         gauge!("comfreyturn_servers_cold").set(count(state.count_cold(now)));
         gauge!("comfreyturn_servers_waiting").set(count(state.waits.borrow().waiting(now)));
+        let room = state.waiting.room.borrow();
+        gauge!("comfreyturn_requests_waiting").set(count(room.len()));
+        gauge!("comfreyturn_waiting_bytes").set(count(room.bytes()));
         gauge!("comfreyturn_peers_heard").set(count(peers));
     }
 
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -35,6 +35,9 @@
     /// When the last attempt started, and the predicted time to its first event.
     prediction: Cell<Option<(Instant, Duration)>>,
 
+    /// When the last attempt started.
+    attempted_at: Cell<Option<Instant>>,
+
     /// Number of attempts that reached a server.
     sent: Cell<u32>,
 
@@ -61,6 +64,7 @@
             received_at: request.received_at,
             first_at: Cell::new(None),
             prediction: Cell::new(None),
+            attempted_at: Cell::new(None),
             sent: Cell::new(0),
             server: RefCell::default(),
             is_recorded: Cell::new(false),
@@ -86,6 +90,7 @@
 
     /// An attempt at a server starts.
     pub(crate) fn attempt_started(&self, life: &ServerLife) {
+        self.attempted_at.set(Some(self.clock.now()));
         *self.server.borrow_mut() = Some(life.clone());
     }
 
@@ -153,6 +158,10 @@
             self.first_at.set(Some(now));
             self.labels.measure_first(now.saturating_duration_since(self.received_at));
             self.measure_prediction(now);
+            if let (Some(route), Some(at)) = (&self.route, self.attempted_at.get()) {
+                let time = now.saturating_duration_since(at);
+                self.state.waiting.record_needed(route, time);
+            }
         }
     }
 
