Name the choice of spares to warm after what it does

Cause: 'cold spares' in the planner reads like cold servers, which are something else, and one doc comment said 'the same' of another function.

Change: spares_to_warm, and a comment that stands alone.

--- a/crates/gateway/src/server_choice.rs
+++ b/crates/gateway/src/server_choice.rs
@@ -157,7 +157,8 @@
         self.heads(service, model, false)
     }
 
-    /// The same either for evacuated ones or for the others.
+    /// The servers of a plain service, or the heads of the groups that serve a model: with
+    /// `evacuated` those to which nothing new may be sent because of an evacuation, else the others.
     fn heads(
         &self,
         service: &ServiceSpec,
--- a/crates/policy/src/fleet_standby.rs
+++ b/crates/policy/src/fleet_standby.rs
@@ -44,10 +44,11 @@
         self.forget_standbys(now, view, plan);
         let pools = self.pools(view, &plan.held);
         let warm_model = |server| self.warm_model(view, server);
-        let cold = pools.iter().flat_map(|pool| pool.cold_spares(&view.engine.models, warm_model));
-        let cold: Vec<(ServerLife, ModelName)> =
-            cold.map(|(server, model)| (server.life.clone(), model.name.clone())).collect();
-        for (life, model) in cold {
+        let chosen =
+            pools.iter().flat_map(|pool| pool.spares_to_warm(&view.engine.models, warm_model));
+        let orders: Vec<(ServerLife, ModelName)> =
+            chosen.map(|(server, model)| (server.life.clone(), model.name.clone())).collect();
+        for (life, model) in orders {
             let order = StandbyOrder { model, epoch: self.next_epoch, since: now };
             self.next_epoch += 1;
             self.standbys.insert(life, order);
@@ -99,7 +100,7 @@
     /// have on their host, that groups of the domain run, and that has the fewest warm spares for
     /// its grouped servers. A spare that is warm for such a model stays so, unless another one is
     /// warm for it too and the new model has none.
-    pub(crate) fn cold_spares<'b>(
+    pub(crate) fn spares_to_warm<'b>(
         &self,
         models: &'b [PooledModel],
         warm_model: impl Fn(&'a FleetServer) -> Option<&'b ModelName>,
@@ -122,10 +123,10 @@
                 self.grouped_with(&model.name) as f64 / (warm(&model.name) + 1) as f64
             };
             let is_candidate = |model: &&PooledModel| {
-                let is_cold = own != Some(&model.name) && server.staged.contains(&model.name);
+                let can_warm = own != Some(&model.name) && server.staged.contains(&model.name);
                 let is_wanted =
                     own.is_none_or(|own| self.grouped_with(own) == 0) || warm(&model.name) == 0;
-                is_cold && is_wanted && self.grouped_with(&model.name) > 0 && pays(model)
+                can_warm && is_wanted && self.grouped_with(&model.name) > 0 && pays(model)
             };
             let best = models
                 .iter()
