Part the tests of requests to scripted servers by subject

Its site becomes a module, its five parts become files; no test changes.

All 34 tests of the file pass as before.

--- /dev/null
+++ b/crates/gateway/tests/forward/main.rs
@@ -0,0 +1,7 @@
+//! Requests to scripted servers: the answers to callers and the calls to servers.
+
+mod admission;
+mod stopping_node;
+mod streams;
+mod test_site;
+mod whole_answers;
