Log why a request did not go on at another server

Seen by callers: streams that break off and unknown outcomes beside changes of the configuration. The line of either names the last failure only. It does not tell apart a server that was silent and given up, a used-up budget, used-up attempts, a change of the configuration while the request ran, and a node that stops.

Both lines now have the reason why no further attempt was made, for how long the server had sent nothing, the versions of the configuration when the request came and when it ended, and whether the node stops. No decision changes.

--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// Why a request is not sent to another server after an attempt that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum RetryRefusal {
+    /// The request may have run, and must not run twice.
+    NotRepeatable,
+
+    /// It was sent to as many servers as its route allows.
+    NoAttemptLeft,
+
+    /// The request must end now.
+    NoTimeLeft,
+
+    /// The service's budget for retries is used up.
+    NoBudget,
+}
+
 /// A server's complete answer.
 pub(crate) struct WholeAnswer {
     pub(crate) status: StatusCode,
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream,
-    forward_attempt::{Attempt, AttemptError, WholeAnswer},
+    forward_attempt::{Attempt, AttemptError, RetryRefusal, WholeAnswer},
     gateway_state::GatewayState,
     in_flight::InFlightGuard,
     request_trace::RequestTrace,
@@ -326,6 +326,7 @@
             if let Some(limit) = limit {
                 let waited = now.saturating_duration_since(started_at);
                 if waited >= limit || (waited >= STALL_CHECK_PERIOD && self.is_stalled(now, life)) {
+                    self.trace.silent(waited);
                     return Err(AttemptError::Unresponsive);
                 }
                 pause = pause.min(limit - waited).min(STALL_CHECK_PERIOD);
@@ -353,17 +354,36 @@
             AttemptError::NotMade(_) | AttemptError::OutOfTime => false,
             AttemptError::Link(LinkError::NotSent | LinkError::NotRun) => self.take_retry(),
             AttemptError::Link(_) | AttemptError::Unresponsive => {
-                self.route.kind.is_repeatable() && self.take_retry()
+                self.check_repeatable() && self.take_retry()
             }
         }
     }
 
+    /// Whether the request may run more than once.
+    pub(crate) fn check_repeatable(&self) -> bool {
+        let is_repeatable = self.route.kind.is_repeatable();
+        if !is_repeatable {
+            self.trace.retry_refused(RetryRefusal::NotRepeatable);
+        }
+        is_repeatable
+    }
+
     /// Whether one more attempt is allowed; if so, takes a retry from the budget.
     pub(crate) fn take_retry(&self) -> bool {
         let now = self.now();
-        self.sent < self.route.max_attempts
-            && now < self.ends_at()
-            && self.state.try_retry(now, &self.service.name)
+        let refusal = if self.sent >= self.route.max_attempts {
+            Some(RetryRefusal::NoAttemptLeft)
+        } else if now >= self.ends_at() {
+            Some(RetryRefusal::NoTimeLeft)
+        } else if !self.state.try_retry(now, &self.service.name) {
+            Some(RetryRefusal::NoBudget)
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
+            self.trace.retry_refused(refusal);
+        }
+        refusal.is_none()
     }
 
     /// Runs a call until the request must end; `None` if it takes longer.
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -235,8 +235,8 @@
     /// Resumes the stream at another server after the last complete event.
     async fn resume(&mut self, cause: AttemptError) -> Result<(), StreamBroken> {
         self.splitter.drop_partial();
-        let repeatable = self.run.route.kind.is_repeatable();
-        if !repeatable || cause == AttemptError::OutOfTime || !self.run.take_retry() {
+        let is_over = cause == AttemptError::OutOfTime;
+        if is_over || !self.run.check_repeatable() || !self.run.take_retry() {
             return Err(self.broken(cause));
         }
         let last = self.splitter.last_id().map(str::to_owned);
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     DeniedReason, ForwardRequest, NotRunReason, UnknownReason,
-    forward_attempt::AttemptError,
+    forward_attempt::{AttemptError, RetryRefusal},
     gateway_metrics::{AnswerLabels, count_attempt, count_resume, measure_prediction},
     gateway_state::GatewayState,
     node_snapshot::{age_ms, whole_ms},
@@ -41,6 +41,15 @@
     /// Number of attempts that reached a server.
     sent: Cell<u32>,
 
+    /// The version of the configuration when the request came.
+    config_version: Option<u64>,
+
+    /// For how long the last server that was given up as silent had sent nothing.
+    silent_time: Cell<Option<Duration>>,
+
+    /// Why no further attempt was made.
+    retry_refusal: Cell<Option<RetryRefusal>>,
+
     /// The server of the last attempt.
     server: RefCell<Option<ServerLife>>,
     is_recorded: Cell<bool>,
@@ -66,6 +75,9 @@
             prediction: Cell::new(None),
             attempted_at: Cell::new(None),
             sent: Cell::new(0),
+            config_version: state.config.borrow().as_ref().map(|view| view.config.version),
+            silent_time: Cell::new(None),
+            retry_refusal: Cell::new(None),
             server: RefCell::default(),
             is_recorded: Cell::new(false),
         }
@@ -136,6 +148,16 @@
         );
     }
 
+    /// The server of the current attempt is given up, since it sent nothing for this time.
+    pub(crate) fn silent(&self, time: Duration) {
+        self.silent_time.set(Some(time));
+    }
+
+    /// No further attempt is made.
+    pub(crate) fn retry_refused(&self, refusal: RetryRefusal) {
+        self.retry_refusal.set(Some(refusal));
+    }
+
     /// The stream is resumed at the server of the last attempt, after the event with this id.
     pub(crate) fn resumed(&self, after: Option<&str>) {
         if let Some(service) = &self.service {
@@ -255,6 +277,7 @@
     pub(crate) fn unknown(&self, reason: UnknownReason, cause: AttemptError) {
         self.record_time(false);
         self.end("unknown", reason.into());
+        let snapshot = self.snapshot();
         log::warn!(
             request:% = self.request,
             reason:% = reason,
@@ -263,6 +286,11 @@
             customer = self.labels.customer,
             server:% = self.server_text(),
             attempts = self.sent.get(),
+            retry = self.retry_text(),
+            silent_ms = age_ms(self.silent_time.get()),
+            received_config = self.config_version,
+            config_version = snapshot.config_version,
+            is_leaving = self.state.leaving.get(),
             elapsed_ms = self.elapsed_ms();
             "forward: outcome unknown."
         );
@@ -272,6 +300,7 @@
     pub(crate) fn broken(&self, cause: AttemptError) {
         self.record_time(false);
         self.end("broken", cause.into());
+        let snapshot = self.snapshot();
         log::warn!(
             request:% = self.request,
             cause:% = cause,
@@ -279,6 +308,11 @@
             customer = self.labels.customer,
             server:% = self.server_text(),
             attempts = self.sent.get(),
+            retry = self.retry_text(),
+            silent_ms = age_ms(self.silent_time.get()),
+            received_config = self.config_version,
+            config_version = snapshot.config_version,
+            is_leaving = self.state.leaving.get(),
             elapsed_ms = self.elapsed_ms();
             "forward: stream broken."
         );
@@ -325,6 +359,11 @@
         (!parts.is_empty()).then(|| parts.join(","))
     }
 
+    /// Why no further attempt was made.
+    fn retry_text(&self) -> Option<&'static str> {
+        self.retry_refusal.get().map(Into::into)
+    }
+
     fn server_text(&self) -> String {
         self.server.borrow().as_ref().map_or_else(String::new, ServerLife::to_string)
     }
