Test that a silent server's answer is not given up before another one has it

What callers see (LOST): a stream is broken off, or an outcome is unknown, though the server goes on after a pause of 0.5 to 2 s. The node gives the silent server up first and looks for a retry, a server and a success afterwards.

--- a/crates/standin/src/fakes/scripted_servers.rs
+++ b/crates/standin/src/fakes/scripted_servers.rs
@@ -41,6 +41,14 @@
     /// The request is never answered.
     Hang,
 
+    /// The head of the answer comes after a pause.
+    Late {
+        /// The pause.
+        pause: Duration,
+        /// What the server does then.
+        answer: Box<ServerScript>,
+    },
+
     /// An answer sent in pieces, each after a pause.
     Answer {
         /// The status.
@@ -105,9 +113,14 @@
     async fn answer(&self, call: &ServerCall) -> LinkResult<Box<dyn ServerAnswer>> {
         let next = self.scripts.borrow_mut().get_mut(&call.life.vm).and_then(VecDeque::pop_front);
         let next = next.or_else(|| self.common.borrow_mut().pop_front());
-        match next.unwrap_or(ServerScript::Hang) {
+        let mut script = next.unwrap_or(ServerScript::Hang);
+        while let ServerScript::Late { pause, answer } = script {
+            self.clock.sleep(pause).await;
+            script = *answer;
+        }
+        match script {
             ServerScript::Fail(error) => Err(error),
-            ServerScript::Hang => std::future::pending().await,
+            ServerScript::Hang | ServerScript::Late { .. } => std::future::pending().await,
             ServerScript::Answer { status, pieces, end } => {
                 let mut headers = HeaderMap::new();
                 if let Ok(server) = HeaderValue::from_str(call.life.vm.as_str()) {
