Give a silent server's attempt up only once another one has answered

What callers saw (LOST): a stream was cut, or an outcome was unknown, though the server went on after a pause of 0.5 to 2 s.

Cause: after 0.3 to 0.45 s without an event (0.9 s without a first event or a whole answer) a node dropped the attempt and only then looked for a retry, a server and a success. If the budget or the attempts were used up, or the second server turned the request away, failed, was silent or absent, the work that the first server still ran was lost. Ruled out by the tests: the pause alone, which loses nothing if the second server takes over.

Change: AttemptRace runs attempts beside each other. Silence only allows another attempt; the first one to yield a whole answer or the next complete event wins, and the others end then. A stream is read by StreamSource, one for each server. Attempts are counted when they are sent, so that those under way count as well; what an attempt did is kept in cells, so that several can run. Budget and attempts are asked as before.

--- a/crates/gateway/src/forward_attempt.rs
+++ b/crates/gateway/src/forward_attempt.rs
@@ -37,10 +37,6 @@
     #[display("{_0}")]
     Link(LinkError),
 
-    /// The server sent nothing in time; another server may be tried.
-    #[display("server silent")]
-    Unresponsive,
-
     /// The caller's deadline has passed.
     #[display("out of time")]
     OutOfTime,
@@ -51,12 +47,21 @@
         match error {
             AttemptError::NotMade(reason) => reason.into(),
             AttemptError::Link(error) => error.into(),
-            AttemptError::Unresponsive => "silent",
             AttemptError::OutOfTime => "out-of-time",
         }
     }
 }
 
+/// How an attempt failed.
+#[derive(derive_more::From)]
+pub(crate) enum AttemptFailure {
+    /// It has no answer.
+    Error(AttemptError),
+
+    /// The server answered with a failure, and another one may do better.
+    Answer(WholeAnswer),
+}
+
 /// Why a request is not sent to another server after an attempt that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/gateway/src/forward_end.rs
+++ b/crates/gateway/src/forward_end.rs
@@ -12,16 +12,14 @@
 impl ForwardRun {
     /// The answer after an attempt that failed and is not repeated.
     pub(crate) fn give_up(&self, error: AttemptError) -> ForwardAnswer {
-        let ran = self.may_have_run;
+        let ran = self.progress.may_have_run();
         match error {
             AttemptError::NotMade(reason) if !ran => self.not_run(reason),
             AttemptError::Link(LinkError::NotSent | LinkError::NotRun) if !ran => {
                 self.not_run(NotRunReason::Declined)
             }
             AttemptError::OutOfTime if !ran => self.not_run(self.lateness()),
-            AttemptError::OutOfTime | AttemptError::Unresponsive => {
-                self.unknown(UnknownReason::Timeout, error)
-            }
+            AttemptError::OutOfTime => self.unknown(UnknownReason::Timeout, error),
             _ => self.unknown(UnknownReason::AnswerLost, error),
         }
     }
--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -15,17 +15,12 @@
 
 impl ForwardRun {
     /// Records what an attempt over this node's own path tells about that path.
-    pub(crate) fn record_path(
-        &self,
-        life: &ServerLife,
-        reply: &Result<LinkResult<Box<dyn ServerAnswer>>, AttemptError>,
-    ) {
+    pub(crate) fn record_path(&self, life: &ServerLife, reply: &LinkResult<Box<dyn ServerAnswer>>) {
         match reply {
-            Ok(Ok(_) | Err(LinkError::NotRun | LinkError::Foreign)) => self.state.record_reached(),
-            Ok(Err(LinkError::NotSent | LinkError::Broken)) | Err(AttemptError::Unresponsive) => {
+            Ok(_) | Err(LinkError::NotRun | LinkError::Foreign) => self.state.record_reached(),
+            Err(LinkError::NotSent | LinkError::Broken) => {
                 self.state.record_unreached(self.now(), life);
             }
-            Err(_) => {}
         }
     }
 
@@ -45,7 +40,6 @@
 
     /// Records that a server was silent, unless this node's own path is at fault.
     pub(crate) fn record_stall(&self, life: &ServerLife) {
-        self.trace.failed(self.sent, AttemptError::Unresponsive);
         if self.state.paths.borrow().is_lost() {
             return;
         }
@@ -55,7 +49,7 @@
     /// Records a failed attempt. A connection that broke while the request may have run counts as a
     /// possible crash caused by the request.
     pub(crate) fn record_failure(&self, life: &ServerLife, error: LinkError) {
-        self.trace.failed(self.sent, AttemptError::Link(error));
+        self.trace.failed(life, self.progress.sent.get(), AttemptError::Link(error));
         if error != LinkError::Broken || self.state.paths.borrow().is_lost() {
             return;
         }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -1,36 +1,85 @@
 //! Processing of one request: attempts, retries and the answer.
 
 use std::{
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
-use comfreyturn_ports::{LinkError, ServerCall, ServerReply};
-use comfreyturn_types::{CustomerName, RouteSpec, ServerLife, ServiceSpec};
-use futures_util::future::{Either, select};
+use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
+use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServerLife, ServiceSpec};
+use futures_util::future::{Either, FutureExt as _, select};
 
 use crate::{
     ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream,
-    forward_attempt::{Attempt, AttemptError, RetryRefusal, WholeAnswer},
+    attempt_race::{AttemptRace, SilenceWatch},
+    forward_attempt::{Attempt, AttemptError, AttemptFailure, RetryRefusal, WholeAnswer},
     gateway_state::GatewayState,
     in_flight::InFlightGuard,
     request_trace::RequestTrace,
+    stream_source::StreamSource,
 };
 
 /// Unreachable servers that one attempt may try in a row.
 const UNREACHED_LIMIT: u32 = 4;
 
-/// Pause between two checks whether the server of a pending request has stalled.
-const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
 /// Pause between two checks whether the node must end before a pending request.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
+/// What the attempts of a request have done so far. Several may run at the same time.
+#[derive(Debug, Default)]
+pub(crate) struct RunProgress {
+    /// Servers that were tried, in order.
+    pub(crate) tried: RefCell<Vec<ServerLife>>,
+
+    /// Attempts that were sent, except those whose server was not reached. Invariant: at most the
+    /// route's `max_attempts`.
+    pub(crate) sent: Cell<u32>,
+
+    /// Attempts by which a server may have run the request.
+    ran: Cell<u32>,
+
+    /// Whether the request waited so long that it can't meet its objective any more.
+    pub(crate) is_late: Cell<bool>,
+}
+
+impl RunProgress {
+    fn record_sent(&self, life: &ServerLife) {
+        self.tried.borrow_mut().push(life.clone());
+        self.sent.set(self.sent.get() + 1);
+        self.ran.set(self.ran.get() + 1);
+    }
+
+    /// An attempt that was sent did not run, or didn't even reach its server.
+    fn record_not_run(&self, error: LinkError) {
+        if error == LinkError::NotSent {
+            self.sent.set(self.sent.get() - 1);
+        }
+        if matches!(error, LinkError::NotSent | LinkError::NotRun) {
+            self.ran.set(self.ran.get() - 1);
+        }
+    }
+
+    /// Whether a server may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.ran.get() > 0
+    }
+}
+
+/// The first part of the answer to a stream.
+enum BegunAnswer {
+    /// The server answers with a failure.
+    Whole(WholeAnswer),
+
+    /// A stream, with its first events; `None` if it has ended.
+    Stream(Box<StreamSource>, Option<Bytes>),
+}
+
 /// Processing of one request: attempts, retries and the answer.
 pub(crate) struct ForwardRun {
     pub(crate) state: Rc<GatewayState>,
@@ -45,18 +94,7 @@
     /// [`Self::ends_at`].
     pub(crate) deadline_at: Instant,
 
-    /// Servers that were tried, in order.
-    pub(crate) tried: Vec<ServerLife>,
-
-    /// Attempts that reached a server. Invariant: at most the route's `max_attempts`.
-    pub(crate) sent: u32,
-
-    /// Whether a server may have run the request.
-    pub(crate) may_have_run: bool,
-
-    /// Whether the request waited so long that it can't meet its objective any more.
-    pub(crate) is_late: bool,
-
+    pub(crate) progress: RunProgress,
     pub(crate) _in_flight: InFlightGuard,
     pub(crate) trace: RequestTrace,
 }
@@ -94,46 +132,40 @@
     // ---------------------------------------------------------------------------------------
     // Buffered answers
 
-    async fn run_whole(mut self) -> ForwardAnswer {
-        let mut failure: Option<WholeAnswer> = None;
-        loop {
-            let error = match self.attempt(self.answer_limit(), None, false).await {
-                Ok(attempt) => match self.collect(attempt).await {
-                    Ok(whole) if !self.is_retryable(&whole) => return self.served(whole),
-                    Ok(whole) => {
-                        failure = Some(whole);
-                        if self.take_retry() {
-                            continue;
-                        }
-                        AttemptError::OutOfTime
-                    }
-                    Err(error) => error,
-                },
-                Err(error) => error,
-            };
-            if let Some(whole) = failure {
-                return self.served(whole);
-            }
-            if !self.should_retry(error) {
-                return self.give_up(error);
-            }
+    async fn run_whole(self) -> ForwardAnswer {
+        let limit = self.route.objective.mul_f64(self.state.settings.answer_factor);
+        let start = |watch| self.whole_attempt(watch).boxed_local();
+        let answer = AttemptRace::new(&self, limit, &start).run().await;
+        match answer {
+            Ok(whole) => self.served(whole),
+            Err(failure) => self.failed(failure),
         }
     }
 
+    async fn whole_attempt(&self, watch: Rc<SilenceWatch>) -> Result<WholeAnswer, AttemptFailure> {
+        let attempt = self.attempt(&watch, None, false).await?;
+        let whole = self.collect(attempt, &watch).await?;
+        if self.is_retryable(&whole) { Err(AttemptFailure::Answer(whole)) } else { Ok(whole) }
+    }
+
+    /// Whether another server may give a better answer.
     fn is_retryable(&self, whole: &WholeAnswer) -> bool {
-        whole.status.is_server_error()
-            && self.route.kind.is_repeatable()
-            && self.sent < self.route.max_attempts
+        whole.status.is_server_error() && self.route.kind.is_repeatable()
     }
 
-    /// How long to wait for an answer before another server is tried; `None` if none may be tried.
-    fn answer_limit(&self) -> Option<Duration> {
-        let last = self.sent + 1 >= self.route.max_attempts;
-        let limit = self.route.objective.mul_f64(self.state.settings.answer_factor);
-        (self.route.kind.is_repeatable() && !last).then_some(limit)
+    /// The answer to a request of which all attempts have failed.
+    fn failed(&self, failure: AttemptFailure) -> ForwardAnswer {
+        match failure {
+            AttemptFailure::Answer(whole) => self.served(whole),
+            AttemptFailure::Error(error) => self.give_up(error),
+        }
     }
 
-    async fn collect(&self, mut attempt: Attempt) -> Result<WholeAnswer, AttemptError> {
+    async fn collect(
+        &self,
+        mut attempt: Attempt,
+        watch: &SilenceWatch,
+    ) -> Result<WholeAnswer, AttemptError> {
         attempt.reading_guard = None;
         let status = attempt.answer.status();
         let headers = attempt.answer.headers().clone();
@@ -144,11 +176,15 @@
                     return Err(LinkError::Foreign);
                 }
                 body.extend_from_slice(&bytes);
+                watch.heard(self.now());
             }
             Ok(())
         };
         match self.until_end(reading).await {
-            Some(Ok(())) => Ok(WholeAnswer { status, headers, body: body.freeze() }),
+            Some(Ok(())) => {
+                self.trace.heard(&attempt.life);
+                Ok(WholeAnswer { status, headers, body: body.freeze() })
+            }
             Some(Err(error)) => Err(self.attempt_error(error)),
             None => Err(AttemptError::OutOfTime),
         }
@@ -157,54 +193,62 @@
     // ---------------------------------------------------------------------------------------
     // Streams
 
-    async fn run_stream(mut self) -> ForwardAnswer {
-        loop {
-            let resume_after = self.request.resume_after.clone();
-            let limit = self.first_event_limit();
-            let error = match self.attempt(limit, resume_after, false).await {
-                Ok(attempt) if !attempt.answer.status().is_success() => {
-                    match self.collect(attempt).await {
-                        Ok(whole) => {
-                            if self.is_retryable(&whole) && self.take_retry() {
-                                continue;
-                            }
-                            return self.served(whole);
-                        }
-                        Err(error) => error,
-                    }
-                }
-                Ok(attempt) => match RelayStream::start(self, attempt, limit).await {
-                    Ok(answer) => return answer,
-                    Err((run, error)) => {
-                        self = run;
-                        error
-                    }
-                },
-                Err(error) => error,
+    async fn run_stream(self) -> ForwardAnswer {
+        let start = |watch| self.stream_attempt(watch).boxed_local();
+        let answer = AttemptRace::new(&self, self.first_event_limit(), &start).run().await;
+        match answer {
+            Ok(BegunAnswer::Stream(source, events)) => RelayStream::begin(self, *source, events),
+            Ok(BegunAnswer::Whole(whole)) => self.served(whole),
+            Err(failure) => self.failed(failure),
+        }
+    }
+
+    async fn stream_attempt(&self, watch: Rc<SilenceWatch>) -> Result<BegunAnswer, AttemptFailure> {
+        let resume_after = self.request.resume_after.clone();
+        let attempt = self.attempt(&watch, resume_after, false).await?;
+        if !attempt.answer.status().is_success() {
+            let whole = self.collect(attempt, &watch).await?;
+            return match self.is_retryable(&whole) {
+                true => Err(AttemptFailure::Answer(whole)),
+                false => Ok(BegunAnswer::Whole(whole)),
             };
-            if !self.should_retry(error) {
-                return self.give_up(error);
-            }
         }
+        let mut source = StreamSource::new(attempt, watch);
+        let events = source.read(self).await?;
+        Ok(BegunAnswer::Stream(Box::new(source), events))
     }
 
-    /// How long to wait for the first event before another server is tried; `None` if none may be
-    /// tried.
-    fn first_event_limit(&self) -> Option<Duration> {
+    /// Sends a stream whose caller received a part of it to another server, which goes on after the
+    /// event with this id.
+    pub(crate) async fn resumed_attempt(
+        &self,
+        watch: Rc<SilenceWatch>,
+        after: Option<String>,
+    ) -> Result<(StreamSource, Option<Bytes>), AttemptFailure> {
+        let attempt = self.attempt(&watch, after, true).await?;
+        if !attempt.answer.status().is_success() {
+            return Err(AttemptError::Link(LinkError::Foreign).into());
+        }
+        let mut source = StreamSource::new(attempt, watch);
+        let events = source.read(self).await?;
+        Ok((source, events))
+    }
+
+    /// For how long a server may be silent before its first event until another one is tried.
+    pub(crate) fn first_event_limit(&self) -> Duration {
         let settings = &self.state.settings;
-        let last = self.sent + 1 >= self.route.max_attempts;
         let limit = self.route.objective.mul_f64(settings.first_event_factor);
-        (self.route.kind.is_repeatable() && !last).then_some(limit.max(settings.first_event_floor))
+        limit.max(settings.first_event_floor)
     }
 
     // ---------------------------------------------------------------------------------------
     // Attempts
 
     /// Sends the request to the best server that was not tried yet, and waits for the head of its
-    /// answer: for `limit`, or until the caller's deadline if there is no limit.
-    pub(crate) async fn attempt(
-        &mut self,
-        limit: Option<Duration>,
+    /// answer.
+    async fn attempt(
+        &self,
+        watch: &SilenceWatch,
         resume_after: Option<String>,
         urgent: bool,
     ) -> Result<Attempt, AttemptError> {
@@ -212,47 +256,19 @@
             let server = self.choose(urgent).await?;
             let now = self.now();
             let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
-            self.tried.push(server.life.clone());
+            let is_direct = helper.is_none();
+            self.progress.record_sent(&server.life);
             self.trace.attempt_started(&server.life);
+            watch.wait_for(now, &server.life, is_direct);
             let reading_guard = self.start_reading(now, &server);
             let load_guard = self.state.loads.start(&server.life);
-            let call = ServerCall {
-                request: self.request.id.clone(),
-                life: server.life.clone(),
-                address: server.address,
-                method: self.request.method.clone(),
-                target: self.request.target.clone(),
-                headers: self.request.headers.clone(),
-                body: self.request.body.clone(),
-                time_left: self
-                    .ends_at()
-                    .saturating_duration_since(now)
-                    .saturating_sub(RESPONSE_MARGIN),
-                customer: self.customer.clone(),
-                priority: self.sent_priority(),
-                helper,
-                resume_after: resume_after.clone(),
-            };
-            self.state.record_send(now, &server);
-            let sending = self.ports.servers.send(&call);
-            let reply = self.await_server(&server.life, limit, sending).await;
-            if let Ok(ServerReply { notice: Some(notice), .. }) = &reply {
-                self.state.record_notice(self.now(), &server.life, now, *notice);
-            }
-            let reply = reply.map(|reply| reply.answer);
-            if helper.is_none() {
-                self.record_path(&server.life, &reply);
-            }
-            match reply {
-                Ok(Ok(answer)) => {
-                    self.sent += 1;
-                    self.may_have_run = true;
-                    self.state.stalls.borrow_mut().record_seen(self.now(), &server.life);
-                    self.trace.answered(self.sent);
-                    let is_direct = helper.is_none();
-                    let life = server.life;
+            let call =
+                ServerCall { helper, ..self.server_call(now, &server, resume_after.clone()) };
+            match self.exchange(&server, &call, now).await? {
+                Ok(answer) => {
+                    watch.heard(self.now());
                     return Ok(Attempt {
-                        life,
+                        life: server.life,
                         answer,
                         is_direct,
                         _load_guard: load_guard,
@@ -260,36 +276,79 @@
                         _finish_guard: self.finish_guard(),
                     });
                 }
-                Ok(Err(LinkError::NotSent)) => self.trace.not_reached(),
-                Ok(Err(error)) => {
-                    self.sent += 1;
-                    self.may_have_run |= error != LinkError::NotRun;
-                    let error = self.attempt_error(error);
-                    if let AttemptError::Link(error) = error {
-                        self.record_failure(&server.life, error);
-                        self.record_part_crash(&server.life, error);
-                    }
-                    return Err(error);
-                }
-                Err(error) => {
-                    self.sent += 1;
-                    self.may_have_run = true;
-                    if error == AttemptError::Unresponsive {
-                        self.record_stall(&server.life);
-                    }
-                    return Err(error);
+                Err(LinkError::NotSent) => {
+                    watch.clear();
+                    self.trace.not_reached(&server.life);
                 }
+                Err(error) => return Err(self.attempt_error(error)),
             }
         }
         Err(AttemptError::NotMade(NotRunReason::NoServer))
     }
 
+    fn server_call(
+        &self,
+        now: Instant,
+        server: &FleetServer,
+        resume_after: Option<String>,
+    ) -> ServerCall {
+        let time_left = self.ends_at().saturating_duration_since(now);
+        ServerCall {
+            request: self.request.id.clone(),
+            life: server.life.clone(),
+            address: server.address,
+            method: self.request.method.clone(),
+            target: self.request.target.clone(),
+            headers: self.request.headers.clone(),
+            body: self.request.body.clone(),
+            time_left: time_left.saturating_sub(RESPONSE_MARGIN),
+            customer: self.customer.clone(),
+            priority: self.sent_priority(),
+            helper: None,
+            resume_after,
+        }
+    }
+
+    /// Makes a call and records what its reply tells.
+    async fn exchange(
+        &self,
+        server: &FleetServer,
+        call: &ServerCall,
+        sent_at: Instant,
+    ) -> Result<LinkResult<Box<dyn ServerAnswer>>, AttemptError> {
+        self.state.record_send(sent_at, server);
+        let reply = self.until_end(self.ports.servers.send(call)).await;
+        let ServerReply { notice, answer } = reply.ok_or(AttemptError::OutOfTime)?;
+        if let Some(notice) = notice {
+            self.state.record_notice(self.now(), &server.life, sent_at, notice);
+        }
+        if call.helper.is_none() {
+            self.record_path(&server.life, &answer);
+        }
+        match &answer {
+            Ok(_) => {
+                self.state.stalls.borrow_mut().record_seen(self.now(), &server.life);
+                self.trace.answered(self.progress.sent.get());
+            }
+            Err(error) => {
+                self.progress.record_not_run(*error);
+                if *error != LinkError::NotSent
+                    && let AttemptError::Link(error) = self.attempt_error(*error)
+                {
+                    self.record_failure(&server.life, error);
+                    self.record_part_crash(&server.life, error);
+                }
+            }
+        }
+        Ok(answer)
+    }
+
     /// Whether the request may be sent now.
     pub(crate) fn check_sendable(&self, now: Instant) -> Result<(), AttemptError> {
         if now + RESPONSE_MARGIN >= self.ends_at() {
             return Err(AttemptError::NotMade(self.lateness()));
         }
-        if !self.may_have_run && !self.can_finish(now) {
+        if !self.progress.may_have_run() && !self.can_finish(now) {
             return Err(AttemptError::NotMade(NotRunReason::EndsTooSoon));
         }
         if self.customer.is_some() && !self.state.config_is_usable(now) {
@@ -305,60 +364,28 @@
         self.state.parts.borrow().has_quarantined(now, &self.request.shared_parts)
     }
 
-    /// Awaits `waiting`, which depends on the server, for `limit` or until the caller's deadline. If
-    /// there is a limit, gives up early once the server counts as stalled, since another one may be
-    /// tried.
-    pub(crate) async fn await_server<T>(
-        &self,
-        life: &ServerLife,
-        limit: Option<Duration>,
-        waiting: impl Future<Output = T>,
-    ) -> Result<T, AttemptError> {
-        let started_at = self.now();
-        let mut waiting = std::pin::pin!(waiting);
-        loop {
-            let now = self.now();
-            let left = self.ends_at().saturating_duration_since(now);
-            if left.is_zero() {
-                return Err(AttemptError::OutOfTime);
-            }
-            let mut pause = left.min(STOP_CHECK_PERIOD);
-            if let Some(limit) = limit {
-                let waited = now.saturating_duration_since(started_at);
-                if waited >= limit || (waited >= STALL_CHECK_PERIOD && self.is_stalled(now, life)) {
-                    self.trace.silent(waited);
-                    return Err(AttemptError::Unresponsive);
-                }
-                pause = pause.min(limit - waited).min(STALL_CHECK_PERIOD);
-            }
-            match select(waiting.as_mut(), self.ports.clock.sleep(pause)).await {
-                Either::Left((value, _)) => return Ok(value),
-                Either::Right(_) => {}
-            }
-        }
-    }
-
-    fn is_stalled(&self, now: Instant, life: &ServerLife) -> bool {
-        let retention = self.state.settings.stall_retention;
-        let lost = self.state.lost.borrow().contains(life);
-        lost || self.state.stalls.borrow().is_stalled(now, life, retention)
-    }
-
     // ---------------------------------------------------------------------------------------
     // Retries and failures
 
-    /// Whether the request may be sent again after this error; if so, takes a retry from the
+    /// Whether the request may be sent again after this failure; if so, takes a retry from the
     /// budget.
-    fn should_retry(&self, error: AttemptError) -> bool {
-        match error {
-            AttemptError::NotMade(_) | AttemptError::OutOfTime => false,
-            AttemptError::Link(LinkError::NotSent | LinkError::NotRun) => self.take_retry(),
-            AttemptError::Link(_) | AttemptError::Unresponsive => {
+    pub(crate) fn should_retry(&self, failure: &AttemptFailure) -> bool {
+        match failure {
+            AttemptFailure::Error(AttemptError::NotMade(_) | AttemptError::OutOfTime) => false,
+            AttemptFailure::Error(AttemptError::Link(LinkError::NotSent | LinkError::NotRun)) => {
+                self.take_retry()
+            }
+            AttemptFailure::Error(AttemptError::Link(_)) | AttemptFailure::Answer(_) => {
                 self.check_repeatable() && self.take_retry()
             }
         }
     }
 
+    /// Whether the route allows to send the request to one more server.
+    pub(crate) fn has_attempt_left(&self) -> bool {
+        self.route.kind.is_repeatable() && self.progress.sent.get() < self.route.max_attempts
+    }
+
     /// Whether the request may run more than once.
     pub(crate) fn check_repeatable(&self) -> bool {
         let is_repeatable = self.route.kind.is_repeatable();
@@ -371,7 +398,7 @@
     /// Whether one more attempt is allowed; if so, takes a retry from the budget.
     pub(crate) fn take_retry(&self) -> bool {
         let now = self.now();
-        let refusal = if self.sent >= self.route.max_attempts {
+        let refusal = if self.progress.sent.get() >= self.route.max_attempts {
             Some(RetryRefusal::NoAttemptLeft)
         } else if now >= self.ends_at() {
             Some(RetryRefusal::NoTimeLeft)
@@ -387,7 +414,7 @@
     }
 
     /// Runs a call until the request must end; `None` if it takes longer.
-    async fn until_end<T>(&self, call: impl Future<Output = T>) -> Option<T> {
+    pub(crate) async fn until_end<T>(&self, call: impl Future<Output = T>) -> Option<T> {
         let mut call = std::pin::pin!(call);
         loop {
             let left = self.ends_at().saturating_duration_since(self.now());
--- a/crates/gateway/src/forward_wait.rs
+++ b/crates/gateway/src/forward_wait.rs
@@ -41,7 +41,7 @@
 impl ForwardRun {
     /// Picks a server for the next attempt. If none has a free place, waits for one if the request
     /// may wait. Requests that arrive do not pass those that wait.
-    pub(crate) async fn choose(&mut self, urgent: bool) -> Result<FleetServer, AttemptError> {
+    pub(crate) async fn choose(&self, urgent: bool) -> Result<FleetServer, AttemptError> {
         let key = self.waiting_key();
         let may_wait = !urgent && self.may_wait();
         let mut is_released = false;
@@ -52,7 +52,8 @@
             if !must_wait {
                 let model = self.request.model.as_ref();
                 let demand = self.demand();
-                match self.state.pick(now, &self.service, model, &self.tried, urgent, &demand) {
+                let tried = self.progress.tried.borrow().clone();
+                match self.state.pick(now, &self.service, model, &tried, urgent, &demand) {
                     Ok(server) => return Ok(server),
                     Err(NotRunReason::NoRoom) if may_wait => {}
                     Err(reason) => return Err(AttemptError::NotMade(reason)),
@@ -64,7 +65,7 @@
     }
 
     /// Waits until a place is free.
-    async fn await_place(&mut self, now: Instant, key: &WaitingKey) -> Result<(), NotRunReason> {
+    async fn await_place(&self, now: Instant, key: &WaitingKey) -> Result<(), NotRunReason> {
         let request = self.waiting_request();
         if !self.state.waiting.is_awaited(key) {
             self.state.update_peers_waiting_for(now, key);
@@ -78,7 +79,7 @@
         count_wait(&self.service.name, text, waited);
         let result = match end {
             WaitEnd::Released { is_late } => {
-                self.is_late = is_late;
+                self.progress.is_late.set(is_late);
                 Ok(())
             }
             WaitEnd::Refused(_) if waited.is_zero() => Err(NotRunReason::NoRoom),
@@ -88,7 +89,7 @@
         log::debug!(
             request:% = self.request.id,
             end = text,
-            late = self.is_late,
+            late = self.progress.is_late.get(),
             waited_ms = whole_ms(waited);
             "forward: request waited."
         );
@@ -134,7 +135,8 @@
 
     /// The priority at the server. A late request is less urgent than those in time.
     pub(crate) fn sent_priority(&self) -> Option<u8> {
-        self.priority.map(|priority| if self.is_late { LEAST_PRIORITY } else { priority })
+        let is_late = self.progress.is_late.get();
+        self.priority.map(|priority| if is_late { LEAST_PRIORITY } else { priority })
     }
 
     pub(crate) fn finish_guard(&self) -> FinishGuard {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! `comfreyturn_policy` decides which server receives a request, which orders are sent, and whether
 //! a configuration may still be used.
 
+mod attempt_race;
 mod beat_codec;
 mod cold_limits;
 mod config_view;
@@ -54,6 +55,7 @@
 mod server_times;
 mod shutdown;
 mod stall_tracker;
+mod stream_source;
 mod view_reports;
 mod waiting_loop;
 mod waiting_requests;
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -44,7 +44,7 @@
     /// The version of the configuration when the request came.
     config_version: Option<u64>,
 
-    /// For how long the last server that was given up as silent had sent nothing.
+    /// For how long the last silent server had sent nothing.
     silent_time: Cell<Option<Duration>>,
 
     /// Why no further attempt was made.
@@ -111,12 +111,12 @@
         self.prediction.set(time.map(|time| (now, time)));
     }
 
-    /// The server of the current attempt was not reached.
-    pub(crate) fn not_reached(&self) {
+    /// A server was not reached.
+    pub(crate) fn not_reached(&self, life: &ServerLife) {
         self.count_attempt("not-sent");
         log::info!(
             request:% = self.request,
-            server:% = self.server_text(),
+            server:% = life,
             list_age_ms = age_ms(self.snapshot().list_age);
             "forward: server not reached."
         );
@@ -128,17 +128,15 @@
         self.count_attempt("answered");
     }
 
-    /// The server of the current attempt didn't answer, or its answer broke off.
-    pub(crate) fn failed(&self, sent: u32, error: AttemptError) {
+    /// A server didn't answer, or its answer broke off.
+    pub(crate) fn failed(&self, life: &ServerLife, sent: u32, error: AttemptError) {
         self.sent.set(sent);
         self.count_attempt(error.into());
         let now = self.clock.now();
-        let server = self.server.borrow().clone();
-        let last_seen =
-            server.and_then(|life| self.state.stalls.borrow().last_seen_age(now, &life));
+        let last_seen = self.state.stalls.borrow().last_seen_age(now, life);
         log::info!(
             request:% = self.request,
-            server:% = self.server_text(),
+            server:% = life,
             attempt = sent,
             cause:% = error,
             parts = self.parts_text(),
@@ -148,9 +146,35 @@
         );
     }
 
-    /// The server of the current attempt is given up, since it sent nothing for this time.
-    pub(crate) fn silent(&self, time: Duration) {
+    /// A server has sent nothing for this time.
+    pub(crate) fn silent(&self, life: &ServerLife, time: Duration) {
         self.silent_time.set(Some(time));
+        self.count_attempt("silent");
+        log::info!(
+            request:% = self.request,
+            server:% = life,
+            attempt = self.sent.get(),
+            silent_ms = whole_ms(time),
+            elapsed_ms = self.elapsed_ms();
+            "forward: server silent."
+        );
+    }
+
+    /// A server whose answer the caller receives was heard. After a silence, it goes on.
+    pub(crate) fn heard(&self, life: &ServerLife) {
+        if self.server.borrow().as_ref() == Some(life) {
+            return;
+        }
+        *self.server.borrow_mut() = Some(life.clone());
+        self.attempted_at.set(None);
+        self.prediction.set(None);
+        log::info!(
+            request:% = self.request,
+            server:% = life,
+            silent_ms = age_ms(self.silent_time.get()),
+            elapsed_ms = self.elapsed_ms();
+            "forward: silent server goes on."
+        );
     }
 
     /// No further attempt is made.
