Go on with a stream only where its events go on

Cause: what the second server sent was taken for the rest of the stream without looking at it.

Change: ResumePoint keeps the id of the last event, whether the ids count up by one, and the type of the content. The first event of another server has to follow, else its answer belongs to something else, and the first server goes on if it still runs. The same for a stream that a caller resumes. A stream whose last event has no id can't be resumed.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::resume_point::EventIds;
+
 /// The field that holds the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -14,7 +16,7 @@
     /// Bytes at the start of `input` that were searched and contain no end of an event.
     scanned: usize,
 
-    last_id: Option<String>,
+    ids: EventIds,
 }
 
 impl EventSplitter {
@@ -28,9 +30,7 @@
         let mut end = 0;
         let mut from = self.scanned;
         while let Some(next) = event_end(&self.input, from) {
-            if let Some(id) = event_id(&self.input[end..next]) {
-                self.last_id = Some(id);
-            }
+            self.ids.push(event_id(&self.input[end..next]));
             end = next;
             from = next;
         }
@@ -40,9 +40,9 @@
         (end > 0).then(|| self.input.split_to(end).freeze())
     }
 
-    /// The id of the last complete event that has one.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+    /// The ids of all complete events.
+    pub fn ids(&self) -> &EventIds {
+        &self.ids
     }
 
     /// Whether the buffer holds a partial event.
@@ -54,12 +54,6 @@
     pub fn partial_len(&self) -> usize {
         self.input.len()
     }
-
-    /// Discards the partial event.
-    pub fn drop_partial(&mut self) {
-        self.input.clear();
-        self.scanned = 0;
-    }
 }
 
 /// Finds the first end of an event at or after `from`.
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -19,6 +19,7 @@
     gateway_state::GatewayState,
     in_flight::InFlightGuard,
     request_trace::RequestTrace,
+    resume_point::ResumePoint,
     stream_source::StreamSource,
 };
 
@@ -205,6 +206,7 @@
 
     async fn stream_attempt(&self, watch: Rc<SilenceWatch>) -> Result<BegunAnswer, AttemptFailure> {
         let resume_after = self.request.resume_after.clone();
+        let point = resume_after.as_deref().map(ResumePoint::stated);
         let attempt = self.attempt(&watch, resume_after, false).await?;
         if !attempt.answer.status().is_success() {
             let whole = self.collect(attempt, &watch).await?;
@@ -214,23 +216,23 @@
             };
         }
         let mut source = StreamSource::new(attempt, watch);
-        let events = source.read(self).await?;
+        let events = source.read_first(self, point.as_ref()).await?;
         Ok(BegunAnswer::Stream(Box::new(source), events))
     }
 
-    /// Sends a stream whose caller received a part of it to another server, which goes on after the
-    /// event with this id.
+    /// Sends a stream whose caller received a part of it to another server, which has to go on at
+    /// this point.
     pub(crate) async fn resumed_attempt(
         &self,
         watch: Rc<SilenceWatch>,
-        after: Option<String>,
+        point: ResumePoint,
     ) -> Result<(StreamSource, Option<Bytes>), AttemptFailure> {
-        let attempt = self.attempt(&watch, after, true).await?;
+        let attempt = self.attempt(&watch, Some(point.last_id.clone()), true).await?;
         if !attempt.answer.status().is_success() {
             return Err(AttemptError::Link(LinkError::Foreign).into());
         }
         let mut source = StreamSource::new(attempt, watch);
-        let events = source.read(self).await?;
+        let events = source.read_first(self, Some(&point)).await?;
         Ok((source, events))
     }
 
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -11,6 +11,7 @@
     attempt_race::{AttemptRace, SilenceWatch},
     forward_attempt::{AttemptError, AttemptFailure},
     forward_run::ForwardRun,
+    resume_point::ResumePoint,
     stream_source::StreamSource,
 };
 
@@ -77,13 +78,13 @@
         if self.ended {
             return Ok(None);
         }
-        let after = self.resume_point();
-        let next = match self.read_next(after.as_deref()).await {
+        let point = self.source.resume_point();
+        let next = match self.read_next(point.as_ref()).await {
             Ok(next) => next,
             Err(failure) => return Err(self.broken(&failure)),
         };
         if let Some(source) = next.replacement {
-            self.run.trace.resumed(after.as_deref());
+            self.run.trace.resumed(point.as_ref().map(|point| point.last_id.as_str()));
             self.source = source;
         }
         if next.events.is_none() {
@@ -93,14 +94,11 @@
         Ok(next.events)
     }
 
-    /// The id of the last event that the caller received.
-    fn resume_point(&self) -> Option<String> {
-        let last = self.source.last_id().map(str::to_owned);
-        last.or_else(|| self.run.request.resume_after.clone())
-    }
-
     /// Reads the next events from the stream's server, or from another one if it is silent or fails.
-    async fn read_next(&mut self, after: Option<&str>) -> Result<NextEvents, AttemptFailure> {
+    async fn read_next(
+        &mut self,
+        point: Option<&ResumePoint>,
+    ) -> Result<NextEvents, AttemptFailure> {
         let pause = self.longest_silence();
         let Self { run, source, .. } = self;
         let run: &ForwardRun = run;
@@ -109,10 +107,10 @@
             let events = source.read(run).await?;
             Ok(NextEvents { replacement: None, events })
         };
+        let Some(point) = point else { return current.await };
         let resume = |watch: Rc<SilenceWatch>| {
-            let after = after.map(str::to_owned);
             let resumed = async move {
-                let (source, events) = run.resumed_attempt(watch, after).await?;
+                let (source, events) = run.resumed_attempt(watch, point.clone()).await?;
                 Ok(NextEvents { replacement: Some(source), events })
             };
             resumed.boxed_local()
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -13,6 +13,7 @@
     attempt_race::SilenceWatch,
     forward_attempt::{Attempt, AttemptError},
     forward_run::ForwardRun,
+    resume_point::ResumePoint,
     server_times::EventTimes,
 };
 
@@ -53,9 +54,28 @@
         Self { attempt, watch, splitter, progress }
     }
 
-    /// The id of the last complete event that has one.
-    pub(crate) fn last_id(&self) -> Option<&str> {
-        self.splitter.last_id()
+    /// Where another server has to go on; `None` if that can't be told.
+    pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
+        ResumePoint::after(self.splitter.ids(), self.attempt.answer.headers())
+    }
+
+    /// Reads the first events, which have to follow `point`.
+    pub(crate) async fn read_first(
+        &mut self,
+        run: &ForwardRun,
+        point: Option<&ResumePoint>,
+    ) -> Result<Option<Bytes>, AttemptError> {
+        let events = self.read(run).await?;
+        let headers = self.attempt.answer.headers();
+        let goes_on = |point: &ResumePoint| {
+            point.admits(headers) && point.is_followed_by(self.splitter.ids())
+        };
+        if point.is_none_or(goes_on) {
+            return Ok(events);
+        }
+        let error = AttemptError::Link(LinkError::Foreign);
+        self.record_failure(run, error);
+        Err(error)
     }
 
     /// Reads until at least one event is complete, and records what that tells about the server.
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -14,7 +14,7 @@
             out.extend_from_slice(&events);
         }
     }
-    (out, splitter.last_id().map(str::to_owned), splitter.has_partial())
+    (out, splitter.ids().last().map(str::to_owned), splitter.has_partial())
 }
 
 #[test]
@@ -33,19 +33,21 @@
     splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n");
     assert_eq!(splitter.take_whole().as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
     assert_eq!(splitter.take_whole(), None);
-    assert_eq!(splitter.last_id(), Some("1"));
+    assert_eq!(splitter.ids().last(), Some("1"));
     assert!(splitter.has_partial());
-    splitter.drop_partial();
-    assert!(!splitter.has_partial());
+    assert_eq!(splitter.partial_len(), "id: 2\ndata: b\n".len());
 }
 
 #[test]
-fn stream_continues_after_the_partial_event_was_dropped() {
+fn event_without_id_has_no_point_to_resume_at() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    splitter.push(b"id: 1\ndata: a\n\n");
     splitter.take_whole();
-    splitter.drop_partial();
-    splitter.push(b"id: 2\ndata: b\n\n");
-    assert_eq!(splitter.take_whole().as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
-    assert_eq!(splitter.last_id(), Some("2"));
+    assert_eq!(splitter.ids().last(), Some("1"));
+    splitter.push(b"data: b\n\n");
+    splitter.take_whole();
+    assert_eq!(splitter.ids().last(), None);
+    splitter.push(b"id: 3\n\n");
+    splitter.take_whole();
+    assert_eq!(splitter.ids().last(), Some("3"));
 }
