Keep a server's stall while its data comes after silences

What callers saw: with silent servers' streams kept, a server that is slow for a second or two got new requests after each of its late events, and these were late as well.

Cause: any data ended a stall. Before, silent streams were dropped, so a slow server sent none.

Change: data that comes after a silence shows that the server lives, and that this node's path to it works, but doesn't end its stall.

--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -1,13 +1,16 @@
 //! What the attempts of a request tell about servers, prompts and this node's paths.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfreyturn_policy::SuspectLedger;
 use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer};
 use comfreyturn_types::ServerLife;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{forward_attempt::AttemptError, forward_run::ForwardRun};
+use crate::{
+    forward_attempt::{Attempt, AttemptError},
+    forward_run::ForwardRun,
+};
 
 /// A connection that breaks less than this before the caller's deadline was closed by the server
 /// because the time given to it had passed.
@@ -38,6 +41,19 @@
         }
     }
 
+    /// Records that a server sent a part of a stream, and whether that came after a silence.
+    pub(crate) fn record_heard(&self, now: Instant, attempt: &Attempt, is_late: bool) {
+        let mut stalls = self.state.stalls.borrow_mut();
+        if !is_late {
+            stalls.record_seen(now, &attempt.life);
+            return;
+        }
+        stalls.record_seen_late(now, &attempt.life);
+        if attempt.is_direct {
+            self.state.record_reached();
+        }
+    }
+
     /// Records that a server was silent, unless this node's own path is at fault.
     pub(crate) fn record_stall(&self, life: &ServerLife) {
         if self.state.paths.borrow().is_lost() {
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -236,6 +236,13 @@
         Ok((source, events))
     }
 
+    /// For how long a stream's server may be silent between two events until another one is tried.
+    pub(crate) fn longest_silence(&self) -> Duration {
+        let settings = &self.state.settings;
+        let pause = self.route.longest_pause.unwrap_or(settings.default_pause);
+        pause.mul_f64(settings.stall_factor)
+    }
+
     /// For how long a server may be silent before its first event until another one is tried.
     pub(crate) fn first_event_limit(&self) -> Duration {
         let settings = &self.state.settings;
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -1,6 +1,6 @@
 //! Relaying of a stream of events to the caller.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use futures_util::future::FutureExt as _;
@@ -99,7 +99,7 @@
         &mut self,
         point: Option<&ResumePoint>,
     ) -> Result<NextEvents, AttemptFailure> {
-        let pause = self.longest_silence();
+        let pause = self.run.longest_silence();
         let Self { run, source, .. } = self;
         let run: &ForwardRun = run;
         let watch = source.watch.clone();
@@ -120,13 +120,6 @@
         AttemptRace::resumed(run, limit, &resume, current, pause).run().await
     }
 
-    /// For how long the stream's server may be silent until another one is tried.
-    fn longest_silence(&self) -> Duration {
-        let settings = &self.run.state.settings;
-        let pause = self.run.route.longest_pause.unwrap_or(settings.default_pause);
-        pause.mul_f64(settings.stall_factor)
-    }
-
     fn broken(&self, failure: &AttemptFailure) -> StreamBroken {
         let cause = match failure {
             AttemptFailure::Error(error) => *error,
--- a/crates/gateway/src/stall_tracker.rs
+++ b/crates/gateway/src/stall_tracker.rs
@@ -13,6 +13,9 @@
     /// When one of its streams last delivered data to this node.
     last_seen_at: Option<Instant>,
 
+    /// The same, of data that came without a silence before.
+    last_prompt_at: Option<Instant>,
+
     /// When one of its streams last delivered data to another node.
     peer_last_seen_at: Option<Instant>,
 
@@ -23,7 +26,7 @@
     own_stall_at: Option<Instant>,
 }
 
-/// Tracks stalled servers. A stall ends when the server delivers data again.
+/// Tracks stalled servers. A stall ends when the server delivers data again without a silence before.
 #[derive(Debug, Default)]
 pub struct StallTracker {
     activities: HashMap<ServerLife, StreamActivity>,
@@ -32,6 +35,14 @@
 impl StallTracker {
     /// Records that a stream of the server delivered data.
     pub fn record_seen(&mut self, now: Instant, life: &ServerLife) {
+        let activity = self.activities.entry(life.clone()).or_default();
+        activity.last_seen_at = Some(now);
+        activity.last_prompt_at = Some(now);
+    }
+
+    /// Records that a stream of the server delivered data after a silence. A server that is slow
+    /// does that all the time, so its stall goes on.
+    pub fn record_seen_late(&mut self, now: Instant, life: &ServerLife) {
         self.activities.entry(life.clone()).or_default().last_seen_at = Some(now);
     }
 
@@ -100,7 +111,8 @@
         self.seen_at(life).is_some_and(|at| now.saturating_duration_since(at) < max_age)
     }
 
-    /// Whether the server stalled within `retention`, and this node received nothing from it since.
+    /// Whether the server stalled within `retention`, and nothing came from it since but after
+    /// silences.
     pub fn is_stalled(&self, now: Instant, life: &ServerLife, retention: Duration) -> bool {
         self.activities.get(life).is_some_and(|activity| activity.is_stalled(now, retention))
     }
@@ -141,6 +153,6 @@
     fn is_stalled(&self, now: Instant, retention: Duration) -> bool {
         let Some(at) = self.stalled_at else { return false };
         let recent = now.saturating_duration_since(at) < retention;
-        recent && self.last_seen_at.is_none_or(|seen| seen <= at)
+        recent && self.last_prompt_at.is_none_or(|prompt| prompt <= at)
     }
 }
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -106,7 +106,12 @@
                 Some(bytes) => {
                     let now = run.now();
                     self.watch.heard(now);
-                    run.state.stalls.borrow_mut().record_seen(now, &self.attempt.life);
+                    let limit = match self.progress.first_event_at {
+                        Some(_) => run.longest_silence(),
+                        None => run.first_event_limit(),
+                    };
+                    let is_late = now.saturating_duration_since(asked_at) >= limit;
+                    run.record_heard(now, &self.attempt, is_late);
                     self.splitter.push(&bytes);
                     self.progress.asked_at.get_or_insert(asked_at);
                 }
--- a/crates/gateway/tests/forward/silent_servers.rs
+++ b/crates/gateway/tests/forward/silent_servers.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use comfreyturn_gateway::{ForwardAnswer, GatewaySettings};
-use comfreyturn_ports::LinkError;
-use comfreyturn_standin::fakes::{ScriptEnd, ServerScript};
+use comfreyturn_ports::{LinkError, Spawner as _};
+use comfreyturn_standin::fakes::{LocalSpawner, ScriptEnd, ServerScript};
 use strum::IntoEnumIterator as _;
 
-use crate::test_site::{TestSite, whole};
+use crate::test_site::{TestSite, events, whole};
 
 /// For how long a server is silent, in milliseconds.
 const PAUSES_MS: [u64; 3] = [500, 1000, 2000];
@@ -182,3 +182,32 @@
         assert_eq!(site.gateway.in_flight(), 0);
     }
 }
+
+/// Guards against a slow server that gets new requests after each of its silences, while its streams
+/// are kept.
+#[test]
+fn server_that_goes_on_after_silences_gets_no_new_requests() {
+    let mut site = TestSite::started();
+    let pause = Duration::from_millis(700);
+    let pieces = vec![(Duration::ZERO, BEFORE), (pause, "id: 3\n\n"), (pause, "id: 4\n\n")];
+    let slow = ServerScript::Answer { status: 200, pieces, end: ScriptEnd::Whole };
+    site.servers.script_next(slow);
+    site.servers.script_next(ServerScript::Fail(LinkError::NotRun));
+    let answer = site.send_to("/stream/x");
+    let ForwardAnswer::Stream { mut body, .. } = answer else { panic!("no stream") };
+    LocalSpawner::new(&site.pool).spawn(Box::pin(async move {
+        while body.next_events().await.is_ok_and(|events| events.is_some()) {}
+    }));
+    site.run(500);
+    let slow = site.servers.calls()[0].life.clone();
+    // Both servers have one stream.
+    site.servers.script_next(events(&["id: 1\n\n"], ScriptEnd::Hang));
+    let _other = site.send_to("/stream/x");
+    site.run(300);
+    for _ in 0..10 {
+        site.servers.script_next(paused(0, "", BEFORE));
+        let answer = site.send_to("/stream/x");
+        assert!(site.read(answer).1);
+        assert_ne!(site.servers.calls().last().unwrap().life, slow);
+    }
+}
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -232,6 +232,20 @@
     );
 }
 
+/// Guards against a slow server that gets new requests after each of its silences.
+#[test]
+fn stall_goes_on_while_data_comes_after_silences() {
+    let now = Instant::now();
+    let mut stalls = StallTracker::default();
+    stalls.record_stall(now, &life("a"));
+    stalls.record_seen_late(now + Duration::from_millis(500), &life("a"));
+    let later = now + Duration::from_millis(600);
+    assert!(stalls.is_stalled(later, &life("a"), Duration::from_secs(2)));
+    assert!(stalls.was_seen(later, &life("a"), Duration::from_millis(200)));
+    stalls.record_seen(later, &life("a"));
+    assert!(!stalls.is_stalled(later, &life("a"), Duration::from_secs(2)));
+}
+
 #[test]
 fn stall_reported_by_another_node_is_ignored_after_recent_data() {
     let now = Instant::now();
