--- a/crates/gateway/tests/forward/attempts.rs
+++ b/crates/gateway/tests/forward/attempts.rs
@@ -3,6 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::mpsc,
+    thread,
     time::Duration,
 };
 
@@ -21,6 +23,9 @@
 /// The events after them.
 const AFTER: &str = "id: 3\n\nid: 4\n\n";
 
+/// After this time without an answer or a first event another attempt is made.
+const SILENCE_MS: u64 = 900;
+
 /// The caller's deadline, in milliseconds.
 const DEADLINE_MS: u64 = 3000;
 
@@ -200,6 +205,65 @@
     assert_eq!(site.servers.calls().len(), 1);
 }
 
+/// Guards against more attempts than the route allows (BUDGET): an older attempt, whose server was not
+/// reached, waits for a place while a newer one runs, so it doesn't count, and a further one is made.
+#[test]
+fn attempt_that_waits_for_a_place_again_does_not_exceed_the_attempts() {
+    let mut site = site_with(ample(), &["m1"], &["p4"], |config| {
+        for route in &mut config.routes {
+            if route.prefix == "/write/" {
+                // Has no objective, so it does not wait for a place.
+                route.objective = route.timeout;
+            }
+        }
+    });
+    site.servers.script_next(late(1000, ServerScript::Fail(LinkError::NotSent)));
+    site.servers.script_next(ServerScript::Hang);
+    let outcome = site.spawn_read("/read/x");
+    site.run(950);
+    let before = site.servers.calls().len();
+    assert_eq!(before, 2);
+    // Requests that finish promise a place to those that wait.
+    for _ in 0..100 {
+        site.servers.script_next(ServerScript::whole(200, "x"));
+        site.send_to("/write/y");
+    }
+    // All places are taken until both attempts wait for one.
+    for _ in 0..40 {
+        site.servers.script_next(late(1000, ServerScript::whole(200, "x")));
+        site.spawn_read("/write/x");
+    }
+    site.run(900);
+    let others = site.servers.calls().len();
+    let is_own = |target: &str| target == "/read/x";
+    let own = |site: &TestSite| site.servers.calls().iter().filter(|c| is_own(&c.target)).count();
+    assert_eq!(own(&site), 2, "all places are taken, {others} calls");
+    site.run(2000);
+    assert!(outcome.borrow().is_some());
+    // The first one was not reached.
+    assert!(own(&site) <= 3, "{} attempts, of which one was not reached", own(&site));
+}
+
+/// Guards against a further attempt (BUDGET) for an answer that is being received: the budget had none
+/// while its server was silent, and has one when it goes on.
+#[test]
+fn answer_that_goes_on_gets_no_further_attempt() {
+    let settings =
+        GatewaySettings { retry_share: 0.5, retry_slack: 0.0, ..GatewaySettings::default() };
+    let mut site = TestSite::started_with(settings, &["m1", "m2"]);
+    let pieces = [(1000, "a"), (300, "b"), (300, "c"), (300, "d"), (300, "e"), (300, "f")];
+    site.servers.script_next(streamed(&pieces, ScriptEnd::Whole));
+    let outcome = site.spawn_read("/read/x");
+    site.run(SILENCE_MS + 300);
+    for _ in 0..2 {
+        site.servers.script_next(ServerScript::whole(200, "other"));
+        assert_eq!(whole(site.send_to("/read/y")).0, 200);
+    }
+    site.run(1700);
+    assert_eq!(outcome.borrow().as_ref().map(|(text, _)| text.as_str()), Some("200 OK"));
+    assert_eq!(site.servers.calls().len(), 3, "one attempt for each request");
+}
+
 // -------------------------------------------------------------------------------------------
 // How attempts end
 
@@ -292,3 +356,78 @@
         assert!(ended.get(), "{target}, {models} servers");
     }
 }
+
+/// Guards against an outcome that comes later than the deadline, and is not called a timeout, because
+/// another server is looked for when the time is over.
+#[test]
+fn silent_request_without_another_server_times_out_at_its_deadline() {
+    let mut site = TestSite::started_with(ample(), &["m1"]);
+    let (answer, time) = site.timed("/stream/x");
+    let ForwardAnswer::Unknown(reason) = answer else { panic!("an outcome that is known") };
+    assert_eq!((reason, time), (UnknownReason::Timeout, DEADLINE_MS));
+}
+
+/// Guards against a server's failed answer that comes too late for its caller, because another server is
+/// silent.
+#[test]
+fn failed_answer_is_delivered_before_the_deadline() {
+    let mut site = TestSite::started();
+    site.servers.script_next(ServerScript::Hang);
+    site.servers.script_next(ServerScript::whole(500, "sorry"));
+    let (answer, time) = site.timed("/read/x");
+    assert_eq!(whole(answer), (500, "sorry".to_owned()));
+    assert!(
+        time < DEADLINE_MS,
+        "it was there after {SILENCE_MS} ms, and delivered after {time} ms"
+    );
+}
+
+/// Guards against a node that stands still for good: a route states an objective of zero, and the
+/// budget has no retry.
+#[test]
+fn objective_of_zero_does_not_stop_the_node() {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let settings =
+            GatewaySettings { retry_share: 0.0, retry_slack: 0.0, ..GatewaySettings::default() };
+        let mut site = site_with(settings, &["m1"], &[], |config| {
+            for route in &mut config.routes {
+                route.objective = Duration::ZERO;
+            }
+        });
+        site.servers.script_next(late(500, ServerScript::whole(200, "a")));
+        let _ = sender.send(whole(site.send_to("/read/x")));
+    });
+    let answer = receiver.recv_timeout(Duration::from_secs(20));
+    assert_eq!(answer, Ok((200, "a".to_owned())));
+}
+
+// -------------------------------------------------------------------------------------------
+// Where streams are resumed
+
+/// Guards against a stream that can't be resumed any more because its server sends comments, which are
+/// no events, to keep the connection open (LOST).
+#[test]
+fn comment_between_events_does_not_prevent_resuming() {
+    for (before, after) in
+        [("id: 1\n\nid: 2\n\n: ping\n\n", "id: 3\n\n"), (BEFORE, ": ping\n\nid: 3\n\n")]
+    {
+        let mut site = TestSite::started();
+        site.servers.script_next(events(&[before], ScriptEnd::Broken));
+        site.servers.script_next(events(&[after], ScriptEnd::Whole));
+        let answer = site.send_to("/stream/x");
+        assert_eq!(site.read(answer), (format!("{before}{after}"), true), "{before:?}, {after:?}");
+    }
+}
+
+/// Guards against a missing event (ORDER): the second server of a stream breaks after its first event,
+/// and what is known of the ids before is forgotten.
+#[test]
+fn stream_that_is_resumed_twice_has_no_gap() {
+    let mut site = with_max_attempts(ample(), 3, &["m1", "m2", "m3"]);
+    site.servers.script_next(events(&[BEFORE], ScriptEnd::Broken));
+    site.servers.script_next(events(&["id: 3\n\n"], ScriptEnd::Broken));
+    site.servers.script_next(events(&["id: 5\n\n"], ScriptEnd::Whole));
+    let answer = site.send_to("/stream/x");
+    assert_eq!(site.read(answer), (format!("{BEFORE}id: 3\n\n"), false));
+}
