Count attempts again after one has waited for a place

What servers saw (BUDGET): a request ran on three servers though its route allows two.

Cause: an attempt whose server was not reached no longer counts while it waits for a place at another one. Meanwhile a silent newer attempt allowed a further one, and both were sent. Before the race there was one attempt at a time.

Change: the number is checked again right before an attempt is sent, and a lack of places is no reason to look again once all attempts are used. attempt_that_waits_for_a_place_again_does_not_exceed_the_attempts passes now.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -177,9 +177,10 @@
             return;
         }
         let is_started = self.is_answering || !self.running.is_empty();
+        let may_look_again = is_started && self.run.has_attempt_left();
         match failure {
             AttemptFailure::Error(AttemptError::NotMade(reason))
-                if is_started && reason.is_lack_of_capacity() =>
+                if may_look_again && reason.is_lack_of_capacity() =>
             {
                 self.next = NextAttempt::At(self.run.now() + CAPACITY_PAUSE);
             }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -256,6 +256,10 @@
     ) -> Result<Attempt, AttemptError> {
         for _ in 0..UNREACHED_LIMIT {
             let server = self.choose(urgent).await?;
+            // Another attempt may have been made while this one waited for a place.
+            if self.progress.sent.get() >= self.route.max_attempts {
+                return Err(AttemptError::NotMade(NotRunReason::NoServer));
+            }
             let now = self.now();
             let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
             let is_direct = helper.is_none();
