End a request at its deadline while another server is looked for

What callers saw: the outcome came up to 50 ms after the deadline and was called a lost answer (502), not a timeout (504).

Cause: when the last attempt ended for lack of time, a look for another server was still planned, and its refusal became the outcome. The code before gave the request up earlier, so the case is new.

Change: no attempt is planned after one that ran out of time. silent_request_without_another_server_times_out_at_its_deadline passes now.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -176,6 +176,10 @@
         if !is_newest && !self.running.is_empty() {
             return;
         }
+        if matches!(failure, AttemptFailure::Error(AttemptError::OutOfTime)) {
+            self.next = NextAttempt::Never;
+            return;
+        }
         let is_started = self.is_answering || !self.running.is_empty();
         let may_look_again = is_started && self.run.has_attempt_left();
         match failure {
