Wait for at least 50 ms of silence

What happens: a node stands still for good if a route states an objective of zero, its request is silent and the budget for retries is used up: the time of the next question to the budget is now, again and again, and the task never yields. Before the race such a request was given up at once.

Change: limits of silence are at least 50 ms. objective_of_zero_does_not_stop_the_node passes now.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -26,6 +26,9 @@
 /// Time until the next look for a server, if none was available for a request that runs already.
 const CAPACITY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Shorter limits of silence count as this, so that waiting always takes time.
+const LEAST_SILENCE: Duration = Duration::from_millis(50);
+
 /// The server that an attempt waits for.
 #[derive(Clone, Debug)]
 struct AwaitedServer {
@@ -126,6 +129,7 @@
         pause: Duration,
     ) -> Self {
         let (attempt, watch) = current;
+        let (limit, pause) = (limit.max(LEAST_SILENCE), pause.max(LEAST_SILENCE));
         let running = FuturesUnordered::new();
         running.push(join(ready(0), attempt));
         let next = NextAttempt::AfterSilence(watch, pause);
