Keep the sequence of ids when a stream is resumed twice

What callers see (ORDER): an event is missing. The second server of a stream breaks after its first event; from that one alone it can't be told that ids count up by one, so the third server may begin anywhere after it. Not new: the code before took whatever came.

Change: a single event of a resumed stream inherits what was known at the point where it was resumed. stream_that_is_resumed_twice_has_no_gap passes now.

--- a/crates/gateway/src/resume_point.rs
+++ b/crates/gateway/src/resume_point.rs
@@ -55,11 +55,18 @@
 }
 
 impl ResumePoint {
-    /// The point after the last event of an answer; `None` if that event has no id.
-    pub(crate) fn after(ids: &EventIds, headers: &HeaderMap) -> Option<Self> {
+    /// The point after the last event of an answer, which itself follows `previous` if the stream was
+    /// resumed there; `None` if that event has no id.
+    pub(crate) fn after(
+        previous: Option<&Self>,
+        ids: &EventIds,
+        headers: &HeaderMap,
+    ) -> Option<Self> {
+        // A single event tells nothing, but it follows the events before.
+        let was_sequence = previous.is_some_and(|point| point.is_sequence);
         Some(Self {
             last_id: ids.last()?.to_owned(),
-            is_sequence: ids.is_sequence,
+            is_sequence: ids.is_sequence || (ids.count == 1 && was_sequence),
             content_type: headers.get(CONTENT_TYPE).cloned(),
         })
     }
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -46,17 +46,21 @@
     pub(crate) watch: Rc<SilenceWatch>,
     splitter: EventSplitter,
     progress: AnswerProgress,
+
+    /// Where the stream was resumed at this server.
+    resumed_at: Option<ResumePoint>,
 }
 
 impl StreamSource {
     pub(crate) fn new(attempt: Attempt, watch: Rc<SilenceWatch>) -> Self {
         let (splitter, progress) = (EventSplitter::default(), AnswerProgress::default());
-        Self { attempt, watch, splitter, progress }
+        Self { attempt, watch, splitter, progress, resumed_at: None }
     }
 
     /// Where another server has to go on; `None` if that can't be told.
     pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
-        ResumePoint::after(self.splitter.ids(), self.attempt.answer.headers())
+        let (ids, headers) = (self.splitter.ids(), self.attempt.answer.headers());
+        ResumePoint::after(self.resumed_at.as_ref(), ids, headers)
     }
 
     /// Reads the first events, which have to follow `point`.
@@ -71,6 +75,7 @@
             point.admits(headers) && point.is_followed_by(self.splitter.ids())
         };
         if point.is_none_or(goes_on) {
+            self.resumed_at = point.cloned();
             return Ok(events);
         }
         let error = AttemptError::Link(LinkError::Foreign);
