--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -26,6 +26,9 @@
 /// Time until the next look for a server, if none was available for a request that runs already.
 const CAPACITY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Shorter limits of silence count as this, so that waiting always takes time.
+const LEAST_SILENCE: Duration = Duration::from_millis(50);
+
 /// The server that an attempt waits for.
 #[derive(Clone, Debug)]
 struct AwaitedServer {
@@ -126,6 +129,7 @@
         pause: Duration,
     ) -> Self {
         let (attempt, watch) = current;
+        let (limit, pause) = (limit.max(LEAST_SILENCE), pause.max(LEAST_SILENCE));
         let running = FuturesUnordered::new();
         running.push(join(ready(0), attempt));
         let next = NextAttempt::AfterSilence(watch, pause);
@@ -176,10 +180,15 @@
         if !is_newest && !self.running.is_empty() {
             return;
         }
+        if matches!(failure, AttemptFailure::Error(AttemptError::OutOfTime)) {
+            self.next = NextAttempt::Never;
+            return;
+        }
         let is_started = self.is_answering || !self.running.is_empty();
+        let may_look_again = is_started && self.run.has_attempt_left();
         match failure {
             AttemptFailure::Error(AttemptError::NotMade(reason))
-                if is_started && reason.is_lack_of_capacity() =>
+                if may_look_again && reason.is_lack_of_capacity() =>
             {
                 self.next = NextAttempt::At(self.run.now() + CAPACITY_PAUSE);
             }
