Take no comment in a stream for an event without an id

Change: blocks that have comments only are relayed and count as no event. comment_between_events_does_not_prevent_resuming failed before and passes.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -30,7 +30,10 @@
         let mut end = 0;
         let mut from = self.scanned;
         while let Some(next) = event_end(&self.input, from) {
-            self.ids.push(event_id(&self.input[end..next]));
+            let event = &self.input[end..next];
+            if !is_comment(event) {
+                self.ids.push(event_id(event));
+            }
             end = next;
             from = next;
         }
@@ -66,6 +69,13 @@
     })
 }
 
+/// Whether a block has comments only, which are no event.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines =
+        block.split(|byte| matches!(byte, b'\n' | b'\r')).filter(|line| !line.is_empty());
+    lines.all(|line| line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<String> {
     let lines = event.split(|byte| *byte == b'\n');
     let id = lines.filter_map(|line| line.strip_prefix(ID_FIELD)).next_back()?;
