Make no further attempt for an answer that goes on

What servers saw (BUDGET): a whole answer was silent while the budget for retries had none left; it went on, and was sent to another server all the same as soon as the budget had one. Parts of whole answers ended no stall of their server either.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// For how long the server has been silent; zero if the attempt waits for something else.
+    fn silence(&self, now: Instant) -> Duration {
+        let awaited = self.awaited.borrow();
+        let since = awaited.as_ref().map_or(now, |awaited| awaited.since);
+        now.saturating_duration_since(since)
+    }
+
     /// The attempt waits for no server any more.
     pub(crate) fn clear(&self) {
         *self.awaited.borrow_mut() = None;
@@ -79,8 +86,9 @@
     /// Once the server of the newest attempt has been silent for this time.
     AfterSilence(Rc<SilenceWatch>, Duration),
 
-    /// At this time, if the budget for retries allows it.
-    IfAllowed(Instant),
+    /// At this time, if the budget for retries allows it, and the server of the newest attempt, if that
+    /// one runs, is still silent.
+    IfAllowed(Instant, Option<Rc<SilenceWatch>>),
 
     /// At this time. Its retry was taken from the budget.
     At(Instant),
@@ -160,7 +168,7 @@
         }
     }
 
-    /// Waits for the end of an attempt; `None` if it is time for another one before.
+    /// Waits for the end of an attempt; `None` if something else is to be decided before.
     async fn step(&mut self) -> Option<(u32, Result<T, AttemptFailure>)> {
         let Self { run, running, next, .. } = self;
         let next = std::pin::pin!(run.await_next(next));
@@ -194,32 +202,41 @@
             }
             _ if matches!(self.next, NextAttempt::At(_)) => {}
             _ if self.run.should_retry(failure) => self.add(),
-            _ => self.next = self.ask_again(),
+            _ => self.next = self.ask_again(None),
         }
     }
 
     /// Makes another attempt beside those that run, if one is allowed.
     fn add_if_allowed(&mut self) {
-        if let NextAttempt::AfterSilence(watch, _) = &self.next {
-            if !self.run.has_attempt_left() {
-                self.next = NextAttempt::Never;
+        let now = self.run.now();
+        let watch = match std::mem::replace(&mut self.next, NextAttempt::Never) {
+            NextAttempt::Never => return,
+            NextAttempt::At(_) => return self.add(),
+            NextAttempt::AfterSilence(watch, _) => {
+                if !self.run.has_attempt_left() {
+                    return;
+                }
+                self.run.record_silence(&watch);
+                Some(watch)
+            }
+            NextAttempt::IfAllowed(_, Some(watch)) if watch.silence(now) < self.limit => {
+                self.next = NextAttempt::AfterSilence(watch, self.limit);
                 return;
             }
-            self.run.record_silence(watch);
-        }
-        let is_paid = matches!(self.next, NextAttempt::At(_));
-        if is_paid || self.run.take_retry() {
+            NextAttempt::IfAllowed(_, watch) => watch,
+        };
+        if self.run.take_retry() {
             self.add();
         } else {
-            self.next = self.ask_again();
+            self.next = self.ask_again(watch);
         }
     }
 
     /// The budget for retries may allow another attempt later.
-    fn ask_again(&self) -> NextAttempt {
+    fn ask_again(&self, watch: Option<Rc<SilenceWatch>>) -> NextAttempt {
         let is_possible = !self.running.is_empty() && self.run.has_attempt_left();
         if is_possible {
-            NextAttempt::IfAllowed(self.run.now() + self.limit)
+            NextAttempt::IfAllowed(self.run.now() + self.limit, watch)
         } else {
             NextAttempt::Never
         }
@@ -238,7 +255,7 @@
     async fn await_next(&self, next: &NextAttempt) {
         match next {
             NextAttempt::AfterSilence(watch, limit) => self.await_silence(watch, *limit).await,
-            NextAttempt::IfAllowed(at) | NextAttempt::At(at) => {
+            NextAttempt::IfAllowed(at, _) | NextAttempt::At(at) => {
                 let pause = at.saturating_duration_since(self.now());
                 self.ports.clock.sleep(pause).await;
             }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -134,9 +134,8 @@
     // Buffered answers
 
     async fn run_whole(self) -> ForwardAnswer {
-        let limit = self.route.objective.mul_f64(self.state.settings.answer_factor);
         let start = |watch| self.whole_attempt(watch).boxed_local();
-        let answer = AttemptRace::new(&self, limit, &start).run().await;
+        let answer = AttemptRace::new(&self, self.answer_limit(), &start).run().await;
         match answer {
             Ok(whole) => self.served(whole),
             Err(failure) => self.failed(failure),
@@ -149,6 +148,11 @@
         if self.is_retryable(&whole) { Err(AttemptFailure::Answer(whole)) } else { Ok(whole) }
     }
 
+    /// For how long a server may send no part of a whole answer until another one is tried.
+    fn answer_limit(&self) -> Duration {
+        self.route.objective.mul_f64(self.state.settings.answer_factor)
+    }
+
     /// Whether another server may give a better answer.
     fn is_retryable(&self, whole: &WholeAnswer) -> bool {
         whole.status.is_server_error() && self.route.kind.is_repeatable()
@@ -172,12 +176,17 @@
         let headers = attempt.answer.headers().clone();
         let mut body = BytesMut::new();
         let reading = async {
+            let mut asked_at = self.now();
             while let Some(bytes) = attempt.answer.chunk().await? {
                 if body.len() + bytes.len() > self.state.settings.whole_answer_limit {
                     return Err(LinkError::Foreign);
                 }
                 body.extend_from_slice(&bytes);
-                watch.heard(self.now());
+                let now = self.now();
+                let is_late = now.saturating_duration_since(asked_at) >= self.answer_limit();
+                watch.heard(now);
+                self.record_heard(now, &attempt, is_late);
+                asked_at = now;
             }
             Ok(())
         };
