Deliver a failed answer before its caller's time is over

What callers saw: a server's failed answer was held back while another attempt was silent, in the hope of a better one, and came at the deadline, too late for them.

Change: it is delivered 0.1 s before the request must end, if no better one has come. failed_answer_is_delivered_before_the_deadline failed before and passes; all 63 tests of the file pass.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     forward_attempt::{AttemptError, AttemptFailure},
-    forward_run::ForwardRun,
+    forward_run::{ForwardRun, STOP_CHECK_PERIOD},
 };
 
 /// Time between two checks whether the server of a pending request has stalled.
@@ -26,6 +26,10 @@
 /// Time until the next look for a server, if none was available for a request that runs already.
 const CAPACITY_PAUSE: Duration = Duration::from_millis(50);
 
+/// An answer of a server that failed is delivered this long before the request must end, if no better
+/// one has come.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Shorter limits of silence count as this, so that waiting always takes time.
 const LEAST_SILENCE: Duration = Duration::from_millis(50);
 
@@ -159,19 +163,37 @@
                         self.failure = Some(failure);
                     }
                 }
+                None if self.must_answer() => {}
                 None => self.add_if_allowed(),
             }
             let is_over = self.running.is_empty() && !matches!(self.next, NextAttempt::At(_));
-            if is_over && let Some(failure) = self.failure.take() {
+            if (is_over || self.must_answer())
+                && let Some(failure) = self.failure.take()
+            {
                 return Err(failure);
             }
         }
     }
 
+    /// Whether there is an answer of a server that failed, and no time to wait for a better one.
+    fn must_answer(&self) -> bool {
+        let has_answer = matches!(self.failure, Some(AttemptFailure::Answer(_)));
+        has_answer && self.run.now() + ANSWER_MARGIN >= self.run.ends_at()
+    }
+
     /// Waits for the end of an attempt; `None` if something else is to be decided before.
     async fn step(&mut self) -> Option<(u32, Result<T, AttemptFailure>)> {
-        let Self { run, running, next, .. } = self;
-        let next = std::pin::pin!(run.await_next(next));
+        let Self { run, running, next, failure, .. } = self;
+        let next = async {
+            match failure {
+                Some(AttemptFailure::Answer(_)) => {
+                    let last_time = std::pin::pin!(run.await_last_time());
+                    select(std::pin::pin!(run.await_next(next)), last_time).await;
+                }
+                _ => run.await_next(next).await,
+            }
+        };
+        let next = std::pin::pin!(next);
         if running.is_empty() {
             next.await;
             return None;
@@ -263,6 +285,18 @@
         }
     }
 
+    /// Waits until the caller must get an answer.
+    async fn await_last_time(&self) {
+        loop {
+            let left = self.ends_at().saturating_duration_since(self.now());
+            if left <= ANSWER_MARGIN {
+                return;
+            }
+            let pause = (left - ANSWER_MARGIN).min(STOP_CHECK_PERIOD);
+            self.ports.clock.sleep(pause).await;
+        }
+    }
+
     /// Waits until a server was silent for `limit`, or for less if it counts as stalled.
     async fn await_silence(&self, watch: &SilenceWatch, limit: Duration) {
         loop {
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -27,7 +27,7 @@
 const UNREACHED_LIMIT: u32 = 4;
 
 /// Pause between two checks whether the node must end before a pending request.
-const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
+pub(crate) const STOP_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
