Send each order to a server on a connection of its own

What can happen: a server writes the answer to an earlier order once more on a kept connection, and the node reads it as the answer to the order that it has just written. Any answer but 412 to an order to leave a group lets the planner count the server as gone from the group, so its members may be given to another one while the head still serves; an old 412 makes a valid lease be given up.

Cause: orders and probes share a pool that keeps connections, and nothing in an answer tells which order it belongs to.

Change: HttpPool::send_alone sends a request on a new connection that is not kept, also after its answer was read as a whole; orders use it, and so do requests, whose connections were not kept only because their answers are never read as a whole. The same holds for connections through another node.

Price: a connection for each order.

--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -105,6 +105,25 @@
         permit.send(fresh.await?, request, limit).await
     }
 
+    /// Sends a request on a new connection that isn't kept, so that a late answer to another request
+    /// is never read as the answer to this one.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpPool::send`].
+    pub async fn send_alone(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> HttpResult<HttpAnswer> {
+        set_host(&mut request, address);
+        let permit = self.acquire_permit(address)?.alone();
+        let fresh =
+            HttpConnection::open(address, self.settings.connect_timeout, self.meter.clone());
+        permit.send(fresh.await?, request, limit).await
+    }
+
     /// Sends a request through another node, on a new connection that isn't kept.
     ///
     /// # Errors
@@ -118,7 +137,7 @@
         limit: Duration,
     ) -> HttpResult<HttpAnswer> {
         set_host(&mut request, address);
-        let permit = self.acquire_permit(address)?;
+        let permit = self.acquire_permit(address)?.alone();
         // The other node needs up to the same time for its own connection.
         let connect_limit = self.settings.connect_timeout * 2;
         let opening =
@@ -135,7 +154,7 @@
             return Err(HttpError::NotSent);
         }
         host.in_use += 1;
-        Ok(ConnectionPermit { pool: Rc::clone(self), address })
+        Ok(ConnectionPermit { pool: Rc::clone(self), address, is_kept: true })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<HttpConnection> {
@@ -205,9 +224,18 @@
 struct ConnectionPermit {
     pool: Rc<HttpPool>,
     address: SocketAddr,
+
+    /// Whether its connection is kept for other requests.
+    is_kept: bool,
 }
 
 impl ConnectionPermit {
+    /// A permit for a connection of one request.
+    fn alone(mut self) -> Self {
+        self.is_kept = false;
+        self
+    }
+
     /// Sends a request on a new connection.
     async fn send(
         self,
@@ -241,11 +269,13 @@
 }
 
 impl PooledConnection {
-    /// Returns the connection to the pool for reuse. The last response must have been read
-    /// completely.
+    /// Returns the connection to the pool for reuse, unless it serves one request only. The last
+    /// response must have been read completely.
     pub(crate) fn return_to_pool(self) {
         let Self { connection, permit } = self;
-        permit.pool.put_idle(Instant::now(), permit.address, connection);
+        if permit.is_kept {
+            permit.pool.put_idle(Instant::now(), permit.address, connection);
+        }
     }
 
     /// Largest complete response, in bytes.
