Send each request of the product's own mode on a connection of its own

What can happen: a backend server writes the answer to an earlier request once more on a kept connection, and the node reads it as the answer to the request that it has just written. After an earlier refusal, a request that runs once at most goes to a second server, or its caller is told that it did not run; after an earlier stream or call, the caller gets another request's answer. An engine's earlier answer to an order counts for a later order (fenced, or done).

Cause: BackendClient and EngineClient send over a pool that keeps connections, and no response says which request it belongs to (the platform's mode opens a connection for each request for this reason).

Change: requests, resumptions, cancellations and orders use HttpPool::send_alone. The rest of a stream's response is still read after its last event, so that the engine sees a proper end. Reports, the table service and the list of VMs keep connections.

connection_is_reused_after_a_complete_stream asserted the reuse that causes this; answer_to_an_earlier_request_is_not_read_again replaces it, counts the connections too, and has the server answer wrongly.

Price: a connection for each request; the speed of a node was not measured.

Evidence: answer_to_an_earlier_request_is_not_read_again, answer_to_an_earlier_call_is_not_read_again and, of the engine client, answer_to_an_earlier_order_is_not_read_again failed before and pass now. All tests of adapters and ctl (processes) pass.

--- a/crates/adapters/src/backend_client.rs
+++ b/crates/adapters/src/backend_client.rs
@@ -1,4 +1,7 @@
-//! Requests to backend servers over HTTP.
+//! Requests to backend servers over HTTP, with a new connection for each.
+//!
+//! Nothing in a response tells which request it belongs to. On a connection that served an earlier
+//! request, a late answer to that one would be read as the answer to this one.
 
 use std::{net::SocketAddr, rc::Rc};
 
@@ -21,7 +24,7 @@
     BackendSettings, HttpAnswer, HttpError, HttpPool, WholeAnswer,
     completion_reader::CompletionReader,
     http_connection::WholeRequest,
-    json_call::{call, call_within, empty_request, json_request},
+    json_call::{call_alone, empty_request, json_request},
 };
 
 const COMPLETIONS_PATH: &str = "/v1/completions";
@@ -49,7 +52,7 @@
 }
 
 impl BackendClient {
-    /// Creates a client that uses the connections of `pool`.
+    /// Creates a client that opens its connections by `pool`, within its limits.
     pub fn new(pool: Rc<HttpPool>, settings: BackendSettings) -> Self {
         Self { pool, settings }
     }
@@ -59,7 +62,7 @@
         address: SocketAddr,
         request: WholeRequest,
     ) -> BackendResult<CompletionStream> {
-        let sending = self.pool.send(address, request, self.settings.head_timeout);
+        let sending = self.pool.send_alone(address, request, self.settings.head_timeout);
         let answer = sending.await.map_err(backend_error)?;
         if answer.status() == StatusCode::OK && is_event_stream(answer.headers()) {
             let reader = CompletionReader::new(answer, self.settings.stream_idle_timeout);
@@ -115,7 +118,9 @@
         stream: &StreamId,
     ) -> BackendResult<()> {
         let request = empty_request(Method::DELETE, stream_path(stream, None)?);
-        let answer = call(&self.pool, address, request).await.map_err(backend_error)?;
+        let limit = self.pool.settings().call_timeout;
+        let cancelling = call_alone(&self.pool, address, request, limit);
+        let answer = cancelling.await.map_err(backend_error)?;
         match answer.head.status {
             status if status.is_success() => Ok(()),
             StatusCode::NOT_FOUND => Err(BackendError::UnknownStream),
@@ -130,7 +135,7 @@
         request: &PlainRequest,
     ) -> BackendResult<PlainResponse> {
         let request = plain_request(request);
-        let calling = call_within(&self.pool, address, request, self.settings.plain_timeout);
+        let calling = call_alone(&self.pool, address, request, self.settings.plain_timeout);
         let answer = calling.await.map_err(backend_error)?;
         if is_plain_not_started(&answer) {
             return Err(BackendError::NotStarted { retry_after: answer.retry_after() });
--- a/crates/adapters/src/completion_reader.rs
+++ b/crates/adapters/src/completion_reader.rs
@@ -11,8 +11,8 @@
 
 use crate::{EventDecoder, HttpAnswer};
 
-/// Time for an engine to end the response after its last event, so that the connection can be
-/// reused.
+/// Time for an engine to end the response after its last event. It may take a connection that is
+/// closed before for a caller that is gone.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads events from a response. Dropping it closes the connection.
@@ -48,7 +48,7 @@
         match reader.next_event().await {
             Ok(event @ CompletionEvent::Token(_)) => Some((Ok(event), Some(reader))),
             Ok(event @ CompletionEvent::Finished { .. }) => {
-                reader.recycle();
+                reader.read_rest();
                 Some((Ok(event), None))
             }
             Err(error) => Some((Err(error), None)),
@@ -67,11 +67,11 @@
         }
     }
 
-    /// Reads the rest of the response in the background, which returns the connection to the pool.
-    fn recycle(self) {
+    /// Reads the rest of the response in the background.
+    fn read_rest(self) {
         let draining = async move {
             if let Err(error) = self.answer.whole(END_TIMEOUT).await {
-                log::debug!("backend: connection not reused: {error}.");
+                log::debug!("backend: response has no proper end: {error}.");
             }
         };
         compio::runtime::spawn(draining).detach();
--- a/crates/adapters/src/engine_client.rs
+++ b/crates/adapters/src/engine_client.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     HttpError, HttpPool, WholeAnswer,
-    json_call::{call, empty_request, json_request},
+    json_call::{call, call_alone, empty_request, json_request},
 };
 
 const REPORT_PATH: &str = "/control/report";
@@ -53,7 +53,10 @@
 
     async fn order(&self, _step: Step, record: &VmRecord, order: &EngineOrder) -> EngineResult<()> {
         let request = json_request(ORDER_PATH, order).map_err(engine_error)?;
-        let answer = call(&self.pool, record.address, request).await.map_err(engine_error)?;
+        let limit = self.pool.settings().call_timeout;
+        // A late answer to an earlier order says nothing about this one.
+        let calling = call_alone(&self.pool, record.address, request, limit);
+        let answer = calling.await.map_err(engine_error)?;
         match answer.head.status {
             StatusCode::NO_CONTENT => Ok(()),
             StatusCode::CONFLICT => Err(refusal(&answer)),
--- a/crates/adapters/src/json_call.rs
+++ b/crates/adapters/src/json_call.rs
@@ -8,7 +8,9 @@
 use http_body_util::Full;
 use serde::Serialize;
 
-use crate::{HttpError, HttpPool, HttpResult, WholeAnswer, http_connection::WholeRequest};
+use crate::{
+    HttpAnswer, HttpError, HttpPool, HttpResult, WholeAnswer, http_connection::WholeRequest,
+};
 
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
@@ -40,21 +42,29 @@
     address: SocketAddr,
     request: WholeRequest,
 ) -> HttpResult<WholeAnswer> {
-    call_within(pool, address, request, pool.settings().call_timeout).await
+    let limit = pool.settings().call_timeout;
+    let sending = pool.send(address, request, limit);
+    read_whole(pool, sending, limit).await
 }
 
-/// Sends a request and reads the complete response within `limit`, counted from when the connection
-/// is open.
-pub(crate) async fn call_within(
+/// Like [`call`] within `limit`, counted from when the connection is open, on a connection of its
+/// own: a late answer to another request is never read as the answer to this one.
+pub(crate) async fn call_alone(
     pool: &Rc<HttpPool>,
     address: SocketAddr,
     request: WholeRequest,
     limit: Duration,
 ) -> HttpResult<WholeAnswer> {
+    let sending = pool.send_alone(address, request, limit);
+    read_whole(pool, sending, limit).await
+}
+
+async fn read_whole(
+    pool: &HttpPool,
+    sending: impl Future<Output = HttpResult<HttpAnswer>>,
+    limit: Duration,
+) -> HttpResult<WholeAnswer> {
+    let calling = async { sending.await?.whole(limit).await };
     let whole_limit = pool.settings().connect_timeout + limit;
-    let calling = async {
-        let answer = pool.send(address, request, limit).await?;
-        answer.whole(limit).await
-    };
     timeout(whole_limit, calling).await.map_err(|_| HttpError::NoAnswer)?
 }
--- a/crates/adapters/tests/backend_client.rs
+++ b/crates/adapters/tests/backend_client.rs
@@ -141,22 +141,71 @@
     assert_eq!(drain(stream).await, (vec![0, 1], Some(Ok("stop".into()))));
 }
 
+/// Guards against a late answer to an earlier request that is read as the answer to this one: a
+/// refusal, after which a request that runs goes to a second backend server, or another request's
+/// stream.
 #[compio::test]
-async fn connection_is_reused_after_a_complete_stream() {
-    let finished = || chunk("data: {\"finished\":\"length\"}\n\n");
-    let end = || Action::Write("0\r\n\r\n".into());
-    let head = || Action::Write(STREAM_HEAD.into());
-    let again =
-        vec![finished(), end(), Action::Read, head(), finished(), end(), Action::AwaitClose];
-    let server = stream_server(again);
-    let client = client();
-    for _ in 0..2 {
-        let attempt = attempt();
-        let stream = client.complete(Step::RequestDispatch, server.address, &attempt).await;
-        assert_eq!(drain(stream.unwrap()).await.1, Some(Ok("length".into())));
-        compio::time::sleep(Duration::from_millis(50)).await;
+async fn answer_to_an_earlier_request_is_not_read_again() {
+    let not_started = answer("503 Busy", "", r#"{"error":"not-started"}"#);
+    let finished = chunk("data: {\"finished\":\"length\"}\n\n");
+    let earlier = [
+        vec![Action::Write(not_started)],
+        vec![Action::Write(STREAM_HEAD.into()), finished, Action::Write("0\r\n\r\n".into())],
+    ];
+    for writes in earlier {
+        let mut kept = Vec::new();
+        for _ in 0..2 {
+            kept.push(Action::Read);
+            kept.extend(writes.clone());
+        }
+        kept.push(Action::AwaitClose);
+        let rejection = Action::Write(answer("400 Own", "", ""));
+        let server = ScriptServer::start(vec![kept, vec![Action::Read, rejection]]);
+        let client = client();
+        for is_first in [true, false] {
+            let opened = client.complete(Step::ClaimDispatch, server.address, &attempt()).await;
+            if is_first {
+                let Ok(stream) = opened else { continue };
+                assert_eq!(drain(stream).await.1, Some(Ok("length".into())));
+                compio::time::sleep(Duration::from_millis(50)).await;
+            } else {
+                assert_eq!(opened.err(), Some(BackendError::Rejected { status: 400 }));
+            }
+        }
+        assert_eq!(server.connections(), 2);
     }
-    assert_eq!(server.connections(), 1);
+}
+
+/// As above, for calls of plain services.
+#[compio::test]
+async fn answer_to_an_earlier_call_is_not_read_again() {
+    let not_started = answer("503 Busy", "X-Not-Started: true\r\n", "");
+    for earlier in [not_started, answer("200 OK", "", "other")] {
+        let write = || Action::Write(earlier.clone());
+        let kept = vec![Action::Read, write(), Action::Read, write(), Action::AwaitClose];
+        let own = Action::Write(answer("200 OK", "", "own"));
+        let server = ScriptServer::start(vec![kept, vec![Action::Read, own]]);
+        let client = client();
+        let _ = client.call(Step::ClaimDispatch, server.address, &plain_request()).await;
+        let called = client.call(Step::ClaimDispatch, server.address, &plain_request()).await;
+        assert_eq!(called.unwrap().body, "own");
+    }
+}
+
+/// Guards against a stream whose connection is closed before the engine has ended the response, so
+/// that the engine takes the caller for gone.
+#[compio::test]
+async fn response_is_read_to_its_end_after_the_last_event() {
+    let server = stream_server(vec![
+        chunk("data: {\"finished\":\"length\"}\n\n"),
+        Action::Wait(Duration::from_millis(50)),
+        Action::Write("0\r\n\r\n".into()),
+        Action::AwaitClose,
+    ]);
+    assert_eq!(drain(complete(server.address).await.unwrap()).await.1, Some(Ok("length".into())));
+    assert_eq!(server.closes(), 0);
+    compio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(server.closes(), 1);
 }
 
 #[compio::test]
--- a/crates/adapters/tests/engine_client.rs
+++ b/crates/adapters/tests/engine_client.rs
@@ -52,6 +52,20 @@
     }
 }
 
+/// Guards against the answer to an earlier order that is read as the answer to this one.
+#[compio::test]
+async fn answer_to_an_earlier_order_is_not_read_again() {
+    let fenced = Action::Write(answer("409 C", "", r#"{"error":"fenced","seen":7}"#));
+    let kept = vec![Action::Read, fenced.clone(), Action::Read, fenced, Action::AwaitClose];
+    let done = Action::Write("HTTP/1.1 204 No Content\r\n\r\n".into());
+    let server = ScriptServer::start(vec![kept, vec![Action::Read, done, Action::AwaitClose]]);
+    let client = EngineClient::new(pool());
+    let order = EngineOrder { fencing: FencingNumber(8), assignment: None };
+    let record = record(server.address);
+    assert!(client.order(Step::GroupOrder, &record, &order).await.is_err());
+    assert_eq!(client.order(Step::GroupOrder, &record, &order).await, Ok(()));
+}
+
 #[compio::test]
 async fn reports() {
     let idle = r#"{"vm":"vm-1","incarnation":5,"phase":"idle"}"#;
