Use no kept connection on which the server has closed or written something

What can happen: a call of the store or the table, a report or a probe is written to a kept connection that the server has closed a moment ago, and its outcome is unknown; or the server has written something after its last response, and this is read as the answer to the call: a transaction counts as refused, or as done.

Cause: the pool asks hyper whether the connection is open. Hyper closes a connection on which bytes or the end arrive between two responses, but learns of them only when the runtime polls the sockets, which a busy node has not done by then. The request is written first, and what arrived before it is read as its answer.

Change: before a kept connection is used again, its task runs, and the socket is peeked at. One with anything to read, its end included, is closed, and the call gets another connection. Connections through other nodes are never kept.

--- a/crates/adapters/src/http_connection.rs
+++ b/crates/adapters/src/http_connection.rs
@@ -1,6 +1,6 @@
 //! One HTTP/1.1 connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{future::poll_fn, net::SocketAddr, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
@@ -10,6 +10,10 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
+use rustix::{
+    io::Errno,
+    net::{RecvFlags, recv},
+};
 
 use crate::{ByteMeter, HttpError, HttpResult, metered_stream::MeteredStream, tunnel::open_tunnel};
 
@@ -29,6 +33,9 @@
 pub(crate) struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
 
+    /// The socket, unless the connection goes through another node.
+    socket: Option<TcpStream>,
+
     /// Invariant: not detached, so that dropping it ends the task, which owns the socket.
     _task: JoinHandle<()>,
 }
@@ -42,7 +49,8 @@
     ) -> HttpResult<Self> {
         let connecting = timeout(limit, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connecting else { return Err(HttpError::NotSent) };
-        Self::start(address, MeteredStream::new(stream, meter)).await
+        let socket = Some(stream.clone());
+        Self::start(address, MeteredStream::new(stream, meter), socket).await
     }
 
     /// Opens a connection through another node.
@@ -54,10 +62,14 @@
     ) -> HttpResult<Self> {
         let opening = timeout(limit, open_tunnel(helper, address, meter)).await;
         let Ok(Ok(stream)) = opening else { return Err(HttpError::NotSent) };
-        Self::start(address, stream).await
+        Self::start(address, stream, None).await
     }
 
-    async fn start(address: SocketAddr, stream: MeteredStream) -> HttpResult<Self> {
+    async fn start(
+        address: SocketAddr,
+        stream: MeteredStream,
+        socket: Option<TcpStream>,
+    ) -> HttpResult<Self> {
         let handshake = http1::handshake(stream).await;
         let (sender, connection) = handshake.map_err(|_| HttpError::NotSent)?;
         let task = compio::runtime::spawn(async move {
@@ -65,7 +77,7 @@
                 log::debug!("http: connection to {address} ended: {error}.");
             }
         });
-        Ok(Self { sender, _task: task })
+        Ok(Self { sender, socket, _task: task })
     }
 
     /// Whether the connection is still open, as far as is known.
@@ -73,6 +85,14 @@
         !self.sender.is_closed()
     }
 
+    /// Whether a kept connection can take another request: the server has neither closed it nor sent
+    /// anything since the last response. Both may have arrived while this thread was busy.
+    pub(crate) async fn is_reusable(&self) -> bool {
+        // What was read from the socket already, the connection's task learns of now.
+        run_other_tasks().await;
+        self.is_open() && self.socket.as_ref().is_some_and(is_silent)
+    }
+
     /// Sends a request and awaits the head of the response.
     pub(crate) async fn send(
         &mut self,
@@ -88,3 +108,23 @@
         })
     }
 }
+
+/// Whether nothing is to be read from a connection, not even its end.
+fn is_silent(socket: &TcpStream) -> bool {
+    let mut byte = [0; 1];
+    recv(socket, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) == Err(Errno::AGAIN)
+}
+
+/// Lets the tasks run that can go on.
+async fn run_other_tasks() {
+    let mut has_waited = false;
+    poll_fn(|context| {
+        if has_waited {
+            return Poll::Ready(());
+        }
+        has_waited = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -92,7 +92,7 @@
     ) -> HttpResult<HttpAnswer> {
         set_host(&mut request, address);
         let permit = self.acquire_permit(address)?;
-        if let Some(connection) = self.take_idle(address) {
+        if let Some(connection) = self.take_idle(address).await {
             match attempt(connection, request, limit).await? {
                 Attempt::Answered(connection, response) => {
                     return Ok(HttpAnswer::new(response, permit.attach(connection)));
@@ -157,15 +157,14 @@
         Ok(ConnectionPermit { pool: Rc::clone(self), address, is_kept: true })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<HttpConnection> {
-        let mut hosts = self.hosts.borrow_mut();
-        let idle = &mut hosts.get_mut(&address)?.idle;
-        while let Some(IdleConnection { connection, .. }) = idle.pop() {
-            if connection.is_open() {
-                return Some(connection);
+    /// A kept connection that can take another request.
+    async fn take_idle(&self, address: SocketAddr) -> Option<HttpConnection> {
+        loop {
+            let idle = self.hosts.borrow_mut().get_mut(&address)?.idle.pop()?;
+            if idle.connection.is_reusable().await {
+                return Some(idle.connection);
             }
         }
-        None
     }
 
     /// Closes connections that were unused for the idle timeout.
--- a/crates/adapters/tests/http_pool.rs
+++ b/crates/adapters/tests/http_pool.rs
@@ -1,14 +1,17 @@
-//! Responses that are none.
+//! Responses that are none, and connections that are kept.
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use comfreyturn_adapters::HttpError;
+use comfreyturn_adapters::{HttpError, HttpPool, HttpResult};
 use http::Request;
 use http_body_util::Full;
-use support::{Action, ScriptServer, pool};
+use support::{Action, ScriptServer, answer, pool};
 
 const LIMIT: Duration = Duration::from_secs(8);
 
@@ -27,3 +30,38 @@
     assert_eq!(answer.err(), Some(HttpError::NoAnswer));
     assert!(started_at.elapsed() < LIMIT / 2, "the head is larger than any answer's");
 }
+
+/// Time in which a server's bytes, or its close, arrive.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+
+async fn send(pool: &Rc<HttpPool>, server: &ScriptServer) -> HttpResult<Bytes> {
+    let request = Request::get("/x").body(Full::new(Bytes::new())).unwrap();
+    Ok(pool.send(server.address, request, LIMIT).await?.whole(LIMIT).await?.body)
+}
+
+/// Guards against a request on a kept connection that the server has closed, which loses the answer,
+/// or on which it has written something, which is read as the answer. The node may have been busy
+/// and not have seen either.
+#[compio::test]
+async fn stale_connection_is_not_used_again() {
+    let first = || vec![Action::Read, Action::Write(answer("200 OK", "", "first"))];
+    let extra = Action::Write(answer("503 Busy", "", "extra"));
+    let ends = [
+        vec![Action::Wait(ARRIVAL_TIME / 4)],
+        vec![Action::Wait(ARRIVAL_TIME / 4), extra, Action::AwaitClose],
+    ];
+    for (end, is_busy) in ends.iter().flat_map(|end| [(end, false), (end, true)]) {
+        let kept = [first(), end.clone()].concat();
+        let own = vec![Action::Read, Action::Write(answer("200 OK", "", "own"))];
+        let server = ScriptServer::start(vec![kept, own]);
+        let pool = pool();
+        assert_eq!(send(&pool, &server).await.unwrap(), "first");
+        if is_busy {
+            std::thread::sleep(ARRIVAL_TIME);
+        } else {
+            compio::time::sleep(ARRIVAL_TIME).await;
+        }
+        assert_eq!(send(&pool, &server).await.unwrap(), "own", "busy: {is_busy}");
+        assert_eq!((server.connections(), server.requests().len()), (2, 2));
+    }
+}
