Test that a connection through another node serves one request

Before requests were sent on connections of their own, a connection through another node whose answer was read as a whole was kept as one to the server itself; the test fails on that code. No caller read such an answer as a whole, so nothing was seen.

--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -145,6 +145,21 @@
     assert_eq!((server.connections(), helper.open.get()), (0, 0));
 }
 
+/// Guards against a connection through another node that is kept, and that a later request takes as
+/// one to the server itself.
+#[compio::test]
+async fn connection_through_another_node_serves_one_request() {
+    let ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let script = || vec![Action::Read, Action::Write(ok.into()), Action::AwaitClose];
+    let server = ScriptServer::start(vec![script(), script()]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    helper.send(&pool, server.address).await.unwrap().whole(LIMIT).await.unwrap();
+    let request = Request::get("/x").body(Full::default()).unwrap();
+    pool.send(server.address, request, LIMIT).await.unwrap().whole(LIMIT).await.unwrap();
+    compio::time::sleep(CLOSE_TIME).await;
+    assert_eq!((server.connections(), helper.open.get()), (2, 0));
+}
+
 /// Guards against a node that passes requests on and does not learn what the server asks of it
 /// (BUDGET).
 #[compio::test]
