--- a/crates/adapters/src/http_connection.rs
+++ b/crates/adapters/src/http_connection.rs
@@ -36,7 +36,7 @@
     /// The socket, unless the connection goes through another node.
     socket: Option<TcpStream>,
 
-    /// Invariant: not detached, so that dropping it ends the task, which owns the socket.
+    /// Invariant: not detached, so that dropping the connection ends the task and closes the socket.
     _task: JoinHandle<()>,
 }
 
