Let the tests' servers go on after the event that a request names

Cause: since streams only go on where their events go on, streams_end_where_they_run_and_are_resumed_elsewhere fails: 21 of 28 streams are whole. The tests' servers began every answer at event 1, whatever event the request named, so the callers of the other streams had received events twice, unnoticed. The servers are wrong, not the check.

Change: they begin after that event. 28 of 28 streams are whole; the test is as it was.

--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -294,7 +294,7 @@
             life,
             headers: HeaderMap::new(),
             events: stated_events(&call.headers).unwrap_or(state.events.get()),
-            sent: 0,
+            sent: call.resume_after.as_deref().and_then(|id| id.parse().ok()).unwrap_or_default(),
             crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
             _place: place,
             _tunnel: permit,
@@ -331,7 +331,7 @@
     /// Events of the whole answer.
     events: u32,
 
-    /// Events sent so far.
+    /// Events sent so far, here or at the server where the stream began.
     sent: u32,
     crashes_at: Option<Instant>,
     _place: PlaceGuard,
