Test that a node keeps its paths when all its servers pause

Fails on this code: after a pause of a second of all three servers, whose streams then go on at every node, requests go through other nodes. The tests' servers that are frozen now send no events either; before, only new requests waited.

--- a/crates/gateway/tests/nodes/lost_paths.rs
+++ b/crates/gateway/tests/nodes/lost_paths.rs
@@ -1,11 +1,11 @@
 //! Nodes that lost their paths to all servers, while callers and the other nodes still reach them.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use comfreyturn_gateway::ForwardAnswer;
 use comfreyturn_ports::ServerReading;
 use comfreyturn_standin::fakes::FixedFeeds;
-use comfreyturn_types::{RequestKind, StoreVersion};
+use comfreyturn_types::{RequestKind, ServerLife, StoreVersion, VmId};
 
 use crate::{
     plain_service::{listed, plain_config, plain_request},
@@ -103,3 +103,41 @@
         }
     }
 }
+
+/// Guards against a node that sends its requests through others although its paths work: all servers
+/// of its streams are silent for a second, and go on.
+#[test]
+fn servers_that_fall_silent_and_go_on_do_not_make_a_node_lose_its_paths() {
+    const SILENT_SERVERS: usize = 3;
+    let mut nodes = TestNodes::first_start(SIZES[0]);
+    for feeds in nodes.feeds.values() {
+        feeds.put_config(plain_config(RequestKind::ResumableStream));
+        let changes = (0..SILENT_SERVERS).map(|index| listed(&format!("s{index}"))).collect();
+        let version = StoreVersion::first_era(1);
+        feeds.add_reading(ServerReading { is_whole: true, version, changes });
+    }
+    nodes.servers.set_events(60);
+    nodes.run(JOIN_MS);
+    for _ in 0..SILENT_SERVERS {
+        for number in 1..=SIZES[0] {
+            nodes.send(number, plain_request(nodes.now(number)));
+            nodes.run(REQUEST_PAUSE_MS);
+        }
+    }
+    nodes.run(300);
+    let until = nodes.now(1) + Duration::from_secs(1);
+    for index in 0..SILENT_SERVERS {
+        let life = ServerLife { vm: VmId::from(format!("s{index}")), born: 1 };
+        nodes.servers.freeze(&life, until);
+    }
+    nodes.run(1200);
+    let before = nodes.servers.arrivals().len();
+    for number in 1..=SIZES[0] {
+        nodes.send(number, plain_request(nodes.now(number)));
+    }
+    nodes.run(500);
+    let arrivals = nodes.servers.arrivals().split_off(before);
+    assert_eq!(arrivals.len(), usize::from(SIZES[0]));
+    let helped = arrivals.iter().filter(|arrival| arrival.seen != arrival.node).count();
+    assert_eq!(helped, 0, "requests that went through another node");
+}
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -358,6 +358,10 @@
         if self.sent >= self.events {
             return Ok(None);
         }
+        let frozen_until = self.state.frozen.borrow().get(&self.life).copied();
+        if let Some(until) = frozen_until {
+            self.clock.sleep(until.saturating_duration_since(self.clock.now())).await;
+        }
         let next_at = self.clock.now() + EVENT_PAUSE;
         if let Some(crashes_at) = self.crashes_at.filter(|at| *at <= next_at) {
             let left = crashes_at.saturating_duration_since(self.clock.now());
