Keep a node's paths when silent servers go on

What happens: a node whose streams' servers are all silent for a second, and go on, takes its own paths for lost, forgets what it saw of servers, and sends requests through other nodes (4 of 7 nodes in the test).

Cause: a silent server counts as not reached until a new connection of this node reaches one. Streams that go on are heard over the old connections, while other nodes report that they heard the servers after this node's failure.

Change: a server that sends something over a connection of this node no longer counts as not reached. servers_that_fall_silent_and_go_on_do_not_make_a_node_lose_its_paths passes now, and the other test of lost_paths still does.

--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -178,6 +178,9 @@
                 }
                 body.extend_from_slice(&bytes);
                 watch.heard(self.now());
+                if attempt.is_direct {
+                    self.state.record_heard(&attempt.life);
+                }
             }
             Ok(())
         };
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -60,6 +60,11 @@
         self.update_paths(now);
     }
 
+    /// Records that a server sent something over a connection of this node.
+    pub(crate) fn record_heard(&self, life: &ServerLife) {
+        self.paths.borrow_mut().record_heard(life);
+    }
+
     /// Decides whether this node's own paths are lost. If so, what it saw of servers meanwhile says
     /// nothing about them.
     fn update_paths(&self, now: Instant) {
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -112,6 +112,9 @@
                     let now = run.now();
                     self.watch.heard(now);
                     run.state.stalls.borrow_mut().record_seen(now, &self.attempt.life);
+                    if self.attempt.is_direct {
+                        run.state.record_heard(&self.attempt.life);
+                    }
                     self.splitter.push(&bytes);
                     self.progress.asked_at.get_or_insert(asked_at);
                 }
--- a/crates/policy/src/path_monitor.rs
+++ b/crates/policy/src/path_monitor.rs
@@ -33,7 +33,8 @@
 pub struct PathMonitor {
     settings: PathSettings,
 
-    /// When servers weren't reached. Invariant: no server was reached since the first of these.
+    /// When servers weren't reached. Invariant: no new connection reached a server since the first
+    /// of these, and none of these servers was heard since.
     failures: HashMap<ServerLife, Instant>,
     is_lost: bool,
 }
@@ -55,6 +56,11 @@
         self.failures.entry(life.clone()).or_insert(now);
     }
 
+    /// Records that a server that was silent goes on, over a connection of this node.
+    pub fn record_heard(&mut self, life: &ServerLife) {
+        self.failures.remove(life);
+    }
+
     /// Decides whether the paths count as lost. `answered_since` tells whether a server answered
     /// another node after some time. Returns whether they count as lost from now on.
     pub fn update(
