--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -41,16 +41,16 @@
         }
     }
 
-    /// Records that a server sent a part of a stream, and whether that came after a silence.
+    /// Records that a server sent a part of an answer, and whether that came after a silence.
     pub(crate) fn record_heard(&self, now: Instant, attempt: &Attempt, is_late: bool) {
         let mut stalls = self.state.stalls.borrow_mut();
-        if !is_late {
+        if is_late {
+            stalls.record_seen_late(now, &attempt.life);
+        } else {
             stalls.record_seen(now, &attempt.life);
-            return;
         }
-        stalls.record_seen_late(now, &attempt.life);
         if attempt.is_direct {
-            self.state.record_reached();
+            self.state.record_heard(&attempt.life);
         }
     }
 
--- a/crates/standin/src/fakes/answering_servers.rs
+++ b/crates/standin/src/fakes/answering_servers.rs
@@ -294,7 +294,7 @@
             life,
             headers: HeaderMap::new(),
             events: stated_events(&call.headers).unwrap_or(state.events.get()),
-            sent: 0,
+            sent: call.resume_after.as_deref().and_then(|id| id.parse().ok()).unwrap_or_default(),
             crashes_at: crashes.then(|| clock.now() + CRASH_DELAY),
             _place: place,
             _tunnel: permit,
@@ -331,7 +331,7 @@
     /// Events of the whole answer.
     events: u32,
 
-    /// Events sent so far.
+    /// Events sent so far, here or at the server where the stream began.
     sent: u32,
     crashes_at: Option<Instant>,
     _place: PlaceGuard,
@@ -358,6 +358,10 @@
         if self.sent >= self.events {
             return Ok(None);
         }
+        let frozen_until = self.state.frozen.borrow().get(&self.life).copied();
+        if let Some(until) = frozen_until {
+            self.clock.sleep(until.saturating_duration_since(self.clock.now())).await;
+        }
         let next_at = self.clock.now() + EVENT_PAUSE;
         if let Some(crashes_at) = self.crashes_at.filter(|at| *at <= next_at) {
             let left = crashes_at.saturating_duration_since(self.clock.now());
