Relay only events within a stream

What callers saw (MIXED): the server of a stream whose answer has a length, or none, wrote another response or an error's text after its events, and the caller got the response's whole head as an event. The same text of a server that was asked to go on is refused by this as well.

Change: a block without any field of an event, and not of comments only, is no event. What follows the last event then counts as a response that does not belong to the request: the stream goes on at another server, or is broken off.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -7,6 +7,9 @@
 /// The field that holds the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// The fields of events. A block without any of them is no event.
+const FIELDS: [&[u8]; 4] = [ID_FIELD, b"data:", b"event:", b"retry:"];
+
 /// Splits a stream of server-sent events into complete events, so that a caller never receives a
 /// partial event when the stream breaks and is resumed at another server.
 #[derive(Debug, Default)]
@@ -17,6 +20,9 @@
     scanned: usize,
 
     ids: EventIds,
+
+    /// Whether `input` begins with a block that is no event.
+    is_foreign: bool,
 }
 
 impl EventSplitter {
@@ -27,12 +33,18 @@
 
     /// Takes all complete events received so far, byte for byte as the server sent them.
     pub fn take_whole(&mut self) -> Option<Bytes> {
+        if self.is_foreign {
+            return None;
+        }
         let mut end = 0;
         let mut from = self.scanned;
         while let Some(next) = event_end(&self.input, from) {
-            let event = &self.input[end..next];
-            if !is_comment(event) {
-                self.ids.push(event_id(event));
+            let block = &self.input[end..next];
+            if has_field(block) {
+                self.ids.push(event_id(block));
+            } else if !is_comment(block) {
+                self.is_foreign = true;
+                break;
             }
             end = next;
             from = next;
@@ -48,6 +60,11 @@
         &self.ids
     }
 
+    /// Whether a block that is no event follows the complete events.
+    pub fn is_foreign(&self) -> bool {
+        self.is_foreign
+    }
+
     /// Whether the buffer holds a partial event.
     pub fn has_partial(&self) -> bool {
         !self.input.is_empty()
@@ -69,11 +86,18 @@
     })
 }
 
+/// The lines of a block that are not empty.
+fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    block.split(|byte| matches!(byte, b'\n' | b'\r')).filter(|line| !line.is_empty())
+}
+
+fn has_field(block: &[u8]) -> bool {
+    lines(block).any(|line| FIELDS.iter().any(|field| line.starts_with(field)))
+}
+
 /// Whether a block has comments only, which are no event.
 fn is_comment(block: &[u8]) -> bool {
-    let mut lines =
-        block.split(|byte| matches!(byte, b'\n' | b'\r')).filter(|line| !line.is_empty());
-    lines.all(|line| line.starts_with(b":"))
+    lines(block).all(|line| line.starts_with(b":"))
 }
 
 fn event_id(event: &[u8]) -> Option<String> {
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -101,7 +101,7 @@
                 self.record_events(run);
                 return Ok(Some(events));
             }
-            if self.splitter.partial_len() > MAX_EVENT_BYTES {
+            if self.splitter.is_foreign() || self.splitter.partial_len() > MAX_EVENT_BYTES {
                 return Err(run.attempt_error(LinkError::Foreign));
             }
             let asked_at = run.now();
--- a/crates/gateway/tests/forward/resumed_streams.rs
+++ b/crates/gateway/tests/forward/resumed_streams.rs
@@ -106,3 +106,20 @@
         assert_eq!(site.read(answer), (format!("{BEFORE}id: 3\n\n"), true), "{other:?}");
     }
 }
+
+/// Guards against a response's head or an error's text that the stream's own server writes, and that is
+/// relayed as an event (MIXED).
+#[test]
+fn text_of_the_streams_own_server_is_no_event() {
+    for end in [ScriptEnd::Whole, ScriptEnd::Unmarked, ScriptEnd::Hang] {
+        let mut site = TestSite::started();
+        site.servers.script_next(events(&[BEFORE, ERROR_TEXT], end));
+        site.servers.script_next(events(&["id: 3\n\n"], ScriptEnd::Whole));
+        let answer = site.send_to("/stream/x");
+        assert_eq!(site.read(answer), (format!("{BEFORE}id: 3\n\n"), true), "{end:?}");
+        let mut site = TestSite::started();
+        site.servers.script_next(events(&["id: 1\n\nbusy\n\n"], end));
+        let answer = site.send_to("/once/x");
+        assert_eq!(site.read(answer), ("id: 1\n\n".to_owned(), false), "{end:?}");
+    }
+}
