Look for a server beside a silent one less often, and tell attempts in the logs

From the review, by reading: each look for a server counts as an arrival in the load that nodes report, and a silent request beside full servers looked 20 times a second; a look that fails for lack of a fresh configuration took a retry from the budget each time; two silent attempts were logged as none; a one-time stream relied on its link to report no refusal within an answer.

Looks beside a silent server are 0.25 s apart, no further attempt is planned after a refusal for another reason than capacity, attempts are counted in the logs when they are sent, and a stream that must not run twice has no race. That load or budget suffered from it was not measured.

--- a/crates/gateway/src/attempt_race.rs
+++ b/crates/gateway/src/attempt_race.rs
@@ -23,8 +23,12 @@
 /// Time between two checks whether the server of a pending request has stalled.
 const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time until the next look for a server, if none was available for a request that runs already.
-const CAPACITY_PAUSE: Duration = Duration::from_millis(50);
+/// Time until the next look for a server, if none was available to go on with an answer.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time until the next look for a server, if none was available beside a silent one. Each look counts as
+/// an arrival in the measured load.
+const CAPACITY_PAUSE: Duration = Duration::from_millis(250);
 
 /// An answer of a server that failed is delivered this long before the request must end, if no better
 /// one has come.
@@ -210,17 +214,17 @@
         if !is_newest && !self.running.is_empty() {
             return;
         }
-        if matches!(failure, AttemptFailure::Error(AttemptError::OutOfTime)) {
-            self.next = NextAttempt::Never;
-            return;
-        }
         let is_started = self.is_answering || !self.running.is_empty();
         let may_look_again = is_started && self.run.has_attempt_left();
         match failure {
             AttemptFailure::Error(AttemptError::NotMade(reason))
                 if may_look_again && reason.is_lack_of_capacity() =>
             {
-                self.next = NextAttempt::At(self.run.now() + CAPACITY_PAUSE);
+                let pause = if self.is_answering { RESUME_PAUSE } else { CAPACITY_PAUSE };
+                self.next = NextAttempt::At(self.run.now() + pause);
+            }
+            AttemptFailure::Error(AttemptError::NotMade(_) | AttemptError::OutOfTime) => {
+                self.next = NextAttempt::Never;
             }
             _ if matches!(self.next, NextAttempt::At(_)) => {}
             _ if self.run.should_retry(failure) => self.add(),
--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -65,7 +65,7 @@
     /// Records a failed attempt. A connection that broke while the request may have run counts as a
     /// possible crash caused by the request.
     pub(crate) fn record_failure(&self, life: &ServerLife, error: LinkError) {
-        self.trace.failed(life, self.progress.sent.get(), AttemptError::Link(error));
+        self.trace.failed(life, AttemptError::Link(error));
         if error != LinkError::Broken || self.state.paths.borrow().is_lost() {
             return;
         }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -280,7 +280,7 @@
             let helper = self.state.helper(now).map_err(AttemptError::NotMade)?;
             let is_direct = helper.is_none();
             self.progress.record_sent(&server.life);
-            self.trace.attempt_started(&server.life);
+            self.trace.attempt_started(&server.life, self.progress.sent.get());
             watch.wait_for(now, &server.life, is_direct);
             let reading_guard = self.start_reading(now, &server);
             let load_guard = self.state.loads.start(&server.life);
@@ -300,7 +300,7 @@
                 }
                 Err(LinkError::NotSent) => {
                     watch.clear();
-                    self.trace.not_reached(&server.life);
+                    self.trace.not_reached(&server.life, self.progress.sent.get());
                 }
                 Err(error) => return Err(self.attempt_error(error)),
             }
@@ -350,7 +350,7 @@
         match &answer {
             Ok(_) => {
                 self.state.stalls.borrow_mut().record_seen(self.now(), &server.life);
-                self.trace.answered(self.progress.sent.get());
+                self.trace.answered();
             }
             Err(error) => {
                 self.progress.record_not_run(*error);
--- a/crates/gateway/src/relay_stream.rs
+++ b/crates/gateway/src/relay_stream.rs
@@ -107,7 +107,9 @@
             let events = source.read(run).await?;
             Ok(NextEvents { replacement: None, events })
         };
-        let Some(point) = point else { return current.await };
+        let Some(point) = point.filter(|_| run.route.kind.is_repeatable()) else {
+            return current.await;
+        };
         let resume = |watch: Rc<SilenceWatch>| {
             let resumed = async move {
                 let (source, events) = run.resumed_attempt(watch, point.clone()).await?;
--- a/crates/gateway/src/request_trace.rs
+++ b/crates/gateway/src/request_trace.rs
@@ -100,8 +100,9 @@
     // ---------------------------------------------------------------------------------------
     // Progress
 
-    /// An attempt at a server starts.
-    pub(crate) fn attempt_started(&self, life: &ServerLife) {
+    /// An attempt at a server starts, which makes `sent` of them.
+    pub(crate) fn attempt_started(&self, life: &ServerLife, sent: u32) {
+        self.sent.set(sent);
         self.attempted_at.set(Some(self.clock.now()));
         *self.server.borrow_mut() = Some(life.clone());
     }
@@ -111,8 +112,9 @@
         self.prediction.set(time.map(|time| (now, time)));
     }
 
-    /// A server was not reached.
-    pub(crate) fn not_reached(&self, life: &ServerLife) {
+    /// A server was not reached, which leaves `sent` attempts.
+    pub(crate) fn not_reached(&self, life: &ServerLife, sent: u32) {
+        self.sent.set(sent);
         self.count_attempt("not-sent");
         log::info!(
             request:% = self.request,
@@ -123,21 +125,19 @@
     }
 
     /// The server of the current attempt answers.
-    pub(crate) fn answered(&self, sent: u32) {
-        self.sent.set(sent);
+    pub(crate) fn answered(&self) {
         self.count_attempt("answered");
     }
 
     /// A server didn't answer, or its answer broke off.
-    pub(crate) fn failed(&self, life: &ServerLife, sent: u32, error: AttemptError) {
-        self.sent.set(sent);
+    pub(crate) fn failed(&self, life: &ServerLife, error: AttemptError) {
         self.count_attempt(error.into());
         let now = self.clock.now();
         let last_seen = self.state.stalls.borrow().last_seen_age(now, life);
         log::info!(
             request:% = self.request,
             server:% = life,
-            attempt = sent,
+            attempt = self.sent.get(),
             cause:% = error,
             parts = self.parts_text(),
             heard_age_ms = age_ms(last_seen),
