Follow only epochs that a planner can have given out

A server's entry with the largest epoch that a number can hold ended the process of the node that plans groups: the next epoch is one higher than the newest in the list. The lease then went to the next node, whose process ended as well. Where sums wrap, such an epoch kept epochs from rising.

Cause: each epoch in the list was believed.

Change: epochs beyond those of a million later leases are not followed. Epochs still rise from planner to planner, as each begins at its own lease.

Evidence: `membership_with_odd_numbers_does_not_disturb_other_groups` failed before (overflow in `match_reported_groups`) and passes now: six epochs, four ranks and four groups, under three planners one after the other.

--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -33,6 +33,9 @@
     /// Epochs are numbered from the fencing number of the lease, so that they only rise.
     pub(crate) next_epoch: u64,
 
+    /// Higher epochs in the list of servers are not followed.
+    last_believed_epoch: u64,
+
     pub(crate) groups: BTreeMap<GroupId, PlannedGroup>,
 
     /// Servers that are loading weights, with the model and the start of the load.
@@ -66,12 +69,17 @@
 /// Number of epochs that one holder of the lease can use.
 const EPOCHS_PER_LEASE: u64 = 1_000_000;
 
+/// Epochs of so many later leases are believed: a store that starts anew counts leases anew, while
+/// servers keep their epochs. No planner gave out a higher one.
+const BELIEVED_LEASES: u64 = 1_000_000;
+
 impl FleetPlanner {
     /// A planner that acts under a lease.
     pub fn new(fencing: u64, settings: FleetPlannerSettings) -> Self {
         Self {
             settings,
             next_epoch: fencing * EPOCHS_PER_LEASE + 1,
+            last_believed_epoch: (fencing + BELIEVED_LEASES) * EPOCHS_PER_LEASE,
             groups: BTreeMap::new(),
             staging: HashMap::new(),
             obsolete: Vec::new(),
@@ -182,8 +190,9 @@
         let reported = reported_groups(view.servers.iter().copied(), view.service, view.engine);
         // Standby groups count as well: their members refuse older epochs too.
         let memberships = view.servers.iter().filter_map(|server| server.membership.as_ref());
-        let newest = memberships.map(|membership| membership.epoch).max().unwrap_or_default();
-        self.next_epoch = self.next_epoch.max(newest + 1);
+        let epochs = memberships.map(|membership| membership.epoch);
+        let newest = epochs.filter(|epoch| *epoch <= self.last_believed_epoch).max();
+        self.next_epoch = self.next_epoch.max(newest.unwrap_or_default() + 1);
         for reported in &reported {
             if self.groups.contains_key(&reported.group) || reported.head().is_none() {
                 continue;
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -468,6 +468,43 @@
     assert!(epoch(&fleet) > before);
 }
 
+/// Guards against an entry of another writer whose epoch ends the process of each planner, or keeps
+/// epochs from rising; and one whose rank or group does not exist.
+#[test]
+fn membership_with_odd_numbers_does_not_disturb_other_groups() {
+    let epochs = [u64::MAX, u64::MAX - 1, u64::MAX - 5, u64::MAX / 2, 1 << 53, 0];
+    let ranks = [0, 3, 4, u32::MAX];
+    let groups = ["big.7", "big.18446744073709551615", "other", ""];
+    for (epoch, rank, group) in
+        epochs.iter().flat_map(|epoch| ranks.iter().map(move |rank| (epoch, rank))).flat_map(
+            |(epoch, rank)| groups.iter().map(move |group| (*epoch, *rank, GroupId::from(*group))),
+        )
+    {
+        let odd = GroupMembership { group, epoch, rank, phase: MemberPhase::Open };
+        let mut fleet = staged_fleet(9, 8);
+        fleet.servers.push(server(95, &["big"]));
+        let mut newest = 0;
+        for fencing in [1, 2, 3] {
+            fleet.planner = FleetPlanner::new(fencing, FleetPlannerSettings::default());
+            for server in &mut fleet.servers {
+                server.membership = None;
+            }
+            for _ in 0..6 {
+                fleet.servers[9].membership = Some(odd.clone());
+                let orders = fleet.orders();
+                fleet.carry_out(&orders);
+            }
+            let members = fleet.servers[..9].iter().filter_map(|server| server.membership.as_ref());
+            let members: Vec<_> = members.filter(|place| !is_standby_group(&place.group)).collect();
+            assert_eq!(members.len(), 8, "{odd:?}");
+            let oldest = members.iter().map(|place| place.epoch).min().unwrap();
+            assert!(oldest > newest, "epochs rise from planner to planner: {odd:?}");
+            newest = members.iter().map(|place| place.epoch).max().unwrap();
+            assert!(newest < 1 << 53, "{odd:?}");
+        }
+    }
+}
+
 #[test]
 fn loads_stay_within_the_rate_of_the_weight_store() {
     let servers = (0..60).map(|index| server(index, &[])).collect();
