Send only as many changes of the list as a datagram holds

Long entries of servers made a node's message larger than a datagram: it was never sent, and the same message was assembled again and again. The nodes that depend on it stopped following the list of servers, and lost what else the message says: live nodes, loads, proofs of the configuration.

Cause: the changes in a message were limited by their number only.

Change: fewer changes are sent if they take more bytes; the reader asks for the next ones, as it does already.

Evidence: the tests' network now loses datagrams that UDP cannot carry. With that, `long_entries_reach_every_node` failed before (the five nodes that get the list from others lacked it after 8 s) and passes now. All 125 tests of the crate pass.

--- a/crates/gateway/src/list_exchange.rs
+++ b/crates/gateway/src/list_exchange.rs
@@ -4,6 +4,7 @@
 
 use comfreyturn_proto::peer;
 use comfreyturn_types::{Incarnation, NodeId};
+use prost::Message;
 
 use crate::{
     Gateway, HeartbeatLoop, LogPosition,
@@ -14,6 +15,10 @@
 /// Changes of the list of servers in a datagram.
 const CHANGES_PER_DATAGRAM: usize = 128;
 
+/// Bytes of the changes of the list in a datagram. UDP carries less than 64 KiB, and a datagram has
+/// other content as well.
+const CHANGE_BYTES_PER_DATAGRAM: usize = 24 * 1024;
+
 impl HeartbeatLoop {
     /// The relay from which this relay gets the list, unless it reads the list itself.
     pub(crate) fn choose_list_source(&self, now: Instant) -> Option<NodeId> {
@@ -65,9 +70,21 @@
         }
     }
 
+    /// The next changes for a reader, as many as a datagram holds.
     pub(crate) fn list_changes(&self, position: LogPosition) -> peer::ListChanges {
+        let mut limit = CHANGES_PER_DATAGRAM;
+        loop {
+            let changes = self.encode_changes(position, limit);
+            if limit == 1 || changes.encoded_len() <= CHANGE_BYTES_PER_DATAGRAM {
+                return changes;
+            }
+            limit /= 2;
+        }
+    }
+
+    fn encode_changes(&self, position: LogPosition, limit: usize) -> peer::ListChanges {
         let Gateway { identity, state, .. } = &*self.gateway;
-        let slice = state.list_log.borrow().changes_after(position, CHANGES_PER_DATAGRAM);
+        let slice = state.list_log.borrow().changes_after(position, limit);
         peer::ListChanges {
             incarnation: identity.incarnation.0,
             position: slice.position,
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -8,6 +8,7 @@
 mod fleet_lease;
 mod fleet_view;
 mod leaving_servers;
+mod long_entries;
 mod lost_paths;
 mod plain_service;
 mod rate_limits;
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -25,6 +25,9 @@
 const POLL_PERIOD: Duration = Duration::from_millis(1);
 const FLEET_POLL_PERIOD: Duration = Duration::from_millis(5);
 
+/// The largest datagram that UDP carries, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
+
 /// What one node sent or received.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Traffic {
@@ -80,7 +83,7 @@
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
         self.net.sent.borrow_mut().entry(self.address).or_default().add(&bytes);
         let is_cut = |address| self.net.cut.borrow().contains(address);
-        if is_cut(&self.address) || is_cut(&to) {
+        if is_cut(&self.address) || is_cut(&to) || bytes.len() > MAX_DATAGRAM_BYTES {
             return;
         }
         self.net.received.borrow_mut().entry(to).or_default().add(&bytes);
