--- a/crates/policy/src/route_table.rs
+++ b/crates/policy/src/route_table.rs
@@ -35,8 +35,8 @@
 
 /// Chooses one of a route's targets by weight; `draw` is a random number in `0.0..1.0`.
 pub fn choose_target(route: &RouteSpec, draw: f64) -> Option<&RouteTarget> {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut rest = draw * f64::from(total);
+    let total: f64 = route.targets.iter().map(|target| f64::from(target.weight)).sum();
+    let mut rest = draw * total;
     for target in &route.targets {
         rest -= f64::from(target.weight);
         if rest < 0.0 {
