Bound sums of numbers that other nodes tell

A node's process ended when the requests in flight at a server, added over the nodes that report them, exceeded 32 bits, when the capacity of a service did, or when a reader of the list named the last position that a number can hold.

Change: the sums stop at the largest number; the log is read after a position without adding to it.

Evidence: `extreme_numbers_of_other_nodes_end_no_process` and `mutated_datagrams_end_no_process` (2,000 datagrams, seeded) failed before with these three overflows, one after the other, and pass now. Nodes serve during and after the datagrams, once the senders are forgotten. What a forged datagram states within its ranges is still believed.

--- a/crates/gateway/src/node_snapshot.rs
+++ b/crates/gateway/src/node_snapshot.rs
@@ -72,12 +72,17 @@
         ServiceCapacity {
             heads: candidates.len(),
             stalled: candidates.iter().filter(is_stalled).count(),
-            running: candidates.iter().map(|candidate| candidate.running).sum(),
-            slots: candidates.iter().map(|candidate| candidate.slots).sum(),
+            running: saturating_sum(candidates.iter().map(|candidate| candidate.running)),
+            slots: saturating_sum(candidates.iter().map(|candidate| candidate.slots)),
         }
     }
 }
 
+/// The sum of numbers that other nodes tell, or the largest number there is.
+fn saturating_sum(numbers: impl Iterator<Item = u32>) -> u32 {
+    numbers.fold(0, u32::saturating_add)
+}
+
 /// An age in milliseconds for a log line.
 pub(crate) fn age_ms(age: Option<Duration>) -> Option<u64> {
     age.map(whole_ms)
--- a/crates/gateway/src/server_log.rs
+++ b/crates/gateway/src/server_log.rs
@@ -1,6 +1,9 @@
 //! The log of changes of the list of servers, from which a node sends its members what they lack.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    ops::Bound,
+};
 
 use comfreyturn_types::{FleetServer, StoreVersion, VmId};
 
@@ -109,7 +112,8 @@
             return LogSlice { has_hole: true, ..LogSlice::default() };
         }
         let mut slice = LogSlice { position: reader.position, ..LogSlice::default() };
-        for (position, change) in self.changes.range(reader.position + 1..) {
+        let after = (Bound::Excluded(reader.position), Bound::Unbounded);
+        for (position, change) in self.changes.range(after) {
             if slice.changes.len() >= limit {
                 return slice;
             }
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -109,7 +109,8 @@
             *unread = unread.saturating_add(*tokens);
         }
         for (life, running) in &other.loads {
-            *self.loads.entry(life.clone()).or_default() += running;
+            let sum = self.loads.entry(life.clone()).or_default();
+            *sum = sum.saturating_add(*running);
         }
         for (life, at) in &other.seen {
             let seen = self.seen.entry(life.clone()).or_insert(*at);
--- a/crates/gateway/tests/nodes/main.rs
+++ b/crates/gateway/tests/nodes/main.rs
@@ -10,6 +10,7 @@
 mod leaving_servers;
 mod long_entries;
 mod lost_paths;
+mod odd_datagrams;
 mod plain_service;
 mod rate_limits;
 mod refusing_servers;
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -62,6 +62,11 @@
 }
 
 impl TestNet {
+    /// Delivers a datagram that no node sent.
+    pub fn deliver(&self, to: SocketAddr, bytes: Vec<u8>) {
+        self.queues.borrow_mut().entry(to).or_default().push_back(bytes);
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Vec<u8>> {
         if self.held.borrow().contains(&address) {
             return None;
