Keep a silent engine's stream until another attempt has answered

What callers saw: a completion was cut, or its outcome was unknown, although its engine went on after a silence of 5 or 6 s. Silences of 0.5, 1 and 2 s lost nothing.

Cause: after 5 s without a response or a token, CompletionRun dropped the connection and only then asked the engine to resume the stream. If the engine refused, failed or was silent there too, the attempt counted as lost: a request that must not run twice ended at once, any other one if the retry budget was used up, or if no other group was there, started it or answered.

Change: the connections of an attempt are read together (AttemptStreams), so a resumption runs beside the silent one, and a response that comes late still counts. An attempt whose resumptions yield nothing is kept (SilentAttempts) while another group is chosen and asked; the first that delivers the next token goes on, the others are cancelled. If no other attempt may be made, the request waits for the silent one. Counts of resumptions and attempts, the budget and the 5 s stay. While a connection is open, the pauses between resumptions are left out.

--- a/crates/serving/src/completion_delivery.rs
+++ b/crates/serving/src/completion_delivery.rs
@@ -1,50 +1,85 @@
 //! Reads the stream of a completion and delivers its tokens to the caller, each position once.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use comfreyturn_ports::{BackendError, CompletionEvent, CompletionStream, CompletionToken};
+use comfreyturn_ports::{BackendError, CompletionEvent, CompletionToken};
 use comfreyturn_types::GroupId;
-use futures_util::StreamExt;
 
 use crate::{
     completion_run::CompletionRun,
+    open_attempt::{AttemptStreams, OpenAttempt, SilentAttempts, StreamPart},
     run_scope::{RunResult, RunStop, Wait},
 };
 
-/// How reading a stream ended.
+/// How reading an attempt's streams ended.
 pub(crate) enum StreamEnd {
     Finished(String),
     Rejected,
+    /// No byte of the request was written.
+    NotSent,
+    /// The engine reports that it did not start the request.
+    NotStarted {
+        retry_after: Option<Duration>,
+    },
+    /// All connections ended, or the events were incomplete.
     Broken,
+    /// All connections ended, and the engine does not know the stream.
+    Gone,
+    /// Nothing came for the stall timeout. The connections are still open.
+    Silent,
+    /// An attempt that had been silent went on first.
+    Overtaken(Box<OpenAttempt>),
 }
 
 impl CompletionRun {
-    /// Delivers the parts of a stream to the caller, each position once. `source` is the group and
-    /// the time of the dispatch; `None` if the stream belongs to an earlier submission.
+    /// Delivers the parts of an attempt's streams to the caller, each position once. The first token
+    /// ends the attempts that fell silent. `source` is the group and the time of the dispatch; `None`
+    /// if the attempt belongs to an earlier submission.
     pub(crate) async fn read(
         &mut self,
-        mut stream: CompletionStream,
+        streams: &mut AttemptStreams,
+        silent: &mut SilentAttempts,
         source: Option<&(GroupId, Instant)>,
     ) -> RunResult<StreamEnd> {
+        let mut is_gone = false;
         loop {
             let stall = self.run.service.settings.stall_timeout;
-            let part = match self.run.wait(stall, stream.next()).await {
-                Wait::Ready(part) => part,
-                Wait::TimedOut => return Ok(StreamEnd::Broken),
+            let part = match self.run.wait(stall, streams.next_or(silent)).await {
+                Wait::Ready(Ok(part)) => part,
+                Wait::Ready(Err(other)) => return Ok(StreamEnd::Overtaken(other)),
+                Wait::TimedOut => return Ok(StreamEnd::Silent),
                 Wait::Ended(reason) => return Err(self.run.stop(reason)),
                 Wait::CallerGone => return Err(RunStop::CallerGone),
             };
             match part {
-                Some(Ok(CompletionEvent::Token(token))) if token.position < self.position() => {}
-                Some(Ok(CompletionEvent::Token(token))) if token.position == self.position() => {
-                    self.record_token(source);
-                    self.deliver(token).await?;
+                Some(Ok(StreamPart::Opened)) => {}
+                Some(Ok(StreamPart::Event(CompletionEvent::Token(token))))
+                    if token.position <= self.position() =>
+                {
+                    if token.position == self.position() {
+                        self.cancel_silent(silent);
+                        self.record_token(source);
+                        self.deliver(token).await?;
+                    }
                 }
-                Some(Ok(CompletionEvent::Finished { reason })) if self.is_plausible(&reason) => {
+                Some(Ok(StreamPart::Event(CompletionEvent::Finished { reason })))
+                    if self.is_plausible(&reason) =>
+                {
                     return Ok(StreamEnd::Finished(reason));
                 }
+                Some(Ok(StreamPart::Event(_))) => {
+                    streams.clear();
+                    return Ok(StreamEnd::Broken);
+                }
                 Some(Err(BackendError::Rejected { .. })) => return Ok(StreamEnd::Rejected),
-                _ => return Ok(StreamEnd::Broken),
+                Some(Err(BackendError::NotSent)) => return Ok(StreamEnd::NotSent),
+                Some(Err(BackendError::NotStarted { retry_after })) => {
+                    return Ok(StreamEnd::NotStarted { retry_after });
+                }
+                Some(Err(BackendError::UnknownStream)) => is_gone = true,
+                Some(Err(BackendError::Broken)) => {}
+                None if is_gone => return Ok(StreamEnd::Gone),
+                None => return Ok(StreamEnd::Broken),
             }
         }
     }
--- a/crates/serving/src/completion_join.rs
+++ b/crates/serving/src/completion_join.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, net::SocketAddr};
 
-use comfreyturn_ports::{BackendError, CompletionToken};
+use comfreyturn_ports::CompletionToken;
 use comfreyturn_types::{RefusalReason, StreamId};
 
 use crate::{
@@ -10,6 +10,7 @@
     claim_store::ClaimJoin,
     completion_delivery::StreamEnd,
     completion_run::CompletionRun,
+    open_attempt::{AttemptStreams, SilentAttempts},
     run_scope::{RunResult, RunStop},
 };
 
@@ -49,29 +50,31 @@
     ) -> RunResult<String> {
         let lost = RunStop::Refused(Refusal::unknown(RefusalReason::BackendLost));
         let settings = self.run.service.settings.clone();
-        for tries in 0..settings.max_non_idempotent_resumes {
-            let opened = match self.resume(address, &stream).await.map_err(with_unknown_outcome)? {
-                Ok(opened) => opened,
-                Err(BackendError::NotSent | BackendError::Broken) => {
-                    self.run
-                        .pause(settings.resume_pause * 2u32.saturating_pow(tries))
-                        .await
-                        .map_err(with_unknown_outcome)?;
-                    continue;
+        let (mut streams, mut silent) = (AttemptStreams::default(), SilentAttempts::default());
+        for tries in 0.. {
+            if tries < settings.max_non_idempotent_resumes {
+                streams.push(self.resume(address, &stream));
+            } else if streams.is_empty() {
+                break;
+            }
+            let delivered_before = self.delivered.len();
+            match self.read(&mut streams, &mut silent, None).await.map_err(with_unknown_outcome)? {
+                StreamEnd::Finished(reason) => {
+                    let limit = settings.stored_answer_bytes;
+                    let answer = StoredAnswer::from_completion(&self.delivered, &reason, limit);
+                    self.run.settle_orphan(record, answer);
+                    return Ok(reason);
                 }
-                Err(_) => {
+                StreamEnd::Gone => {
                     let reason = RefusalReason::BackendLost;
                     self.run.settle_orphan(record, StoredAnswer::unknown(reason));
                     return Err(lost);
                 }
-            };
-            if let StreamEnd::Finished(reason) =
-                self.read(opened, None).await.map_err(with_unknown_outcome)?
-            {
-                let limit = settings.stored_answer_bytes;
-                let answer = StoredAnswer::from_completion(&self.delivered, &reason, limit);
-                self.run.settle_orphan(record, answer);
-                return Ok(reason);
+                _ if self.delivered.len() > delivered_before || !streams.is_empty() => {}
+                _ => {
+                    let pause = settings.resume_pause * 2u32.saturating_pow(tries);
+                    self.run.pause(pause).await.map_err(with_unknown_outcome)?;
+                }
             }
         }
         Err(lost)
--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -15,6 +15,7 @@
     answer_stream::AnswerSink,
     completion_dispatch::AttemptEnd,
     completion_place::Placement,
+    open_attempt::{OpenAttempt, SilentAttempts},
     run_scope::{RunResult, RunScope, RunStop},
 };
 
@@ -99,26 +100,98 @@
 
     async fn run_attempts(&mut self) -> RunResult<String> {
         self.run.service.policies.borrow_mut().retries.record_request(self.run.now());
+        let mut silent = SilentAttempts::default();
+        let mut attempt = None;
+        loop {
+            let end = self.run_attempt(attempt.take(), &mut silent).await;
+            match end {
+                Ok(None) => {}
+                Ok(Some(reason)) => {
+                    self.cancel_silent(&mut silent);
+                    return Ok(reason);
+                }
+                Err(stop) => attempt = Some(self.await_silent(stop, &mut silent).await?),
+            }
+        }
+    }
+
+    /// Follows an attempt, or first sends one, until it ends. Returns the finish reason; `None` if
+    /// another attempt is to be made.
+    async fn run_attempt(
+        &mut self,
+        attempt: Option<Box<OpenAttempt>>,
+        silent: &mut SilentAttempts,
+    ) -> RunResult<Option<String>> {
+        let mut attempt = match attempt {
+            Some(attempt) => attempt,
+            None => match silent.or(self.prepare()).await {
+                Ok(placement) => self.dispatch(placement?),
+                Err(attempt) => attempt,
+            },
+        };
+        loop {
+            match self.follow(&mut attempt, silent).await? {
+                AttemptEnd::Overtaken(other) => attempt = other,
+                AttemptEnd::Finished(reason) => return Ok(Some(reason)),
+                AttemptEnd::Rejected => return Err(self.run.stop(RefusalReason::BackendError)),
+                AttemptEnd::NotStarted { retry_after } => {
+                    self.exclude(&attempt.placement, retry_after);
+                    return Ok(None);
+                }
+                AttemptEnd::NotSent => {
+                    self.exclude(&attempt.placement, None);
+                    self.run.service.view.probe(&attempt.placement.group.head.vm).await;
+                    return Ok(None);
+                }
+                AttemptEnd::Lost => {
+                    self.handle_lost_attempt(&attempt.placement).await?;
+                    return Ok(None);
+                }
+                AttemptEnd::Silent => {
+                    let lost = self.handle_lost_attempt(&attempt.placement).await;
+                    silent.push(attempt);
+                    return lost.map(|()| None);
+                }
+            }
+        }
+    }
+
+    /// Chooses a group and does what is needed before bytes are written to it.
+    async fn prepare(&mut self) -> RunResult<Placement> {
         loop {
             let placement = self.place().await?;
             let (address, stream) = (placement.group.head.address, placement.stream.clone());
             self.run.ensure_claim(address, Some(stream)).await?;
             self.run.check_dispatch().await?;
-            if !self.may_dispatch(&placement) {
-                self.run.pause_before_attempt().await?;
-                continue;
+            if self.may_dispatch(&placement) {
+                return Ok(placement);
             }
-            match self.attempt(&placement).await? {
-                AttemptEnd::Finished(reason) => return Ok(reason),
-                AttemptEnd::Rejected => return Err(self.run.stop(RefusalReason::BackendError)),
-                AttemptEnd::NotStarted { retry_after } => self.exclude(&placement, retry_after),
-                AttemptEnd::NotSent => {
-                    self.exclude(&placement, None);
-                    self.run.service.view.probe(&placement.group.head.vm).await;
+            self.run.pause_before_attempt().await?;
+        }
+    }
+
+    /// Waits for a silent attempt to go on, now that no other one can be made. Returns the `stop`
+    /// once there is none left.
+    async fn await_silent(
+        &mut self,
+        stop: RunStop,
+        silent: &mut SilentAttempts,
+    ) -> RunResult<Box<OpenAttempt>> {
+        let stop = match stop {
+            RunStop::Refused(refusal) if may_await_silent(&refusal) => {
+                match self.run.until_end(silent.next()).await {
+                    Ok(Some(attempt)) => return Ok(attempt),
+                    Ok(None) => RunStop::Refused(refusal),
+                    Err(stop) => stop,
                 }
-                AttemptEnd::Lost => self.handle_lost_attempt(&placement).await?,
             }
+            stop => stop,
+        };
+        let is_left = matches!(&stop, RunStop::Refused(end) if self.run.is_left_to_others(end));
+        if !is_left {
+            self.cancel_silent(silent);
         }
+        Err(stop)
     }
 
     /// Whether the group and the suspect status are still as they were when the group was chosen.
@@ -174,3 +247,13 @@
         self.send_last(Err(refusal)).await;
     }
 }
+
+/// Whether a refusal leaves silent attempts the time to answer.
+fn may_await_silent(refusal: &Refusal) -> bool {
+    !matches!(
+        refusal.reason,
+        RefusalReason::DeadlineExceeded
+            | RefusalReason::NodeLeaving
+            | RefusalReason::CrashedBackends
+    )
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod crash_confirmation;
 mod crash_history;
 mod in_flight;
+mod open_attempt;
 mod plain_load;
 mod plain_run;
 mod refusal;
--- a/crates/serving/tests/support/fake_view.rs
+++ b/crates/serving/tests/support/fake_view.rs
@@ -141,7 +141,9 @@
         let ping = StreamId::from("ping");
         let backends = self.world.backends.for_node(&self.identity.node);
         let answer = backends.cancel(Step::WatchPoll, address, &ping).await;
+        let is_silent = self.world.silent_vms.borrow().contains(vm);
         let incarnation = match answer {
+            _ if is_silent => None,
             Err(BackendError::UnknownStream) => self.world.backends.live_incarnation(address),
             _ => None,
         };
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod fake_view;
 pub mod mangled_backends;
 pub mod matrix;
+pub mod silent_backends;
 mod world;
 
 pub use caller::*;
--- a/crates/serving/tests/support/world.rs
+++ b/crates/serving/tests/support/world.rs
@@ -63,6 +63,10 @@
     pub expelled: RefCell<BTreeSet<NodeId>>,
     /// Whether crashed backend servers are restarted.
     pub restart_crashed: Cell<bool>,
+    /// VMs that answer no polls.
+    pub silent_vms: RefCell<BTreeSet<VmId>>,
+    /// Retries that nodes started from now on allow within the budget's window.
+    pub retry_floor: Cell<u32>,
 }
 
 /// Starts the cell with all its nodes and backend servers.
@@ -80,6 +84,8 @@
         nodes: RefCell::default(),
         expelled: RefCell::default(),
         restart_crashed: Cell::new(true),
+        silent_vms: RefCell::default(),
+        retry_floor: Cell::new(100),
         clock,
         plan,
     });
@@ -160,8 +166,9 @@
         };
         let spawner = ports.spawner.clone();
         let settings = ServingSettings::default();
+        let policies = policies(number, self.retry_floor.get());
         let service =
-            RequestService::new(identity.clone(), view.clone(), ports, policies(number), settings);
+            RequestService::new(identity.clone(), view.clone(), ports, policies, settings);
         let handler = NoticeHandler { service: service.clone() };
         self.peers.register(identity.clone(), Rc::new(handler));
         spawner.spawn(Box::pin(view.clone().poll()));
@@ -228,9 +235,9 @@
     }
 }
 
-fn policies(number: u16) -> ServingPolicies {
+fn policies(number: u16, retry_floor: u32) -> ServingPolicies {
     let seed = u64::from(number);
-    let budget = RetryBudgetSettings { floor: 100, ..Default::default() };
+    let budget = RetryBudgetSettings { floor: retry_floor, ..Default::default() };
     ServingPolicies {
         router: Box::new(LoadRouter::new(LoadRouterSettings::default(), seed)),
         queue: Box::new(FairQueue::new(FairQueueSettings::default(), seed)),
