Keep connections to silent engines open as long as calls of plain services

Cause: the client of backend servers ended a stream after 5 s without data, at the same moment at which the request service begins to look for a replacement, and gave up a response that had not begun after 10 s. So the silent connection was gone before another one had answered, whatever the request service did.

Change: both time limits are 60 s, as that of plain calls. When to resume or to go elsewhere is decided by the request service alone.

Evidence: engine_that_is_silent_for_a_while_goes_on (silences of 5.5 s in a stream and of 10.5 s before a response, default settings) failed before, with Broken, and passes; all tests of the crate pass.

--- a/crates/adapters/src/http_settings.rs
+++ b/crates/adapters/src/http_settings.rs
@@ -36,10 +36,12 @@
 /// Limits of requests to backend servers, in addition to those of the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BackendSettings {
-    /// Time limit for the response head of a stream.
+    /// Time limit for the response head of a stream. Longer than any silence after which an engine
+    /// may go on; callers' own deadlines are usually shorter.
     pub head_timeout: Duration,
 
-    /// A stream without data for this time counts as broken.
+    /// A stream without data for this time counts as broken. As long as [`Self::head_timeout`], for
+    /// the same reason.
     pub stream_idle_timeout: Duration,
 
     /// Time limit of a complete call of a plain service; callers' own deadlines are usually
@@ -50,8 +52,8 @@
 impl Default for BackendSettings {
     fn default() -> Self {
         Self {
-            head_timeout: Duration::from_secs(10),
-            stream_idle_timeout: Duration::from_secs(5),
+            head_timeout: Duration::from_secs(60),
+            stream_idle_timeout: Duration::from_secs(60),
             plain_timeout: Duration::from_secs(60),
         }
     }
--- a/crates/adapters/tests/backend_client.rs
+++ b/crates/adapters/tests/backend_client.rs
@@ -186,6 +186,27 @@
     assert!(started.elapsed() < IDLE_TIMEOUT * 5);
 }
 
+/// With its default settings the client ended a stream after 5 s of silence, and gave up a response
+/// after 10 s, although the engine went on.
+#[compio::test]
+async fn engine_that_is_silent_for_a_while_goes_on() {
+    let rest = || [chunk(&event(1)), chunk("data: {\"finished\":\"stop\"}\n\n")];
+    let mut events = vec![chunk(&event(0)), Action::Wait(Duration::from_millis(5500))];
+    events.extend(rest());
+    let pausing = stream_server(events);
+    let mut script = vec![Action::Read, Action::Wait(Duration::from_millis(10500))];
+    script.extend([Action::Write(STREAM_HEAD.into()), chunk(&event(0))].into_iter().chain(rest()));
+    let late = ScriptServer::start(vec![script]);
+    let client = BackendClient::new(pool(), BackendSettings::default());
+    let answers = [pausing.address, late.address].map(async |address| {
+        let stream = client.complete(Step::RequestDispatch, address, &attempt()).await;
+        drain(stream.expect("a response")).await
+    });
+    for (positions, end) in futures_util::future::join_all(answers).await {
+        assert_eq!((positions, end), (vec![0, 1], Some(Ok("stop".to_owned()))));
+    }
+}
+
 #[compio::test]
 async fn dropped_stream_closes_its_connection() {
     let server = stream_server(vec![chunk(&event(0)), Action::AwaitClose]);
