Keep a silent plain server's call until another one has answered

What callers saw: the outcome of a plain call was unknown, or it failed, although its server answered after a silence of 5 or 6 s.

Cause: after 5 s without a response a node polls the server; if it did not answer the poll, which a server that is silent does not, the call's connection was closed. Only then a non-idempotent call ended as unknown, and any other one looked for a retry and a server.

Change: such a call goes on (SilentCalls) while another server is called, or until the deadline if none may be. The first complete response wins, and the other connections close. A response that comes while the poll runs counts at once.

--- a/crates/serving/src/completion_run.rs
+++ b/crates/serving/src/completion_run.rs
@@ -178,7 +178,7 @@
         silent: &mut SilentAttempts,
     ) -> RunResult<Box<OpenAttempt>> {
         let stop = match stop {
-            RunStop::Refused(refusal) if may_await_silent(&refusal) => {
+            RunStop::Refused(refusal) if refusal.may_await_silent() => {
                 match self.run.until_end(silent.next()).await {
                     Ok(Some(attempt)) => return Ok(attempt),
                     Ok(None) => RunStop::Refused(refusal),
@@ -247,13 +247,3 @@
         self.send_last(Err(refusal)).await;
     }
 }
-
-/// Whether a refusal leaves silent attempts the time to answer.
-fn may_await_silent(refusal: &Refusal) -> bool {
-    !matches!(
-        refusal.reason,
-        RefusalReason::DeadlineExceeded
-            | RefusalReason::NodeLeaving
-            | RefusalReason::CrashedBackends
-    )
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -41,6 +41,7 @@
 mod serving_settings;
 mod serving_view;
 mod shutdown_watch;
+mod silent_calls;
 mod suspect_slots;
 
 pub use answer_stream::AnswerStream;
--- a/crates/serving/src/plain_run.rs
+++ b/crates/serving/src/plain_run.rs
@@ -1,9 +1,13 @@
 //! Runs one call of a plain service from admission to its end.
 
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Instant};
 
 use comfreyturn_ports::{BackendError, BackendResult, PlainRequest, PlainResponse, Step};
 use comfreyturn_types::{RefusalReason, VmId, VmRecord};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
 
 use crate::{
     PlainCall, Refusal, Result, StoredAnswer,
@@ -11,11 +15,12 @@
     completion_run::CLAIM_ROUNDS,
     crash_confirmation::KnownVm,
     run_scope::{RunResult, RunScope, RunStop, Wait},
+    silent_calls::SilentCalls,
     suspect_slots::SlotGuard,
 };
 
 /// Destination of an attempt.
-struct Placement {
+pub(crate) struct Placement {
     backend: VmRecord,
     known: Vec<KnownVm>,
     /// Held by a suspect until it has ended.
@@ -83,8 +88,25 @@
         }
     }
 
+    /// Calls backend servers. The first complete response wins, also one of a server that was silent.
     async fn run_attempts(&mut self) -> RunResult<PlainResponse> {
         self.run.service.policies.borrow_mut().retries.record_request(self.run.now());
+        let silent = SilentCalls::default();
+        let stop = match select(pin!(self.call_backends(&silent)), pin!(silent.response())).await {
+            Either::Left((Ok(response), _)) | Either::Right((response, _)) => return Ok(response),
+            Either::Left((Err(stop), _)) => stop,
+        };
+        match stop {
+            RunStop::Refused(refusal) if refusal.may_await_silent() => {
+                let response = self.run.until_end(silent.last_response()).await?;
+                response.ok_or(RunStop::Refused(refusal))
+            }
+            stop => Err(stop),
+        }
+    }
+
+    /// Calls one backend server after the other. Calls to silent ones go on in `silent`.
+    async fn call_backends(&mut self, silent: &SilentCalls) -> RunResult<PlainResponse> {
         loop {
             let placement = self.place().await?;
             self.run.ensure_claim(placement.backend.address, None).await?;
@@ -94,26 +116,26 @@
                 continue;
             }
             let sent_before = self.run.sent;
-            let target = placement.backend.vm.as_str();
-            self.run.dispatched(target, &placement.known);
-            match self.call(&placement).await? {
+            let target = placement.backend.vm.clone();
+            let known = placement.known.clone();
+            self.run.dispatched(target.as_str(), &known);
+            match self.call(placement, silent).await? {
                 Ok(response) => return Ok(response),
                 Err(BackendError::NotSent) => {
                     self.run.not_started(sent_before);
-                    self.excluded.push(placement.backend.vm.clone());
-                    self.run.service.view.probe(&placement.backend.vm).await;
+                    self.excluded.push(target.clone());
+                    self.run.service.view.probe(&target).await;
                 }
                 Err(BackendError::NotStarted { .. }) => {
                     self.run.not_started(sent_before);
-                    self.excluded.push(placement.backend.vm.clone());
+                    self.excluded.push(target);
                 }
                 Err(BackendError::Rejected { .. }) => {
                     return Err(self.run.stop(RefusalReason::BackendError));
                 }
                 Err(BackendError::Broken | BackendError::UnknownStream) => {
-                    self.excluded.push(placement.backend.vm.clone());
-                    let target = placement.backend.vm.as_str();
-                    self.run.handle_lost_attempt(target, &placement.known).await?;
+                    self.excluded.push(target.clone());
+                    self.run.handle_lost_attempt(target.as_str(), &known).await?;
                 }
             }
         }
@@ -187,31 +209,37 @@
     // ------------------------------------------------------------------------------------------
     // One attempt
 
-    /// Calls the backend server. Polls it after each stall timeout, so that the call ends early if
-    /// the server is unresponsive.
-    async fn call(&self, placement: &Placement) -> RunResult<BackendResult<PlainResponse>> {
+    /// Calls the backend server. Polls it after each stall timeout; if it doesn't answer the poll, the
+    /// call goes on in `silent` and counts as broken here.
+    async fn call(
+        &self,
+        placement: Placement,
+        silent: &SilentCalls,
+    ) -> RunResult<BackendResult<PlainResponse>> {
         let backends = self.run.service.ports.backends.clone();
-        let step = self.dispatch_step(placement);
-        let work = backends.call(step, placement.backend.address, &self.request);
-        let mut work = std::pin::pin!(work);
+        let step = self.dispatch_step(&placement);
+        let (address, request) = (placement.backend.address, self.request.clone());
+        let mut work = async move { backends.call(step, address, &request).await }.boxed_local();
         loop {
             let stall = self.run.service.settings.stall_timeout;
             match self.run.wait(stall, &mut work).await {
                 Wait::Ready(answer) => return Ok(answer),
-                Wait::TimedOut if self.is_unresponsive(placement).await => {
-                    return Ok(Err(BackendError::Broken));
-                }
                 Wait::TimedOut => {}
                 Wait::Ended(reason) => return Err(self.run.stop(reason)),
                 Wait::CallerGone => return Err(RunStop::CallerGone),
             }
+            let poll = self.run.service.view.probe(&placement.backend.vm);
+            let responds = match select(&mut work, poll).await {
+                Either::Left((answer, _)) => return Ok(answer),
+                Either::Right((run, _)) => run.is_some(),
+            };
+            if !responds {
+                silent.push(work, placement);
+                return Ok(Err(BackendError::Broken));
+            }
         }
     }
 
-    async fn is_unresponsive(&self, placement: &Placement) -> bool {
-        self.run.service.view.probe(&placement.backend.vm).await.is_none()
-    }
-
     fn dispatch_step(&self, placement: &Placement) -> Step {
         if placement.slot.is_some() {
             Step::SuspectRetry
--- a/crates/serving/src/refusal.rs
+++ b/crates/serving/src/refusal.rs
@@ -42,6 +42,16 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
+    /// Whether an attempt that fell silent may still be waited for before this answer.
+    pub(crate) fn may_await_silent(&self) -> bool {
+        !matches!(
+            self.reason,
+            RefusalReason::DeadlineExceeded
+                | RefusalReason::NodeLeaving
+                | RefusalReason::CrashedBackends
+        )
+    }
+
     fn new(outcome: RequestOutcome, reason: RefusalReason) -> Self {
         Self { outcome, reason, retry_after: None, other_addresses: Vec::new() }
     }
--- a/crates/serving/tests/silent_servers.rs
+++ b/crates/serving/tests/silent_servers.rs
@@ -92,3 +92,19 @@
     let job = TestJob::completion("silent claim").keyed();
     assert_none_lost(&job, &all::<SilentFrom>(), &all::<LaterCalls>());
 }
+
+/// A silent plain server that missed a poll was given up before another one had answered.
+#[test]
+fn silent_plain_server_keeps_its_call_until_another_one_answers() {
+    let resumes = [LaterCalls::Work, LaterCalls::Silent];
+    assert_none_lost(&TestJob::plain("silent"), &[SilentFrom::Response], &resumes);
+}
+
+/// A silent plain server was given up although its call must not run again.
+#[test]
+fn silent_plain_server_keeps_a_non_idempotent_call() {
+    let resumes = [LaterCalls::Work, LaterCalls::Silent];
+    for job in [TestJob::plain("silent once").once(), TestJob::plain("silent claim").keyed()] {
+        assert_none_lost(&job, &[SilentFrom::Response], &resumes);
+    }
+}
