Cut a stream off that fails after its first token

What callers saw: a stream that broke off, at an engine whose replacement refused it or answered with an error, or at its deadline, got an error event and then the end of its body as a complete one does (last chunk, HTTP/2 END_STREAM). A caller that goes by the body's end took it for complete; [DONE] alone told them apart. If the run ended without an end, not even the event came.

Cause: streams of answers could not fail (CompletionFormat::streamed, bodies with the error type Infallible).

Change: after the error event the body fails with CutAnswer, so the connection closes without the last chunk (HTTP/2: reset). The event stays as it was: it is in the node's own words, and its outcome and time to come back are what callers act on. What an engine says in an error can't get into a stream: engines' failures are typed (BackendError), their texts are dropped by the adapter. Whole answers were right before: they are sent only once complete.

Evidence: failed_stream_does_not_look_complete (real processes, deadline within the stream) failed before on the last chunk, and passes.

--- a/crates/ctl/tests/process_faults.rs
+++ b/crates/ctl/tests/process_faults.rs
@@ -278,6 +278,25 @@
     assert_eq!(late_runs, 0, "new work after {LEAVING_BOUND_MS} ms: {records}");
 }
 
+/// A stream that failed after its first token ended with the last chunk, as a complete one does.
+#[test]
+fn failed_stream_does_not_look_complete() {
+    let layout = SiteLayout {
+        name: "failed_stream",
+        engine_flags: &["--tokens-per-second", "5"],
+        ..SiteLayout::default()
+    };
+    let site = Site::start_serving(&layout, 1);
+    let answer = complete(site.nodes[0].callers, "long", 40, &[("x-deadline-ms", "2000")]);
+    let answer = answer.expect("an answer");
+    let (texts, is_whole) = answer.events();
+    assert!(answer.status == 200 && !texts.is_empty() && !is_whole, "{answer:?}");
+    assert!(answer.body.contains(r#""reason":"deadline-exceeded""#), "{answer:?}");
+    assert!(!answer.has_last_chunk, "{answer:?}");
+    let whole = complete(site.nodes[0].callers, "long", 4, &[]).expect("an answer");
+    assert!(whole.events().1 && whole.has_last_chunk, "{whole:?}");
+}
+
 #[test]
 fn crashing_request_crashes_at_most_two_engines() {
     let layout = SiteLayout {
--- a/crates/ctl/tests/support/http.rs
+++ b/crates/ctl/tests/support/http.rs
@@ -15,6 +15,8 @@
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    /// Whether a chunked body ended with its last chunk.
+    pub has_last_chunk: bool,
 }
 
 impl HttpAnswer {
@@ -106,9 +108,9 @@
         let Some((name, value)) = line.trim_end().split_once(':') else { break };
         answer.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
-    answer.body = match answer.header("transfer-encoding") {
+    (answer.body, answer.has_last_chunk) = match answer.header("transfer-encoding") {
         Some("chunked") => read_chunks(&mut reader),
-        _ => read_rest(&mut reader),
+        _ => (read_rest(&mut reader), false),
     };
     Ok(answer)
 }
@@ -119,8 +121,10 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-fn read_chunks(reader: &mut impl BufRead) -> String {
+/// Reads a chunked body; returns whether it ended with its last chunk.
+fn read_chunks(reader: &mut impl BufRead) -> (String, bool) {
     let mut body = Vec::new();
+    let mut has_last_chunk = false;
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line).unwrap_or(0) == 0 {
@@ -128,10 +132,14 @@
         }
         let Ok(size) = usize::from_str_radix(line.trim(), 16) else { break };
         let mut chunk = vec![0; size + 2];
-        if reader.read_exact(&mut chunk).is_err() || size == 0 {
+        if reader.read_exact(&mut chunk).is_err() {
+            break;
+        }
+        if size == 0 {
+            has_last_chunk = true;
             break;
         }
         body.extend_from_slice(&chunk[..size]);
     }
-    String::from_utf8_lossy(&body).into_owned()
+    (String::from_utf8_lossy(&body).into_owned(), has_last_chunk)
 }
--- a/crates/node/src/caller/completion_answer.rs
+++ b/crates/node/src/caller/completion_answer.rs
@@ -1,5 +1,7 @@
 //! JSON answers to completion requests.
 
+use std::{future::poll_fn, task::Poll};
+
 use bytes::Bytes;
 use comfreyturn_ports::CompletionEvent;
 use comfreyturn_serving::{AnswerStream, Refusal};
@@ -9,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::{
-    answer_body::{AnswerBody, json_answer, streamed_body},
+    answer_body::{AnswerBody, CutAnswer, json_answer, streamed_body},
     completion_body::CompletionShape,
     completion_chunk::CompletionChunk,
     error_answer::ErrorAnswer,
@@ -31,24 +33,39 @@
     pub service: ServiceName,
 }
 
+/// Progress of a streamed answer.
+enum StreamState {
+    Open(CompletionFormat, AnswerStream),
+    /// The failure was sent.
+    Failed,
+    Ended,
+}
+
 impl CompletionFormat {
     /// Streams the answer as server-sent events. A failure after the first token is sent as an
-    /// event.
+    /// event, and the body is cut off after it, so that it doesn't look complete.
     pub fn streamed(self, answer: AnswerStream) -> Response<AnswerBody> {
-        let parts = stream::unfold(Some((self, answer)), |state| async move {
-            let (format, mut answer) = state?;
+        let parts = stream::unfold(StreamState::Open(self, answer), |state| async move {
+            let (format, mut answer) = match state {
+                StreamState::Open(format, answer) => (format, answer),
+                StreamState::Failed => {
+                    flush().await;
+                    return Some((Err(CutAnswer), StreamState::Ended));
+                }
+                StreamState::Ended => return None,
+            };
             match answer.next().await {
                 Some(Ok(CompletionEvent::Token(token))) => {
                     let event = format.event(Some(&token.text), None);
-                    Some((event, Some((format, answer))))
+                    Some((Ok(event), StreamState::Open(format, answer)))
                 }
                 Some(Ok(CompletionEvent::Finished { reason })) => {
                     let mut last = format.event(None, Some(&reason)).to_vec();
                     last.extend_from_slice(DONE_EVENT);
-                    Some((Bytes::from(last), None))
+                    Some((Ok(Bytes::from(last)), StreamState::Ended))
                 }
-                Some(Err(refusal)) => Some((error_event(refusal), None)),
-                None => None,
+                Some(Err(refusal)) => Some((Ok(error_event(refusal)), StreamState::Failed)),
+                None => Some((Err(CutAnswer), StreamState::Ended)),
             }
         });
         let mut response = Response::new(streamed_body(parts));
@@ -113,3 +130,16 @@
     let text = serde_json::to_string(&ErrorAnswer::from(refusal)).unwrap_or_default();
     Bytes::from(format!("data: {text}\n\n"))
 }
+
+/// Returns control to the connection once, which sends what it holds before it asks for more.
+async fn flush() {
+    let mut is_flushed = false;
+    poll_fn(|context| {
+        if std::mem::replace(&mut is_flushed, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
