Order a silent head to leave its group only once it is gone or stays silent

What callers saw: the streams of a head that was silent for 1.1 s or more broke off when it went on.

Cause: a head whose stream stalls and that misses two probes of 300 ms counts as lost. FleetPlanner then dissolved its group for good and ordered it to leave, again every half second. A head that has died takes no order; its members wait for the list to drop it either way. One that was only silent carries the order out when it goes on, and all its streams end, though nothing but silence told against it.

Change: a group whose head alone is silent, while it is listed and serves by its last report, counts as dissolved (spares replace it at once, conversions may count on its members), but the head gets no order to leave for 5 s (head_silence_timeout), and the group is kept if the head answers before. A head that leaves the list, reports that the group is broken, or whose other members do not answer either is treated as before, so neither a dead head nor a dead member is replaced later. If spares took its place, there is one group more than needed afterwards.

Evidence: head_that_is_silent_for_a_while_keeps_its_group failed before and passes. spares_replace_the_group_of_a_silent_head_at_once and listed_head_that_stays_silent_is_ordered_to_leave passed before and pass. All tests of the crate pass, those of fleet_share with their bounds.

--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -30,6 +30,10 @@
     /// A head that has been neither listed nor reachable for this time is considered gone.
     pub head_loss_timeout: Duration,
 
+    /// A head that is listed and doesn't answer is ordered to leave its group after this time. Longer
+    /// than the list keeps a server that crashed.
+    pub head_silence_timeout: Duration,
+
     /// Concurrent loads before the first request, as a multiple of the number that run at full
     /// speed. A factor above one keeps the weight store busy when a load ends.
     pub first_load_factor: f64,
@@ -43,6 +47,7 @@
             order_retry_interval: Duration::from_millis(500),
             form_timeout: Duration::from_millis(2500),
             head_loss_timeout: Duration::from_millis(300),
+            head_silence_timeout: Duration::from_secs(5),
             first_load_factor: 2.0,
         }
     }
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -233,8 +233,7 @@
         let is_head_listed = index.is_listed(&group.record.head().life);
         group.head_was_seen |= is_head_listed && group.head_phase(index).is_some();
         group.was_ready |= matches!(health, GroupHealth::Serving | GroupHealth::Ready);
-        group.dissolving |=
-            health == GroupHealth::Failed || (group.yielding && health == GroupHealth::Ready);
+        group.update_dissolving(now, index, health, &self.settings);
         let group = group.clone();
         if group.dissolving {
             self.dissolve(now, index, &group, plan);
--- a/crates/policy/src/fleet_release.rs
+++ b/crates/policy/src/fleet_release.rs
@@ -32,7 +32,8 @@
         let phase = group.head_phase(index);
         let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
         let has_left = self.has_left(head, name);
-        if serves && !has_left {
+        // A silent head that goes on would carry the order out, and its streams would end.
+        if serves && !has_left && group.head_silent_since.is_none() {
             plan.order(head, FleetAction::Leave { group: name.clone(), epoch: *epoch });
         }
         // A listed head that does not answer may be unreachable from this node only.
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -65,6 +65,10 @@
     /// stopped serving.
     pub(crate) dissolving: bool,
 
+    /// Since when its head has been silent, if that is all that tells that the group failed. It is
+    /// dissolved meanwhile, and kept if the head answers again.
+    pub(crate) head_silent_since: Option<Instant>,
+
     /// Whether the planner saw its head in it.
     pub(crate) head_was_seen: bool,
 
@@ -102,6 +106,7 @@
             is_saved,
             was_ready: false,
             dissolving: false,
+            head_silent_since: None,
             head_was_seen: false,
             may_be_open: true,
             yielding: false,
@@ -176,6 +181,38 @@
         }
     }
 
+    /// Whether its head is listed and serves, by its last report, but doesn't answer, while all other
+    /// members do. It may be silent for a moment only.
+    fn is_head_silent(&self, index: &FleetIndex<'_>) -> bool {
+        let head = &self.record.head().life;
+        let serves =
+            matches!(self.head_phase(index), Some(MemberPhase::Open | MemberPhase::Closing));
+        let others_respond = self.lives().skip(1).all(|life| index.is_reachable(life));
+        index.is_listed(head) && serves && !index.is_reachable(head) && others_respond
+    }
+
+    /// Dissolves the group if it failed, and keeps it if its head was silent for a while only.
+    pub(crate) fn update_dissolving(
+        &mut self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        health: GroupHealth,
+        settings: &FleetPlannerSettings,
+    ) {
+        let silent_since = self.head_silent_since.take();
+        if self.is_head_silent(index) {
+            let since = silent_since.or((!self.dissolving).then_some(now));
+            let is_awaited = |since: &Instant| {
+                now.saturating_duration_since(*since) < settings.head_silence_timeout
+            };
+            self.head_silent_since = since.filter(is_awaited);
+        } else if silent_since.is_some() {
+            self.dissolving = false;
+        }
+        self.dissolving |=
+            health == GroupHealth::Failed || (self.yielding && health == GroupHealth::Ready);
+    }
+
     /// The phase of its head, as listed or as last listed.
     pub(crate) fn head_phase(&self, index: &FleetIndex<'_>) -> Option<MemberPhase> {
         let head = index.find(&self.record.head().life)?;
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -282,6 +282,48 @@
     }
 }
 
+/// Guards against a planner that ends the streams of a sound head which is silent for a second or two:
+/// it was ordered to leave its group, and carried that out when it went on.
+#[test]
+fn head_that_is_silent_for_a_while_keeps_its_group() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let open = fleet.in_phase(MemberPhase::Open);
+    fleet.lost.insert(open[0].clone());
+    for _ in 0..3 {
+        let orders = fleet.orders();
+        assert!(!orders.iter().any(is_leave), "{orders:?}");
+    }
+    fleet.lost.clear();
+    fleet.settle();
+    assert_eq!(fleet.in_phase(MemberPhase::Open), open);
+}
+
+/// Guards against a head that never answers, though it is listed, and holds its members for ever.
+#[test]
+fn listed_head_that_stays_silent_is_ordered_to_leave() {
+    let mut fleet = staged_fleet(8, 8);
+    fleet.settle();
+    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+    fleet.lost.insert(head.clone());
+    let orders: Vec<FleetOrder> = (0..8).flat_map(|_| fleet.orders()).collect();
+    assert!(orders.iter().any(|order| order.life == head && is_leave(order)));
+}
+
+/// Guards against a slower repair: spares take the place of a silent head's group at once.
+#[test]
+fn spares_replace_the_group_of_a_silent_head_at_once() {
+    let servers = (0..10).map(|index| server(index, &["big"])).collect();
+    let mut fleet = TestFleet::new(servers, vec![model("big", 2)]);
+    fleet.work.insert(ModelName::from("big"), 30.0);
+    fleet.settle();
+    let open = fleet.in_phase(MemberPhase::Open);
+    assert_eq!(open.len(), 4);
+    fleet.lost.insert(open[0].clone());
+    let orders = fleet.orders();
+    assert_eq!(joins(&orders).len(), 2, "{orders:?}");
+}
+
 /// Guards against a server in two groups: a head that nobody hears may still be open (TWO).
 #[test]
 fn head_that_is_neither_listed_nor_reachable_frees_its_members_once_they_have_left() {
