Merge silent servers in the product's own mode, and silent heads of groups

The class of fault elsewhere: the product's own mode gave silent engines and plain servers up before another one had answered, and ended streams that fail as if they were complete; the planner ordered a head that was silent for a second to leave its group.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod crash_confirmation;
 mod crash_history;
 mod in_flight;
+mod open_attempt;
 mod plain_load;
 mod plain_run;
 mod refusal;
@@ -40,6 +41,7 @@
 mod serving_settings;
 mod serving_view;
 mod shutdown_watch;
+mod silent_calls;
 mod suspect_slots;
 
 pub use answer_stream::AnswerStream;
