--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
     Clock, ConfigFeed, DatagramLink, FleetControl, NodeRegistry, ServerFeed, ServerLink, Spawner,
     TableStore,
 };
-use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId, StoreVersion};
+use comfreyturn_types::{CallerLimits, CellName, FailureDomain, Incarnation, NodeId, StoreVersion};
 
 use crate::{
     DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings, HeartbeatLoop,
@@ -283,6 +283,11 @@
         self.state.config.borrow().as_ref().map(|view| view.config.version)
     }
 
+    /// The limits on callers that the configuration states.
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.state.config.borrow().as_ref().map(|view| view.config.limits)
+    }
+
     /// The version of the platform's store up to which this node has the list of servers.
     pub fn list_version(&self) -> StoreVersion {
         self.state.list_version()
