Answer requests that wait for a removed service at once

What callers saw: a request that waited at a node for a place at a server, while a change of the configuration removed its service, was held until its patience was over (up to 3 s in the test), and then refused.

Cause: waiting requests are released into free places only, and a service that the configuration no longer has counted as one without free places. New requests for it are refused at once.

They are now refused as not run, for want of a server, when the change is seen. Requests whose servers leave or disappear go on waiting: others may follow, and they are refused before their time is over.

Evidence: `request_that_waits_for_what_is_removed_is_answered` failed before (no answer 0.8 s after the change) and passes. `change_ends_no_request_that_runs` passes before and after: eleven kinds of change (route removed or moved, timeout, attempts, key, customer, keys as a whole, service, servers that leave or are gone), once and three times, while a non-idempotent request and a stream that may not be resumed run on; both get their whole answer. What is read anew of a running request is the age of the configuration before a further attempt, the list of servers and the end of the node, never its route, service, timeout or customer.

--- a/crates/gateway/src/forward_wait.rs
+++ b/crates/gateway/src/forward_wait.rs
@@ -74,7 +74,7 @@
         let waited = self.now().saturating_duration_since(now);
         let text: &'static str = match end {
             WaitEnd::Refused(refusal) => refusal.into(),
-            WaitEnd::Released { .. } | WaitEnd::Stopped => end.into(),
+            WaitEnd::Released { .. } | WaitEnd::ServiceRemoved | WaitEnd::Stopped => end.into(),
         };
         count_wait(&self.service.name, text, waited);
         let result = match end {
@@ -84,6 +84,7 @@
             }
             WaitEnd::Refused(_) if waited.is_zero() => Err(NotRunReason::NoRoom),
             WaitEnd::Refused(_) => Err(NotRunReason::WaitEnded),
+            WaitEnd::ServiceRemoved => Err(NotRunReason::NoServer),
             WaitEnd::Stopped => Err(NotRunReason::Leaving),
         };
         log::debug!(
--- a/crates/gateway/src/waiting_loop.rs
+++ b/crates/gateway/src/waiting_loop.rs
@@ -6,6 +6,7 @@
 };
 
 use comfreyturn_policy::{FreePlaces, PeersWaiting, SendPermit, WaitingKey};
+use comfreyturn_types::ServiceSpec;
 use futures_util::future::{Either, select};
 
 use crate::{Gateway, gateway_state::GatewayState};
@@ -55,8 +56,14 @@
     fn release_waiting(&self, now: Instant, since: Duration) {
         let finished = self.waiting.take_finished();
         self.refresh_loads();
+        let view = self.config.borrow().clone();
+        let services = view.as_ref().map(|view| &view.config.services);
         for key in self.waiting.keys() {
-            let mut free = self.free_places(now, &key);
+            let Some(service) = services.and_then(|services| services.get(&key.service)) else {
+                self.waiting.end_removed(&key);
+                continue;
+            };
+            let mut free = self.free_places(now, service, &key);
             if since.is_zero() {
                 let finished = finished.get(&key).copied().unwrap_or_default();
                 free.all = free.all.min(finished);
@@ -67,10 +74,7 @@
     }
 
     /// Places free for requests that wait, at all servers that take them.
-    fn free_places(&self, now: Instant, key: &WaitingKey) -> FreePlaces {
-        let view = self.config.borrow().clone();
-        let service = view.as_ref().and_then(|view| view.config.services.get(&key.service));
-        let Some(service) = service else { return FreePlaces::default() };
+    fn free_places(&self, now: Instant, service: &ServiceSpec, key: &WaitingKey) -> FreePlaces {
         let retention = self.settings.stall_retention;
         let share = self.settings.waiting.late_slot_share;
         let mut free = FreePlaces::default();
--- a/crates/gateway/src/waiting_requests.rs
+++ b/crates/gateway/src/waiting_requests.rs
@@ -31,6 +31,9 @@
     /// It is refused.
     Refused(AdmitRefusal),
 
+    /// The configuration no longer has the service.
+    ServiceRemoved,
+
     /// The node stops.
     Stopped,
 }
@@ -173,6 +176,12 @@
         tickets.into_iter().for_each(|ticket| self.end(ticket, WaitEnd::Stopped));
     }
 
+    /// Ends the waiting of all requests for a service that the configuration no longer has.
+    pub(crate) fn end_removed(&self, key: &WaitingKey) {
+        let tickets = self.room.borrow_mut().clear_key(key);
+        tickets.into_iter().for_each(|ticket| self.end(ticket, WaitEnd::ServiceRemoved));
+    }
+
     /// Released requests that have not been sent yet.
     pub(crate) fn unsent(&self, key: &WaitingKey) -> u32 {
         self.unsent.borrow().get(key).copied().unwrap_or_default()
--- a/crates/gateway/tests/forward/main.rs
+++ b/crates/gateway/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Requests to scripted servers: the answers to callers and the calls to servers.
 
 mod admission;
+mod config_changes;
 mod silent_servers;
 mod stopping_node;
 mod streams;
--- a/crates/policy/src/waiting_room.rs
+++ b/crates/policy/src/waiting_room.rs
@@ -241,7 +241,17 @@
 
     /// Removes all requests, because the node stops.
     pub fn clear(&mut self) -> Vec<WaitingTicket> {
-        let tickets: Vec<_> = self.queues.values().flat_map(WaitingQueue::tickets).collect();
+        let tickets = self.queues.values().flat_map(WaitingQueue::tickets).collect();
+        self.withdraw_all(tickets)
+    }
+
+    /// Removes all requests that wait for these servers, because there will be none.
+    pub fn clear_key(&mut self, key: &WaitingKey) -> Vec<WaitingTicket> {
+        let tickets = self.queues.get(key).into_iter().flat_map(WaitingQueue::tickets).collect();
+        self.withdraw_all(tickets)
+    }
+
+    fn withdraw_all(&mut self, tickets: Vec<WaitingTicket>) -> Vec<WaitingTicket> {
         for ticket in &tickets {
             self.withdraw(*ticket);
         }
