Forget how long a route's requests took once they may take longer

What callers saw: a stopping node takes a request if the longest run of its route lately fits into what is left. After a change that lengthened the route's timeout or moved it to another service, it still went by the runs from before, and took requests that the end of the node cuts.

Cause: run times are kept by the name of the route, and a change of the configuration left them as they were.

A change that lengthens a route's timeout, or gives it a service that it did not use, now forgets its run times. A shorter timeout and other weights of known services change nothing.

Open: a request that began before the change and ends after it still counts.

--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -7,7 +7,9 @@
 };
 
 use comfreyturn_policy::{ConfigAttestation, KeyTable, RouteTable};
-use comfreyturn_types::{CustomerName, GatewayConfig, KeyedCustomer, RouteSpec, ServiceName};
+use comfreyturn_types::{
+    CustomerName, GatewayConfig, KeyedCustomer, RouteSpec, RouteTarget, ServiceName,
+};
 
 use crate::{
     gateway_metrics::{LABELLED_CUSTOMERS, OTHER_LABEL},
@@ -81,7 +83,33 @@
     ranked.map(|(service, _)| service.clone()).collect()
 }
 
+/// Whether requests of a route may take longer than before: its timeout is longer, or it leads to
+/// another service.
+fn may_take_longer(before: &RouteSpec, now: &RouteSpec) -> bool {
+    let is_known = |target: &RouteTarget| {
+        before.targets.iter().any(|known| known.service == target.service && known.weight > 0)
+    };
+    let mut used = now.targets.iter().filter(|target| target.weight > 0);
+    now.timeout > before.timeout || !used.all(is_known)
+}
+
 impl GatewayState {
+    /// Puts a configuration in force. How long requests took is forgotten for routes whose requests
+    /// may take longer now.
+    pub(crate) fn apply_config(&self, config: Rc<GatewayConfig>) {
+        let mut held = self.config.borrow_mut();
+        if let Some(view) = &*held {
+            let before: HashMap<_, _> =
+                view.config.routes.iter().map(|route| (&route.name, route)).collect();
+            for route in &config.routes {
+                if before.get(&route.name).is_some_and(|before| may_take_longer(before, route)) {
+                    self.run_times.borrow_mut().forget(&route.name);
+                }
+            }
+        }
+        *held = Some(Rc::new(ConfigView::new(config)));
+    }
+
     /// Whether the configuration was confirmed recently enough to accept or reject keys by it.
     pub(crate) fn config_is_usable(&self, now: Instant) -> bool {
         self.confirmed.get().is_usable(now, self.settings.config_limit)
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -9,7 +9,6 @@
 
 use crate::{
     Gateway,
-    config_view::ConfigView,
     node_snapshot::{age_ms, whole_ms},
 };
 
@@ -52,7 +51,7 @@
                             customers = config.customers.as_ref().map(Vec::len);
                             "config: version in force."
                         );
-                        *self.state.config.borrow_mut() = Some(Rc::new(ConfigView::new(config)));
+                        self.state.apply_config(config);
                     }
                 }
                 Err(error) => {
--- a/crates/gateway/tests/forward/stopping_node.rs
+++ b/crates/gateway/tests/forward/stopping_node.rs
@@ -6,8 +6,9 @@
 use comfreyturn_policy::ShutdownSettings;
 use comfreyturn_ports::{Clock, Spawner as _};
 use comfreyturn_standin::fakes::{LocalSpawner, ServerScript, run_until};
+use comfreyturn_types::{RouteSpec, ServiceName};
 
-use crate::test_site::{TestSite, not_run, whole};
+use crate::test_site::{TestSite, config, not_run, whole};
 
 /// Time until a node that stops is killed.
 const GRACE: Duration = Duration::from_secs(4);
@@ -131,3 +132,25 @@
     run_until(&site.clock, &mut site.pool, shutdown).unwrap();
     assert!(answered.get());
 }
+
+/// Guards against a stopping node that goes by how long requests took before their route got a longer
+/// timeout or another service, takes one that takes longer, and cannot finish it (LOST).
+#[test]
+fn changed_route_tells_nothing_about_how_long_its_requests_run() {
+    let stopped = |change: fn(&mut RouteSpec)| {
+        let mut site = TestSite::with_answers(200);
+        let mut config = config(2, &["k"]);
+        config.routes.iter_mut().for_each(change);
+        site.feeds.put_config(config);
+        site.run(1000);
+        assert_eq!(site.gateway.config_version(), Some(2));
+        site.servers.script_next(ServerScript::whole(200, "x"));
+        not_run(&site.stop_and_send(Duration::ZERO))
+    };
+    assert_eq!(stopped(|_| {}), None);
+    assert_eq!(stopped(|route| route.timeout -= Duration::from_millis(1)), None);
+    let ends_too_soon = Some(NotRunReason::EndsTooSoon);
+    assert_eq!(stopped(|route| route.timeout *= 2), ends_too_soon);
+    let other = |route: &mut RouteSpec| route.targets[0].service = ServiceName::from("models");
+    assert_eq!(stopped(other), ends_too_soon);
+}
--- a/crates/policy/src/run_times.rs
+++ b/crates/policy/src/run_times.rs
@@ -84,6 +84,11 @@
         runs.longest = runs.longest.max(time);
     }
 
+    /// Forgets the requests of a kind: those that come now may take longer.
+    pub fn forget(&mut self, kind: &K) {
+        self.kinds.remove(kind);
+    }
+
     /// The current span of a kind.
     fn current(&mut self, now: Instant, kind: &K) -> &mut RunSpan {
         let window = self.settings.window;
