--- a/crates/gateway/tests/forward/main.rs
+++ b/crates/gateway/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempts;
+mod config_changes;
 mod resumed_streams;
 mod silent_servers;
 mod stopping_node;
