Part the run of a request and its trace into files

What attempts have done is in run_progress, requests for streams in forward_stream, the outcomes of a request in request_trace/outcomes. Code is moved only; four functions are visible in the crate for it, and one heading is new.

--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -1,26 +1,24 @@
 //! Processing of one request: attempts, retries and the answer.
 
 use std::{
-    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use comfreyturn_policy::{SuspectLedger, SuspectStatus};
 use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
-use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServerLife, ServiceSpec};
+use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServiceSpec};
 use futures_util::future::{Either, FutureExt as _, select};
 
 use crate::{
-    ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason, RelayStream,
+    ForwardAnswer, ForwardRequest, GatewayPorts, NotRunReason,
     attempt_race::{AttemptRace, SilenceWatch},
     forward_attempt::{Attempt, AttemptError, AttemptFailure, RetryRefusal, WholeAnswer},
     gateway_state::GatewayState,
     in_flight::InFlightGuard,
     request_trace::RequestTrace,
-    resume_point::ResumePoint,
-    stream_source::StreamSource,
+    run_progress::RunProgress,
 };
 
 /// Unreachable servers that one attempt may try in a row.
@@ -32,55 +30,6 @@
 /// Subtracted from the time left to the server, so that its answer reaches the caller in time.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
-/// What the attempts of a request have done so far. Several may run at the same time.
-#[derive(Debug, Default)]
-pub(crate) struct RunProgress {
-    /// Servers that were tried, in order.
-    pub(crate) tried: RefCell<Vec<ServerLife>>,
-
-    /// Attempts that were sent, except those whose server was not reached. Invariant: at most the
-    /// route's `max_attempts`.
-    pub(crate) sent: Cell<u32>,
-
-    /// Attempts by which a server may have run the request.
-    ran: Cell<u32>,
-
-    /// Whether the request waited so long that it can't meet its objective any more.
-    pub(crate) is_late: Cell<bool>,
-}
-
-impl RunProgress {
-    fn record_sent(&self, life: &ServerLife) {
-        self.tried.borrow_mut().push(life.clone());
-        self.sent.set(self.sent.get() + 1);
-        self.ran.set(self.ran.get() + 1);
-    }
-
-    /// An attempt that was sent did not run, or didn't even reach its server.
-    fn record_not_run(&self, error: LinkError) {
-        if error == LinkError::NotSent {
-            self.sent.set(self.sent.get() - 1);
-        }
-        if matches!(error, LinkError::NotSent | LinkError::NotRun) {
-            self.ran.set(self.ran.get() - 1);
-        }
-    }
-
-    /// Whether a server may have run the request.
-    pub(crate) fn may_have_run(&self) -> bool {
-        self.ran.get() > 0
-    }
-}
-
-/// The first part of the answer to a stream.
-enum BegunAnswer {
-    /// The server answers with a failure.
-    Whole(WholeAnswer),
-
-    /// A stream, with its first events; `None` if it has ended.
-    Stream(Box<StreamSource>, Option<Bytes>),
-}
-
 /// Processing of one request: attempts, retries and the answer.
 pub(crate) struct ForwardRun {
     pub(crate) state: Rc<GatewayState>,
@@ -154,19 +103,19 @@
     }
 
     /// Whether another server may give a better answer.
-    fn is_retryable(&self, whole: &WholeAnswer) -> bool {
+    pub(crate) fn is_retryable(&self, whole: &WholeAnswer) -> bool {
         whole.status.is_server_error() && self.route.kind.is_repeatable()
     }
 
     /// The answer to a request of which all attempts have failed.
-    fn failed(&self, failure: AttemptFailure) -> ForwardAnswer {
+    pub(crate) fn failed(&self, failure: AttemptFailure) -> ForwardAnswer {
         match failure {
             AttemptFailure::Answer(whole) => self.served(whole),
             AttemptFailure::Error(error) => self.give_up(error),
         }
     }
 
-    async fn collect(
+    pub(crate) async fn collect(
         &self,
         mut attempt: Attempt,
         watch: &SilenceWatch,
@@ -200,71 +149,12 @@
         }
     }
 
-    // ---------------------------------------------------------------------------------------
-    // Streams
-
-    async fn run_stream(self) -> ForwardAnswer {
-        let start = |watch| self.stream_attempt(watch).boxed_local();
-        let answer = AttemptRace::new(&self, self.first_event_limit(), &start).run().await;
-        match answer {
-            Ok(BegunAnswer::Stream(source, events)) => RelayStream::begin(self, *source, events),
-            Ok(BegunAnswer::Whole(whole)) => self.served(whole),
-            Err(failure) => self.failed(failure),
-        }
-    }
-
-    async fn stream_attempt(&self, watch: Rc<SilenceWatch>) -> Result<BegunAnswer, AttemptFailure> {
-        let resume_after = self.request.resume_after.clone();
-        let point = resume_after.as_deref().map(ResumePoint::stated);
-        let attempt = self.attempt(&watch, resume_after, false).await?;
-        if !attempt.answer.status().is_success() {
-            let whole = self.collect(attempt, &watch).await?;
-            return match self.is_retryable(&whole) {
-                true => Err(AttemptFailure::Answer(whole)),
-                false => Ok(BegunAnswer::Whole(whole)),
-            };
-        }
-        let mut source = StreamSource::new(attempt, watch);
-        let events = source.read_first(self, point.as_ref()).await?;
-        Ok(BegunAnswer::Stream(Box::new(source), events))
-    }
-
-    /// Sends a stream whose caller received a part of it to another server, which has to go on at
-    /// this point.
-    pub(crate) async fn resumed_attempt(
-        &self,
-        watch: Rc<SilenceWatch>,
-        point: ResumePoint,
-    ) -> Result<(StreamSource, Option<Bytes>), AttemptFailure> {
-        let attempt = self.attempt(&watch, Some(point.last_id.clone()), true).await?;
-        if !attempt.answer.status().is_success() {
-            return Err(AttemptError::Link(LinkError::Foreign).into());
-        }
-        let mut source = StreamSource::new(attempt, watch);
-        let events = source.read_first(self, Some(&point)).await?;
-        Ok((source, events))
-    }
-
-    /// For how long a stream's server may be silent between two events until another one is tried.
-    pub(crate) fn longest_silence(&self) -> Duration {
-        let settings = &self.state.settings;
-        let pause = self.route.longest_pause.unwrap_or(settings.default_pause);
-        pause.mul_f64(settings.stall_factor)
-    }
-
-    /// For how long a server may be silent before its first event until another one is tried.
-    pub(crate) fn first_event_limit(&self) -> Duration {
-        let settings = &self.state.settings;
-        let limit = self.route.objective.mul_f64(settings.first_event_factor);
-        limit.max(settings.first_event_floor)
-    }
-
     // ---------------------------------------------------------------------------------------
     // Attempts
 
     /// Sends the request to the best server that was not tried yet, and waits for the head of its
     /// answer.
-    async fn attempt(
+    pub(crate) async fn attempt(
         &self,
         watch: &SilenceWatch,
         resume_after: Option<String>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,10 +17,11 @@
 use crate::{
     DeniedReason, FleetLoop, ForwardAnswer, ForwardRequest, GatewaySettings, HeartbeatLoop,
     NotRunReason,
-    forward_run::{ForwardRun, RunProgress},
+    forward_run::ForwardRun,
     gateway_state::GatewayState,
     in_flight::{InFlightGuard, InFlightWork},
     request_trace::RequestTrace,
+    run_progress::RunProgress,
 };
 
 /// Assumed time left of a caller that states no deadline.
