--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -7,6 +7,7 @@
 mod drill;
 mod engines;
 mod foreign;
+mod grey;
 mod http;
 mod json;
 mod record;
@@ -25,6 +26,7 @@
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     let broken = match case.as_str() {
         "drill" => drill::run(&folder, &temporary, trouble),
+        "grey" => grey::run(&folder, &temporary, trouble),
         "foreign" => foreign::run(&folder, &temporary, trouble),
         _ => None,
     };
