review: case 4, a key that was taken away comes back after a drill

Cause: a process that starts after the store came back from an older copy takes its first reading for proof, though its peers tell of a newer version. Change: a script on the stand-ins, and the stand-ins formatted.

--- a/review/rig/drill.rs
+++ b/review/rig/drill.rs
@@ -35,7 +35,11 @@
         leaving.iter().for_each(|number| fleet.drain(*number));
         let formed = || fleet.lock().open_since(before);
         wait_until(Duration::from_millis(3500), || formed() >= 3);
-        record.say(&format!("round {round}: {} servers leave, {} groups were formed anew", leaving.len(), formed()));
+        record.say(&format!(
+            "round {round}: {} servers leave, {} groups were formed anew",
+            leaving.len(),
+            formed()
+        ));
         sleep(Duration::from_millis(200));
         if trouble {
             record.say(&format!("the store is away; open groups: {}", fleet.lock().open_groups()));
@@ -56,7 +60,9 @@
     let world = fleet.lock();
     let members = world.engines.iter().enumerate().filter(|(_, engine)| {
         engine.group.as_ref().is_some_and(|group| {
-            group.members.len() > 1 && group.rank + 1 == group.members.len() && group.state == "ready"
+            group.members.len() > 1
+                && group.rank + 1 == group.members.len()
+                && group.state == "ready"
         })
     });
     members.map(|(number, _)| number).take(LEAVING).collect()
--- a/review/rig/engines.rs
+++ b/review/rig/engines.rs
@@ -34,8 +34,18 @@
 }
 
 pub const MODELS: [Model; 2] = [
-    Model { name: "m-large", size: 4, load: Duration::from_secs(16), warm: Duration::from_millis(1600) },
-    Model { name: "m-small", size: 2, load: Duration::from_secs(12), warm: Duration::from_millis(1100) },
+    Model {
+        name: "m-large",
+        size: 4,
+        load: Duration::from_secs(16),
+        warm: Duration::from_millis(1600),
+    },
+    Model {
+        name: "m-small",
+        size: 2,
+        load: Duration::from_secs(12),
+        warm: Duration::from_millis(1100),
+    },
 ];
 
 #[derive(Clone, Debug)]
@@ -156,7 +166,8 @@
     }
 
     fn is_in(&self, name: &str, epoch: u64) -> bool {
-        !self.has_ended && self.group.as_ref().is_some_and(|group| group.name == name && group.epoch == epoch)
+        !self.has_ended
+            && self.group.as_ref().is_some_and(|group| group.name == name && group.epoch == epoch)
     }
 }
 
@@ -167,7 +178,8 @@
 
     /// Whether all members of a group are in it.
     fn is_whole(&self, group: &Membership) -> bool {
-        let is_in = |id: &String| self.find(id).is_some_and(|one| one.is_in(&group.name, group.epoch));
+        let is_in =
+            |id: &String| self.find(id).is_some_and(|one| one.is_in(&group.name, group.epoch));
         group.members.iter().all(is_in)
     }
 
@@ -180,12 +192,16 @@
     /// Open groups of a later epoch.
     pub fn open_since(&self, epoch: u64) -> usize {
         let groups = self.engines.iter().filter_map(|engine| engine.group.as_ref());
-        groups.filter(|group| group.rank == 0 && group.state == "open" && group.epoch > epoch).count()
+        groups
+            .filter(|group| group.rank == 0 && group.state == "open" && group.epoch > epoch)
+            .count()
     }
 
     pub fn open_groups(&self) -> usize {
         let groups = self.engines.iter().filter_map(|engine| engine.group.as_ref());
-        groups.filter(|group| group.rank == 0 && group.state == "open" && self.is_whole(group)).count()
+        groups
+            .filter(|group| group.rank == 0 && group.state == "open" && self.is_whole(group))
+            .count()
     }
 }
 
@@ -215,9 +231,11 @@
             fleet.beat(&mut fleet.lock(), number);
         }
         let ticking = fleet.clone();
-        spawn(move || loop {
-            ticking.tick();
-            sleep(Duration::from_millis(5));
+        spawn(move || {
+            loop {
+                ticking.tick();
+                sleep(Duration::from_millis(5));
+            }
         });
         Ok(fleet)
     }
@@ -235,7 +253,8 @@
             engine.changed = false;
             return;
         }
-        let written = engine.registers && self.store.put("servers", &engine.id, &engine.entry(self.service));
+        let written =
+            engine.registers && self.store.put("servers", &engine.id, &engine.entry(self.service));
         engine.beat_at = Instant::now() + BEAT;
         engine.changed &= !written && engine.registers;
     }
@@ -256,9 +275,19 @@
             if engine.leaves_at.is_some_and(|at| now >= at) && !engine.has_ended {
                 // A member that drains stays while the head of its group has work.
                 let own = world.engines[number].group.clone();
-                let head = own.and_then(|own| world.find(own.members.first()?).cloned().filter(|head| head.is_in(&own.name, own.epoch)));
-                let has_work = head.and_then(|head| head.group).is_some_and(|group| group.running > 0);
-                if !has_work || world.engines[number].leaves_at.is_some_and(|at| now >= at + Duration::from_secs(10)) {
+                let head = own.and_then(|own| {
+                    world
+                        .find(own.members.first()?)
+                        .cloned()
+                        .filter(|head| head.is_in(&own.name, own.epoch))
+                });
+                let has_work =
+                    head.and_then(|head| head.group).is_some_and(|group| group.running > 0);
+                if !has_work
+                    || world.engines[number]
+                        .leaves_at
+                        .is_some_and(|at| now >= at + Duration::from_secs(10))
+                {
                     self.record.line(&format!("server {id} ends"));
                     world.engines[number].has_ended = true;
                     world.engines[number].changed = true;
@@ -282,7 +311,8 @@
                     let model = group.model.clone();
                     engine.changed = true;
                     if state == "ready" {
-                        let rejoins = engine.last_model.as_ref().is_some_and(|last| last.name == model.name);
+                        let rejoins =
+                            engine.last_model.as_ref().is_some_and(|last| last.name == model.name);
                         // A load stages the model; a host keeps one.
                         if !rejoins {
                             engine.staged = Some(model.name);
@@ -297,7 +327,9 @@
             }
             // Work of a head whose group lacks a member stands still, and is cut off after a while.
             let head = world.engines[number].group.clone();
-            if let Some(group) = head.filter(|group| group.rank == 0 && matches!(group.state, "open" | "closing")) {
+            if let Some(group) =
+                head.filter(|group| group.rank == 0 && matches!(group.state, "open" | "closing"))
+            {
                 let whole = world.is_whole(&group);
                 let engine = &mut world.engines[number];
                 let id = engine.id.clone();
@@ -488,7 +520,13 @@
     }
 
     /// Runs a request. `None` if its connection was cut.
-    fn run(&self, number: usize, request: &Message, echo: &str, writer: &mut TcpStream) -> Option<()> {
+    fn run(
+        &self,
+        number: usize,
+        request: &Message,
+        echo: &str,
+        writer: &mut TcpStream,
+    ) -> Option<()> {
         let attempt = request.header("attempt-id");
         let mut world = self.lock();
         let engine = &world.engines[number];
--- a/review/rig/grey.rs
+++ b/review/rig/grey.rs
@@ -47,15 +47,23 @@
     for number in 1..=SERVERS {
         let address = net.address(3, number, 8080);
         let is_grey = trouble && number == 1;
-        let server = Server { number, is_grey, book: book.clone(), record: record.clone(), count: Arc::default() };
+        let server = Server {
+            number,
+            is_grey,
+            book: book.clone(),
+            record: record.clone(),
+            count: Arc::default(),
+        };
         listen(address, move |stream| server.serve(stream)).ok()?;
         let entry = format!(
             r#"{{"service":"{PLAIN}","addr":"{address}","zone":"zone-a","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"born":1700000000000,"seq":1}}"#
         );
         let store = store.clone();
-        spawn(move || loop {
-            store.put("servers", &format!("p-{number}"), &entry);
-            sleep(Duration::from_millis(1200));
+        spawn(move || {
+            loop {
+                store.put("servers", &format!("p-{number}"), &entry);
+                sleep(Duration::from_millis(1200));
+            }
         });
     }
     let mut nodes = Vec::new();
@@ -110,7 +118,8 @@
             }
             *self.book.lock().unwrap().ran.entry(id.clone()).or_insert(0) += 1;
             sleep(Duration::from_millis(30));
-            let fails = self.is_grey && self.count.fetch_add(1, Ordering::Relaxed) % 10 < FAILED_TENTHS;
+            let fails =
+                self.is_grey && self.count.fetch_add(1, Ordering::Relaxed) % 10 < FAILED_TENTHS;
             let status = if fails { 503 } else { 200 };
             self.record.line(&format!("server {own} ran {id}, answers {status}"));
             reply(&mut writer, status, &format!("{echo}Response-Signature: s.{id}\r\n"), "{}");
@@ -151,6 +160,7 @@
     }
     let twice = book.ran.values().filter(|runs| **runs > 1).count();
     record.say(&format!("answers by status: {statuses:?}"));
-    record.say(&format!("REFUSED broken {refused} times; requests that ran more than once: {twice}"));
+    record
+        .say(&format!("REFUSED broken {refused} times; requests that ran more than once: {twice}"));
     refused > 0
 }
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -21,10 +21,6 @@
         found.map_or("", |(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,8 +2,6 @@
 //! broken, with 0 if it held, and with 2 if the case could not run. `TROUBLE=0` leaves the
 //! disruption out.
 
-#![allow(dead_code)]
-
 mod drill;
 mod engines;
 mod foreign;
@@ -11,6 +9,7 @@
 mod http;
 mod json;
 mod record;
+mod revoke;
 mod setup;
 mod site;
 mod store;
@@ -19,7 +18,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
+    let (case, folder) =
+        (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
     let folder = PathBuf::from(folder);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let temporary = std::env::temp_dir().join(format!("comfreyturn-review-{}", std::process::id()));
@@ -27,6 +27,7 @@
     let broken = match case.as_str() {
         "drill" => drill::run(&folder, &temporary, trouble),
         "grey" => grey::run(&folder, &temporary, trouble),
+        "revoke" => revoke::run(&folder, &temporary, trouble),
         "foreign" => foreign::run(&folder, &temporary, trouble),
         _ => None,
     };
--- a/review/rig/setup.rs
+++ b/review/rig/setup.rs
@@ -43,7 +43,12 @@
         let engines = (0..SERVERS).map(|number| {
             let place = usize::from(number);
             let address = net.address(2, number + 1, 8080);
-            Engine::new(place, address, ZONES[place % ZONES.len()], &format!("domain-{}", place % DOMAINS))
+            Engine::new(
+                place,
+                address,
+                ZONES[place % ZONES.len()],
+                &format!("domain-{}", place % DOMAINS),
+            )
         });
         let fleet = Fleet::start(SERVICE, engines.collect(), store.clone(), record.clone()).ok()?;
         sleep(Duration::from_secs(2));
@@ -84,9 +89,16 @@
         let outcomes = clients.finish();
         let world = self.fleet.lock();
         let record = &self.record;
-        record.say(&format!("joins {}, runs {}, runs that were cut {}", world.joins, world.runs, world.cut_runs));
+        record.say(&format!(
+            "joins {}, runs {}, runs that were cut {}",
+            world.joins, world.runs, world.cut_runs
+        ));
         record.say(&format!("clients: {outcomes:?}"));
-        record.say(&format!("TWO broken {} times, PARTIAL {} times", world.two.len(), world.partial.len()));
+        record.say(&format!(
+            "TWO broken {} times, PARTIAL {} times",
+            world.two.len(),
+            world.partial.len()
+        ));
         !world.two.is_empty() || !world.partial.is_empty()
     }
 }
--- a/review/rig/site.rs
+++ b/review/rig/site.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    http::{call, read_chunk, read_head, read_message},
+    http::{call, read_chunk, read_head},
     json::Json,
     record::Record,
 };
@@ -28,9 +28,6 @@
 }
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
 
 pub const HOST: &str = "ficu95.example";
@@ -50,10 +47,12 @@
 impl Net {
     pub fn free() -> Option<Self> {
         let start = (std::process::id() % 200) as u8;
-        (0..100).map(|step| Self { second: 20 + (start.wrapping_add(step * 2)) % 200 }).find(|net| {
-            let probe = net.address(1, 1, FRONT);
-            TcpListener::bind(probe).is_ok()
-        })
+        (0..100).map(|step| Self { second: 20 + (start.wrapping_add(step * 2)) % 200 }).find(
+            |net| {
+                let probe = net.address(1, 1, FRONT);
+                TcpListener::bind(probe).is_ok()
+            },
+        )
     }
 
     pub fn ip(&self, kind: u8, number: u8) -> IpAddr {
@@ -149,6 +148,13 @@
         Ok(())
     }
 
+    /// Starts the process again; only the first start of the whole system is a `bootstrap`.
+    pub fn start_again(&mut self) -> std::io::Result<()> {
+        let settings = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, settings.replace("bootstrap: true", "bootstrap: false"))?;
+        self.start()
+    }
+
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
             unsafe { kill(child.id() as i32, signal) };
@@ -163,15 +169,6 @@
         }
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
-    pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         let answer = call(self.ready, request, Duration::from_millis(500));
@@ -242,7 +239,8 @@
         let outcomes: Arc<Mutex<BTreeMap<Outcome, u64>>> = Arc::default();
         let threads = (0..count).map(|number| {
             let (stop, outcomes) = (stop.clone(), Arc::clone(&outcomes));
-            let (kinds, directories, record) = (kinds.to_vec(), directories.to_vec(), record.clone());
+            let (kinds, directories, record) =
+                (kinds.to_vec(), directories.to_vec(), record.clone());
             spawn(move || {
                 let mut round = number;
                 while !stop.load(Ordering::Relaxed) {
@@ -359,8 +357,3 @@
         models.join(",")
     )
 }
-
-/// Reads a whole message from a stream; for stand-ins.
-pub fn read_request(stream: &TcpStream) -> Option<crate::http::Message> {
-    read_message(&mut BufReader::new(stream.try_clone().ok()?))
-}
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -60,9 +60,11 @@
         let serving = store.clone();
         store.address = listen(address, move |stream| serving.serve(stream))?;
         let copying = store.clone();
-        std::thread::spawn(move || loop {
-            copying.copy();
-            sleep(Duration::from_millis(100));
+        std::thread::spawn(move || {
+            loop {
+                copying.copy();
+                sleep(Duration::from_millis(100));
+            }
         });
         Ok(store)
     }
@@ -153,7 +155,8 @@
             }
             "/rows-get" => {
                 sleep(READ_TIME);
-                let (table, part) = (field("table").unwrap_or_default(), field("part").unwrap_or_default());
+                let (table, part) =
+                    (field("table").unwrap_or_default(), field("part").unwrap_or_default());
                 let (from, target) = (field("from").unwrap_or_default(), field("target"));
                 let state = self.state.lock().unwrap();
                 let rows = state.content.rows.iter().filter(|((own, own_part, key), _)| {
@@ -182,7 +185,8 @@
                         return (410, "{}".to_owned());
                     }
                     let changed = state.content.changes.iter();
-                    let changed = changed.filter(|(ver, (own, _, _), _)| *ver > after && *own == table);
+                    let changed =
+                        changed.filter(|(ver, (own, _, _), _)| *ver > after && *own == table);
                     let mut newest: BTreeMap<&Name, (u64, &Option<String>)> = BTreeMap::new();
                     for (ver, name, value) in changed {
                         newest.insert(name, (*ver, value));
@@ -268,7 +272,9 @@
     let (table, part, key) = (quoted(&name.0), quoted(&name.1), quoted(&name.2));
     match value {
         Some(value) => {
-            format!(r#"{{"table":{table},"part":{part},"key":{key},"value":"{value}","ver":{ver}}}"#)
+            format!(
+                r#"{{"table":{table},"part":{part},"key":{key},"value":"{value}","ver":{ver}}}"#
+            )
         }
         None => {
             format!(r#"{{"table":{table},"part":{part},"key":{key},"ver":{ver},"tombstone":true}}"#)
