--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -19,6 +19,7 @@
 const RETRIES: &str = "comfreyturn_retries_total";
 const RETRY_SLACK: &str = "comfreyturn_retry_slack";
 const ORDERS: &str = "comfreyturn_orders_total";
+const REGRESSED_ENTRIES: &str = "comfreyturn_regressed_entries_total";
 const FIRST_PIECE: &str = "comfreyturn_first_piece_seconds";
 const WHOLE_ANSWER: &str = "comfreyturn_whole_answer_seconds";
 const PREDICTION_ERROR: &str = "comfreyturn_prediction_error_seconds";
@@ -136,3 +137,8 @@
     let outcome: &'static str = outcome.map_or("no-answer", Into::into);
     counter!(ORDERS, "action" => action, "outcome" => outcome).increment(1);
 }
+
+/// Counts entries of a restored list that show an older group than the entries before, or none.
+pub(crate) fn count_regressed_entries(count: usize) {
+    counter!(REGRESSED_ENTRIES).increment(u64::try_from(count).unwrap_or(u64::MAX));
+}
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -8,7 +8,7 @@
     FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, ServerLife, StoreVersion,
 };
 
-use crate::{LoggedChange, gateway_state::GatewayState};
+use crate::{AppliedReading, LoggedChange, gateway_metrics, gateway_state::GatewayState};
 
 /// How long servers that left the list are kept.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(20);
@@ -26,7 +26,11 @@
             return;
         }
         let first = self.first_listing();
+        let known = self.list_version();
         let applied = self.servers.borrow_mut().apply(reading, keep_missing);
+        if known != StoreVersion::default() && version.era != known.era {
+            log_restored_list(known, version, &applied);
+        }
         let servers = self.servers.borrow();
         let mut log = self.list_log.borrow_mut();
         for vm in &applied.changed {
@@ -164,3 +168,14 @@
         cold_left: Duration::ZERO,
     }
 }
+
+fn log_restored_list(known: StoreVersion, version: StoreVersion, applied: &AppliedReading) {
+    gateway_metrics::count_regressed_entries(applied.regressed.len());
+    log::warn!(
+        list_version:% = version,
+        earlier:% = known,
+        changed = applied.changed.len(),
+        regressed = applied.regressed.len();
+        "servers: list restored from an older copy."
+    );
+}
--- a/crates/gateway/src/server_table.rs
+++ b/crates/gateway/src/server_table.rs
@@ -19,6 +19,9 @@
 
     /// Whether a server was added or removed, changed its membership, or began or stopped leaving.
     pub has_changes: bool,
+
+    /// Servers whose entry shows an older group than the entry before, or none any more.
+    pub regressed: Vec<ServerLife>,
 }
 
 /// The servers in the platform's list, as last read.
@@ -72,6 +75,9 @@
         let status = |server: &FleetServer| (server.membership.clone(), server.leaving);
         let same_life = old.filter(|old| old.life == server.life);
         applied.has_changes |= same_life.map(status) != Some(status(&server));
+        if same_life.is_some_and(|old| epoch(&server) < epoch(old)) {
+            applied.regressed.push(server.life.clone());
+        }
         if same_life.is_none() {
             let domain = server.fabric_domain.as_ref().map_or("none", |domain| domain.as_str());
             log::debug!("servers: {} listed, fabric domain {domain}.", server.life);
@@ -155,3 +161,8 @@
         reported_groups(self.all(), service, engine)
     }
 }
+
+/// The epoch of a server's group; `None`, which is the lowest, without a group.
+fn epoch(server: &FleetServer) -> Option<u64> {
+    server.membership.as_ref().map(|membership| membership.epoch)
+}
