Order no server out of a group by an entry that went back

Cause: what an older list shows, or no longer shows, was taken for the present. The first reading of the new era replaced newer entries; the planner took a server for free by such an entry, and a refused order to leave the old group for proof of it.

Change: StalePlaces holds the servers whose listed place may be out of date: all of them when the list is of another era or a process has read it only once, those that refuse an order that fits their entry, and those whose entry names no group any more without an order to leave. The holder asks each (the report that probes read holds its place), and no order to join goes to one that has not told its place since; groups that may be theirs stay as they are. An entry with an older epoch than the known one of the same life is never taken; in the grace time after a restore neither is one that is not newer. The planner waits for a list of the era of the rows.

--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -8,7 +8,7 @@
 use comfreyturn_ports::FeedError;
 
 use crate::{
-    Gateway,
+    Gateway, KeptEntries,
     node_snapshot::{age_ms, whole_ms},
 };
 
@@ -130,11 +130,12 @@
                 Ok(reading) => {
                     let now = ports.clock.now();
                     let list_age = state.list_age(now);
-                    let keep_missing = outage_grace.record_reading(now, list_age, reading.is_whole);
+                    outage_grace.record_era(now, reading.version.era);
+                    let kept = outage_grace.record_reading(now, list_age, reading.is_whole);
                     if reading.is_whole {
                         state.needs_whole_list.set(false);
                     }
-                    state.apply_reading(now, reading, keep_missing);
+                    state.apply_reading(now, reading, kept);
                     state.record_list_read(asked_at);
                 }
                 Err(error) => {
@@ -174,8 +175,9 @@
     }
 }
 
-/// Keeps servers that are missing from the list for some time after an outage of the list: their
-/// entries may have expired during the outage, and live servers soon register again.
+/// Keeps what was known of servers for some time after the list couldn't be read, or was restored
+/// from an older copy. Entries may have expired during the outage, and a copy lacks those written
+/// since; live servers soon write theirs again.
 #[derive(Debug)]
 struct OutageGrace {
     grace: Duration,
@@ -185,6 +187,12 @@
 
     /// When missing servers stop being kept.
     grace_until: Option<Instant>,
+
+    /// The era of the last reading.
+    era: Option<u64>,
+
+    /// Whether the list was restored from an older copy before the present grace time.
+    is_restored: bool,
 }
 
 /// Entries of servers don't expire during an outage shorter than this.
@@ -192,7 +200,7 @@
 
 impl OutageGrace {
     fn new(grace: Duration) -> Self {
-        Self { grace, outage_since: None, grace_until: None }
+        Self { grace, outage_since: None, grace_until: None, era: None, is_restored: false }
     }
 
     fn record_failure(&mut self, now: Instant, error: FeedError) {
@@ -202,10 +210,24 @@
         }
     }
 
-    /// Records a successful reading; returns whether servers missing from it are kept. `list_age`
-    /// is the age of the list before it: a node that didn't read the list itself during the outage
-    /// sees only that.
-    fn record_reading(&mut self, now: Instant, list_age: Option<Duration>, is_whole: bool) -> bool {
+    /// Records the era of a successful reading.
+    fn record_era(&mut self, now: Instant, era: u64) {
+        let known = self.era.replace(era);
+        if known.is_some_and(|known| known != era) {
+            self.is_restored = true;
+            self.grace_until = Some(now + self.grace);
+        }
+    }
+
+    /// Records a successful reading; returns what is kept of the list before it. `list_age` is the
+    /// age of the list before it: a node that didn't read the list itself during the outage sees only
+    /// that.
+    fn record_reading(
+        &mut self,
+        now: Instant,
+        list_age: Option<Duration>,
+        is_whole: bool,
+    ) -> KeptEntries {
         if let Some(since) = self.outage_since.take() {
             let outage = now.saturating_duration_since(since);
             log::info!(outage_ms = whole_ms(outage); "servers: list reached again.");
@@ -216,8 +238,13 @@
         let keep_missing = self.grace_until.is_some_and(|until| now < until);
         if is_whole && !keep_missing {
             self.grace_until = None;
+            self.is_restored = false;
+        }
+        match keep_missing {
+            true if self.is_restored => KeptEntries::Known,
+            true => KeptEntries::Missing,
+            false => KeptEntries::None,
         }
-        keep_missing
     }
 
     /// Whether the grace time is over and the whole list must be read.
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -8,8 +8,10 @@
 };
 
 use comfreyturn_control::{LeaseKeeper, RowKeys};
-use comfreyturn_policy::{FleetOrder, FleetPlanner, FleetView, HeldLease, is_standby_group};
-use comfreyturn_ports::{OrderOutcome, TableResult};
+use comfreyturn_policy::{
+    FleetOrder, FleetPlanner, FleetView, HeldLease, StaleCause, is_standby_group,
+};
+use comfreyturn_ports::{FleetAction, OrderOutcome, TableResult};
 use comfreyturn_types::{
     EngineSpec, FencingNumber, FleetServer, Incarnation, LeaseScope, ModelName, NodeId, ServiceName,
 };
@@ -179,7 +181,10 @@
             return;
         }
         let restored = self.plans.borrow().restored;
-        if !self.gateway.state.list_is_settled(self.gateway.ports.clock.now(), restored) {
+        let state = &self.gateway.state;
+        let is_settled = state.list_is_settled(self.gateway.ports.clock.now(), restored);
+        // Rows of a later era than the list lack groups that the list still shows as forming.
+        if !is_settled || self.rows.era() != state.list_version().era {
             return;
         }
         self.send_orders(lease.fencing);
@@ -196,7 +201,16 @@
         let records = self.rows.load().await?;
         let now = self.gateway.ports.clock.now();
         let state = &self.gateway.state;
-        log::info!(groups = records.len(), fencing = fencing.0; "fleet: groups restored.");
+        let snapshot = state.snapshot(now);
+        log::info!(
+            groups = records.len(),
+            fencing = fencing.0,
+            table_era = self.rows.era(),
+            list_version:% = snapshot.list_version,
+            list_age_ms = age_ms(snapshot.list_age),
+            stale_places = state.stale_places.borrow().len();
+            "fleet: groups restored."
+        );
         state.add_unlisted_members(now, &records);
         let restored = !records.is_empty();
         let mut plans = FleetPlans { fencing, restored, ..FleetPlans::default() };
@@ -254,6 +268,7 @@
         let servers = state.servers.borrow();
         let lost = state.lost.borrow();
         let evacuated = state.evacuation.borrow();
+        let stale = state.stale_places.borrow();
         let unlisted_servers = state.unlisted.borrow();
         let unlisted = unlisted_servers.keys().cloned().collect();
         let mut plans = self.plans.borrow_mut();
@@ -271,6 +286,7 @@
             servers: servers.all().chain(dropped).filter(|s| s.service == *name).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            stale: &stale,
             evacuated: &evacuated,
             work: &work,
             before_traffic: !state.has_traffic.get(),
@@ -300,6 +316,7 @@
     }
 
     fn record_outcome(&self, service: &ServiceName, order: &FleetOrder, outcome: OrderOutcome) {
+        self.record_place(order, outcome);
         if let Some(planner) = self.plans.borrow_mut().planners.get_mut(service) {
             planner.record_outcome(order, outcome);
         }
@@ -310,6 +327,21 @@
         }
     }
 
+    /// Records what the answer to an order to leave tells of the server's place. A refusal tells only
+    /// that it isn't in that group, as its entry says.
+    fn record_place(&self, order: &FleetOrder, outcome: OrderOutcome) {
+        let FleetAction::Leave { group, .. } = &order.action else { return };
+        let now = self.gateway.ports.clock.now();
+        let mut places = self.gateway.state.stale_places.borrow_mut();
+        match outcome {
+            OrderOutcome::Taken => places.record_left(&order.life, group),
+            OrderOutcome::Unfit | OrderOutcome::WrongServer => {
+                places.mark(now, &order.life, StaleCause::Contradicted);
+            }
+            OrderOutcome::Outdated => {}
+        }
+    }
+
     async fn send_order(
         self: Rc<Self>,
         server: FleetServer,
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -5,7 +5,7 @@
 use comfreyturn_policy::{
     FleetPlannerSettings, HeadPickerSettings, LeaseTerm, PaceMeterSettings, PathSettings,
     RelayChoiceSettings, RelaySettings, ReturnSettings, RunTimeSettings, SecondBound,
-    SendQuotaSettings, WaitSettings, WaitingRoomSettings,
+    SendQuotaSettings, StalePlacesSettings, WaitSettings, WaitingRoomSettings,
 };
 
 use crate::PeerTimeouts;
@@ -48,6 +48,9 @@
     /// After an outage of the list, servers that are missing from it are kept for this time.
     pub outage_grace: Duration,
 
+    /// When a server's listed place in a group counts again after it may have been out of date.
+    pub stale_places: StalePlacesSettings,
+
     /// Pause after a reading that failed.
     pub feed_retry_pause: Duration,
 
@@ -215,6 +218,7 @@
             lone_list_period: Duration::from_millis(900),
             planner_period: Duration::from_millis(150),
             outage_grace: Duration::from_millis(2200),
+            stale_places: StalePlacesSettings::default(),
             feed_retry_pause: Duration::from_millis(200),
             heartbeat_period: Duration::from_millis(100),
             member_period: Duration::from_millis(120),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -11,7 +11,7 @@
 use comfreyturn_policy::{
     ArrivalMeter, ColdServers, ConfirmedConfig, CrashLedger, CrashLedgerSettings, EvacuationSet,
     HeadPicker, PaceMeter, PathMonitor, RefusalCause, RunTimes, SendQuotas, SenderRoster,
-    ServerRooms, ServerWaits, ShutdownTerm, StatedLimits, return_delay,
+    ServerRooms, ServerWaits, ShutdownTerm, StalePlaces, StatedLimits, return_delay,
 };
 use comfreyturn_types::{
     FailureDomain, FleetServer, ModelName, RouteName, ServerLife, ServiceName, ServiceSpec,
@@ -107,6 +107,12 @@
     /// Servers that don't answer probes.
     pub(crate) lost: RefCell<HashSet<ServerLife>>,
 
+    /// Servers whose place in a group must be asked for before it can be relied on.
+    pub(crate) stale_places: RefCell<StalePlaces>,
+
+    /// The newest era of which this node has seen a part of the list of servers.
+    pub(crate) list_era: Cell<Option<u64>>,
+
     /// Members of groups that left the list, and when. They may still serve.
     pub(crate) unlisted: RefCell<HashMap<ServerLife, (Instant, FleetServer)>>,
 
@@ -140,7 +146,7 @@
     traffic_since: Cell<Option<Instant>>,
     pub(crate) has_traffic: Cell<bool>,
     /// Whether all nodes of the deployment start for the first time.
-    is_first_start: bool,
+    pub(crate) is_first_start: bool,
 
     /// When this node started its tasks; `None` before.
     pub(crate) started_at: Cell<Option<Instant>>,
@@ -203,6 +209,8 @@
             crashes: RefCell::default(),
             parts: RefCell::default(),
             lost: RefCell::default(),
+            stale_places: RefCell::new(StalePlaces::new(settings.stale_places)),
+            list_era: Cell::new(None),
             unlisted: RefCell::default(),
             arrivals: RefCell::default(),
             refused: RefCell::default(),
--- a/crates/gateway/src/gauge_loop.rs
+++ b/crates/gateway/src/gauge_loop.rs
@@ -36,6 +36,8 @@
         gauge!("comfreyturn_servers_listed").set(count(state.servers.borrow().all().count()));
         gauge!("comfreyturn_servers_unlisted").set(count(state.unlisted.borrow().len()));
         gauge!("comfreyturn_paths_lost").set(if self.has_paths() { 0.0 } else { 1.0 });
+        let stale = state.stale_places.borrow().len();
+        gauge!("comfreyturn_servers_of_unknown_place").set(count(stale));
         gauge!("comfreyturn_servers_lost").set(count(state.lost.borrow().len()));
         let now = self.ports.clock.now();
         let quarantined = state.parts.borrow().quarantined(now);
--- a/crates/gateway/src/group_rows.rs
+++ b/crates/gateway/src/group_rows.rs
@@ -19,6 +19,11 @@
         Self { table, keys, lease }
     }
 
+    /// The era of the table's contents.
+    pub(crate) fn era(&self) -> u64 {
+        self.table.era()
+    }
+
     /// Reads all groups that were ordered and not dissolved. Rows that can't be parsed are logged
     /// and skipped.
     pub(crate) async fn load(&self) -> TableResult<Vec<FleetGroupRecord>> {
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use comfreyturn_policy::newest_places;
-use comfreyturn_ports::{ServerChange, ServerReading};
+use comfreyturn_policy::{StaleCause, newest_places};
+use comfreyturn_ports::{ReportedPlace, ServerChange, ServerReading};
 use comfreyturn_types::{
     FleetGroupRecord, FleetServer, GroupMembership, MemberPhase, ServerLife, StoreVersion,
 };
 
-use crate::{AppliedReading, LoggedChange, gateway_metrics, gateway_state::GatewayState};
+use crate::{
+    AppliedReading, KeptEntries, LoggedChange, gateway_metrics, gateway_state::GatewayState,
+};
 
 /// How long servers that left the list are kept.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(20);
@@ -17,9 +19,8 @@
 const LIST_MAX_AGE: Duration = Duration::from_secs(2);
 
 impl GatewayState {
-    /// Applies a reading of the list. With `keep_missing`, servers that are missing from it are
-    /// kept.
-    pub(crate) fn apply_reading(&self, now: Instant, reading: ServerReading, keep_missing: bool) {
+    /// Applies a reading of the list.
+    pub(crate) fn apply_reading(&self, now: Instant, reading: ServerReading, kept: KeptEntries) {
         let version = reading.version;
         if version < self.list_version() {
             // Changes that other nodes sent are newer than this answer of the platform.
@@ -27,7 +28,7 @@
         }
         let first = self.first_listing();
         let known = self.list_version();
-        let applied = self.servers.borrow_mut().apply(reading, keep_missing);
+        let applied = self.servers.borrow_mut().apply(reading, kept);
         if known != StoreVersion::default() && version.era != known.era {
             log_restored_list(known, version, &applied);
         }
@@ -39,6 +40,8 @@
         }
         log.complete_at(version);
         drop((servers, log));
+        self.observe_list_era(now, known, version.era);
+        self.mark_missing_groups(now, &applied);
         self.record_cold_entries(now, first, &applied);
         self.record_dropped(now, applied.dropped);
     }
@@ -63,7 +66,13 @@
             changes: changes.iter().map(server_change).collect(),
         };
         let first = self.first_listing();
-        let applied = self.servers.borrow_mut().apply(reading, false);
+        let known = self.list_version();
+        let newest = changes.iter().map(|change| change.version).chain(complete).max();
+        let applied = self.servers.borrow_mut().apply(reading, KeptEntries::None);
+        if let Some(newest) = newest {
+            self.observe_list_era(now, known, newest.era);
+        }
+        self.mark_missing_groups(now, &applied);
         let mut log = self.list_log.borrow_mut();
         for change in changes.into_iter().filter(|change| applied.changed.contains(&change.vm)) {
             log.push(change);
@@ -76,6 +85,51 @@
         self.record_dropped(now, applied.dropped);
     }
 
+    /// Marks the places of all listed servers as stale when the list is of another era than before,
+    /// and until it is whole. A process that starts doesn't know whether the store was restored just
+    /// before, unless the whole deployment starts for the first time.
+    fn observe_list_era(&self, now: Instant, known: StoreVersion, era: u64) {
+        let is_first = known == StoreVersion::default();
+        let is_new = self.list_era.get().is_none_or(|seen| era > seen);
+        if !is_new && !is_first && known.era >= era {
+            return;
+        }
+        self.list_era.set(Some(era));
+        let cause = match is_first {
+            true if self.is_first_start => return,
+            true => StaleCause::FirstReading,
+            false => StaleCause::Contradicted,
+        };
+        let mut places = self.stale_places.borrow_mut();
+        for server in self.servers.borrow().all().filter(|server| server.fabric_domain.is_some()) {
+            places.mark(now, &server.life, cause);
+        }
+    }
+
+    /// Marks the places of servers whose entries name no group any more.
+    fn mark_missing_groups(&self, now: Instant, applied: &AppliedReading) {
+        let mut places = self.stale_places.borrow_mut();
+        for (life, group) in &applied.without_group {
+            places.mark_group_missing(now, life, group);
+        }
+    }
+
+    /// Records where a server says that it is, asked at `asked_at`.
+    pub(crate) fn record_place(&self, life: &ServerLife, asked_at: Instant, place: ReportedPlace) {
+        let mut places = self.stale_places.borrow_mut();
+        let place = match place {
+            ReportedPlace::Unstated => return places.record_answer(life, asked_at),
+            ReportedPlace::Free => None,
+            ReportedPlace::Member(membership) => Some(membership),
+        };
+        if places.record_report(life, asked_at) {
+            let group = place.as_ref().map(|place| place.group.to_string());
+            if self.servers.borrow_mut().set_place(life, place) {
+                log::info!(server:% = life, group = group; "servers: place differs from the list.");
+            }
+        }
+    }
+
     /// The version up to which this node has the list of servers.
     pub(crate) fn list_version(&self) -> StoreVersion {
         self.list_log.borrow().complete()
@@ -128,6 +182,7 @@
         self.waits.borrow_mut().retain(now, known);
         self.quotas.borrow_mut().retain(|life| limits.limit(life).is_some());
         self.cold_quotas.borrow_mut().retain(known);
+        self.stale_places.borrow_mut().retain(now, known);
         self.lost.borrow_mut().retain(known);
     }
 
--- a/crates/gateway/src/server_paths.rs
+++ b/crates/gateway/src/server_paths.rs
@@ -140,13 +140,15 @@
         }
     }
 
-    /// Whether a server answers a probe of this node in time.
+    /// Whether a server answers a probe of this node in time. What it reports is recorded.
     pub(crate) async fn responds(&self, server: &FleetServer) -> bool {
         let Self { ports, state, .. } = self;
+        let asked_at = ports.clock.now();
         let limit = ports.clock.sleep(state.settings.probe_timeout);
         let answer = select(ports.fleet.probe(server), limit).await;
-        let Either::Left((Ok(cold_left), _)) = answer else { return false };
-        if let Some(left) = cold_left {
+        let Either::Left((Ok(report), _)) = answer else { return false };
+        state.record_place(&server.life, asked_at, report.place);
+        if let Some(left) = report.cold_left {
             let statement = ColdStatement::new(ports.clock.now(), left);
             state.record_cold_answer(&server.life, statement, AnswerReceiver::This);
         }
--- a/crates/gateway/src/server_prober.rs
+++ b/crates/gateway/src/server_prober.rs
@@ -1,4 +1,4 @@
-//! Probing of servers that may have crashed.
+//! Probing of servers that may have crashed, or whose place in a group isn't known.
 
 use std::{
     cell::RefCell,
@@ -8,7 +8,10 @@
 };
 
 use comfreyturn_types::{FleetServer, ServerLife};
-use futures_util::future::join_all;
+use futures_util::{
+    future::{join, join_all},
+    stream::{self, StreamExt as _},
+};
 
 use crate::{Gateway, node_snapshot::age_ms};
 
@@ -16,7 +19,11 @@
 /// doesn't answer this node's probe.
 const SEEN_MAX_AGE: Duration = Duration::from_millis(500);
 
-/// Probes servers that may have crashed, while this node forms groups.
+/// Servers that are asked for their places at a time.
+const ASKED_AT_ONCE: usize = 64;
+
+/// Probes servers that may have crashed, or whose place in a group isn't known, while this node forms
+/// groups.
 pub(crate) struct ServerProber {
     gateway: Rc<Gateway>,
 
@@ -34,7 +41,7 @@
         let Gateway { ports, state, .. } = &*self.gateway;
         loop {
             if state.forms_groups.get() && self.gateway.has_paths() {
-                self.probe_suspects().await;
+                join(self.probe_suspects(), self.ask_places()).await;
             }
             ports.clock.sleep(state.settings.planner_period).await;
         }
@@ -57,6 +64,25 @@
         }
     }
 
+    /// Asks servers whose place isn't known. There may be many of them, so no answer says nothing of a
+    /// server that is no suspect.
+    async fn ask_places(&self) {
+        let Gateway { ports, state, .. } = &*self.gateway;
+        let unknown: Vec<FleetServer> = {
+            let servers = state.servers.borrow();
+            let places = state.stale_places.borrow();
+            let asked = places.to_ask(ports.clock.now()).filter_map(|life| servers.get(life));
+            asked.filter(|server| !state.is_evacuated(server)).cloned().collect()
+        };
+        let asks = unknown.iter().map(|server| self.gateway.responds(server));
+        let answers: Vec<bool> = stream::iter(asks).buffer_unordered(ASKED_AT_ONCE).collect().await;
+        if !answers.is_empty() {
+            let answered = answers.iter().filter(|answered| **answered).count();
+            let unknown = state.stale_places.borrow().len();
+            log::info!(asked = answers.len(), answered = answered, unknown = unknown; "fleet: servers asked for their places.");
+        }
+    }
+
     /// The servers to probe: members of groups whose head stalled, members that left the list, and
     /// lost servers, which may have recovered. Not those that asked this node to wait or are in
     /// evacuated failure domains.
--- a/crates/gateway/src/server_table.rs
+++ b/crates/gateway/src/server_table.rs
@@ -4,7 +4,9 @@
 
 use comfreyturn_policy::{ReportedGroup, reported_groups};
 use comfreyturn_ports::{ServerChange, ServerReading};
-use comfreyturn_types::{EngineSpec, FleetServer, GroupId, ServerLife, ServiceName, VmId};
+use comfreyturn_types::{
+    EngineSpec, FleetServer, GroupId, GroupMembership, ServerLife, ServiceName, VmId,
+};
 
 use crate::beat_codec::server_tag;
 
@@ -22,6 +24,22 @@
 
     /// Servers whose entry shows an older group than the entry before, or none any more.
     pub regressed: Vec<ServerLife>,
+
+    /// Servers whose entry shows no group any more, with the group of the entry before.
+    pub without_group: Vec<(ServerLife, GroupId)>,
+}
+
+/// What a reading leaves as it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeptEntries {
+    /// Nothing: the reading is the present list.
+    None,
+
+    /// Servers that are missing from it: their entries may have expired while they live.
+    Missing,
+
+    /// These, and entries that show no newer group: the reading is from an older copy.
+    Known,
 }
 
 /// The servers in the platform's list, as last read.
@@ -38,10 +56,13 @@
 }
 
 impl ServerTable {
-    /// Applies a reading. With `keep_missing`, servers that are missing from it are kept.
-    pub fn apply(&mut self, reading: ServerReading, keep_missing: bool) -> AppliedReading {
+    /// Applies a reading. An entry with an older group than the known one of the same life is from an
+    /// older copy of the store or of another writer, and is passed over: epochs only rise.
+    pub fn apply(&mut self, reading: ServerReading, kept: KeptEntries) -> AppliedReading {
         let mut applied = AppliedReading::default();
         let mut missing: HashSet<VmId> = HashSet::new();
+        let keep_missing = kept != KeptEntries::None;
+        let keep_known = kept == KeptEntries::Known && reading.is_whole;
         if reading.is_whole && !keep_missing {
             missing = self.servers.keys().cloned().collect();
         }
@@ -49,7 +70,7 @@
             match change {
                 ServerChange::Listed(server) => {
                     missing.remove(&server.life.vm);
-                    self.insert(*server, &mut applied);
+                    self.insert(*server, keep_known, &mut applied);
                 }
                 ServerChange::Dropped(vm) if !keep_missing => {
                     missing.insert(vm);
@@ -66,18 +87,22 @@
         applied
     }
 
-    fn insert(&mut self, server: FleetServer, applied: &mut AppliedReading) {
+    fn insert(&mut self, mut server: FleetServer, keep_known: bool, applied: &mut AppliedReading) {
         let vm = server.life.vm.clone();
         let old = self.servers.get(&vm);
+        let same_life = old.filter(|old| old.life == server.life);
+        if let Some(old) = same_life {
+            record_regression(old, &server, applied);
+            let is_older = server.membership.is_some() && epoch(&server) < epoch(old);
+            if is_older || (keep_known && epoch(&server) <= epoch(old)) {
+                server = FleetServer { leaving: old.leaving || server.leaving, ..old.clone() };
+            }
+        }
         if old == Some(&server) {
             return;
         }
         let status = |server: &FleetServer| (server.membership.clone(), server.leaving);
-        let same_life = old.filter(|old| old.life == server.life);
         applied.has_changes |= same_life.map(status) != Some(status(&server));
-        if same_life.is_some_and(|old| epoch(&server) < epoch(old)) {
-            applied.regressed.push(server.life.clone());
-        }
         if same_life.is_none() {
             let domain = server.fabric_domain.as_ref().map_or("none", |domain| domain.as_str());
             log::debug!("servers: {} listed, fabric domain {domain}.", server.life);
@@ -91,6 +116,20 @@
         applied.changed.push(vm);
     }
 
+    /// Sets the place that a listed server told itself; returns whether it was listed elsewhere. A
+    /// group older than the listed one is passed over.
+    pub fn set_place(&mut self, life: &ServerLife, place: Option<GroupMembership>) -> bool {
+        let server = self.servers.get_mut(&life.vm).filter(|server| server.life == *life);
+        let Some(server) = server.filter(|server| server.membership != place) else { return false };
+        let told = place.as_ref().map(|place| place.epoch);
+        if told.is_some() && told < epoch(server) {
+            return false;
+        }
+        server.membership = place;
+        self.forget_groups();
+        true
+    }
+
     fn remove(&mut self, vm: &VmId, applied: &mut AppliedReading) {
         if let Some(old) = self.servers.remove(vm) {
             self.tags.remove(&server_tag(&old.life));
@@ -162,6 +201,16 @@
     }
 }
 
+/// Records that an entry shows an older group than the one before, or none.
+fn record_regression(old: &FleetServer, server: &FleetServer, applied: &mut AppliedReading) {
+    if epoch(server) < epoch(old) {
+        applied.regressed.push(server.life.clone());
+    }
+    if let (Some(old), None) = (&old.membership, &server.membership) {
+        applied.without_group.push((server.life.clone(), old.group.clone()));
+    }
+}
+
 /// The epoch of a server's group; `None`, which is the lowest, without a group.
 fn epoch(server: &FleetServer) -> Option<u64> {
     server.membership.as_ref().map(|membership| membership.epoch)
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -6,9 +6,9 @@
 };
 
 use comfreyturn_gateway::{
-    LoadTracker, LogPosition, LogSlice, LoggedChange, ModelRate, PeerProgress, PeerStatus,
-    PeerTable, PeerTimeouts, ReportKind, ServerLog, ServerTable, StallTracker, ViewReport,
-    ViewReports,
+    KeptEntries, LoadTracker, LogPosition, LogSlice, LoggedChange, ModelRate, PeerProgress,
+    PeerStatus, PeerTable, PeerTimeouts, ReportKind, ServerLog, ServerTable, StallTracker,
+    ViewReport, ViewReports,
 };
 use comfreyturn_policy::standby_model;
 use comfreyturn_ports::{ServerChange, ServerReading};
@@ -73,12 +73,12 @@
 fn group_serves_only_once_every_member_was_ready() {
     let mut table = ServerTable::default();
     let head = member("a", 0, MemberPhase::Open);
-    table.apply(reading(true, vec![head.clone()], &[]), false);
+    table.apply(reading(true, vec![head.clone()], &[]), KeptEntries::None);
     assert_eq!(serving(&mut table), 0, "one member is missing");
     let joining = member("b", 1, MemberPhase::Joining);
-    table.apply(reading(false, vec![joining], &[]), false);
+    table.apply(reading(false, vec![joining], &[]), KeptEntries::None);
     assert_eq!(serving(&mut table), 0, "one member was never ready");
-    table.apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &[]), false);
+    table.apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &[]), KeptEntries::None);
     assert_eq!(serving(&mut table), 1);
 }
 
@@ -91,7 +91,7 @@
     assert!(standby_model(&engine(), &group).is_some(), "the name of a standby group");
     for phase in [MemberPhase::Ready, MemberPhase::Open] {
         spare.membership = Some(GroupMembership { group: group.clone(), epoch: 7, rank: 0, phase });
-        table.apply(reading(false, vec![spare.clone()], &[]), false);
+        table.apply(reading(false, vec![spare.clone()], &[]), KeptEntries::None);
         assert_eq!(serving(&mut table), 0, "{phase}");
         assert_eq!(table.groups(&ServiceName::from("pool"), &engine()).len(), 0, "{phase}");
     }
@@ -101,13 +101,14 @@
 fn group_serves_without_the_entry_of_a_member_but_not_of_its_head() {
     let mut table = ServerTable::default();
     let members = || vec![member("a", 0, MemberPhase::Open), member("b", 1, MemberPhase::Ready)];
-    table.apply(reading(true, members(), &[]), false);
+    table.apply(reading(true, members(), &[]), KeptEntries::None);
     assert_eq!(serving(&mut table), 1);
-    let applied = table.apply(reading(false, Vec::new(), &["b"]), false);
+    let applied = table.apply(reading(false, Vec::new(), &["b"]), KeptEntries::None);
     assert_eq!(applied.dropped.len(), 1);
     assert!(applied.has_changes);
     assert_eq!(serving(&mut table), 1);
-    table.apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &["a"]), false);
+    table
+        .apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &["a"]), KeptEntries::None);
     assert_eq!(serving(&mut table), 0);
 }
 
@@ -116,29 +117,33 @@
     let mut table = ServerTable::default();
     let mut head = member("a", 0, MemberPhase::Open);
     head.leaving = true;
-    table.apply(reading(true, vec![head, member("b", 1, MemberPhase::Ready)], &[]), false);
+    table.apply(
+        reading(true, vec![head, member("b", 1, MemberPhase::Ready)], &[]),
+        KeptEntries::None,
+    );
     assert_eq!(serving(&mut table), 0);
 }
 
 #[test]
 fn missing_servers_stay_in_the_table_with_keep_missing() {
     let mut table = ServerTable::default();
-    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), false);
-    let applied = table.apply(reading(true, Vec::new(), &["a"]), true);
+    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
+    let applied = table.apply(reading(true, Vec::new(), &["a"]), KeptEntries::Missing);
     assert!(applied.dropped.is_empty());
     assert!(table.get(&life("a")).is_some());
-    let applied = table.apply(reading(true, Vec::new(), &[]), false);
+    let applied = table.apply(reading(true, Vec::new(), &[]), KeptEntries::None);
     assert_eq!(applied.dropped.len(), 1);
 }
 
 #[test]
 fn unchanged_entry_is_not_reported_as_a_change() {
     let mut table = ServerTable::default();
-    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), false);
-    let again = table.apply(reading(false, vec![member("a", 0, MemberPhase::Open)], &[]), false);
+    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
+    let again = table
+        .apply(reading(false, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
     assert!(!again.has_changes);
     let closing = member("a", 0, MemberPhase::Closing);
-    assert!(table.apply(reading(false, vec![closing], &[]), false).has_changes);
+    assert!(table.apply(reading(false, vec![closing], &[]), KeptEntries::None).has_changes);
 }
 
 #[test]
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -13,12 +13,17 @@
 use comfreyturn_gateway::{
     ForwardAnswer, ForwardRequest, Gateway, GatewayIdentity, GatewayPorts, GatewaySettings,
 };
-use comfreyturn_ports::{Clock, DatagramLink, NodeEntry, NodeRegistry, ServerNotice, TableResult};
+use comfreyturn_ports::{
+    Clock, DatagramLink, FleetControl, NodeEntry, NodeRegistry, ServerFeed, ServerNotice,
+    TableResult,
+};
 use comfreyturn_standin::fakes::{
     AnsweringServers, FaultPlan, FaultSettings, FixedFeeds, LocalPool, ManualClock, MemoryTable,
     TunnelHelper, run_for,
 };
-use comfreyturn_types::{CellName, FailureDomain, Incarnation, NodeId};
+use comfreyturn_types::{CellName, FailureDomain, FleetServer, Incarnation, NodeId};
+
+use crate::model_fleet::ModelFleet;
 
 /// Pause between two polls for queued datagrams; longer in a fleet, whose bounds are hundreds of
 /// milliseconds.
@@ -153,6 +158,9 @@
     pub feeds: HashMap<u16, FixedFeeds>,
     pub gateways: HashMap<u16, Rc<Gateway>>,
     pub servers: AnsweringServers,
+
+    /// Servers that carry out orders, in place of the fixed feeds.
+    fleet: Option<ModelFleet>,
     last_incarnation: u64,
     settings: GatewaySettings,
 
@@ -172,6 +180,17 @@
         nodes
     }
 
+    /// Nodes, none of them started, before servers that carry out orders.
+    pub fn with_model_servers(
+        settings: GatewaySettings,
+        servers: Vec<FleetServer>,
+    ) -> (Self, ModelFleet) {
+        let mut nodes = Self::new(settings, false);
+        let fleet = ModelFleet::new(&nodes.clock, &nodes.table, servers);
+        nodes.fleet = Some(fleet.clone());
+        (nodes, fleet)
+    }
+
     /// A fleet that starts for the first time, all nodes at the same moment.
     pub fn first_start(count: u16) -> Self {
         Self::first_start_with(count, GatewaySettings::default())
@@ -200,6 +219,7 @@
             feeds: HashMap::new(),
             gateways: HashMap::new(),
             servers: AnsweringServers::default(),
+            fleet: None,
             last_incarnation: 0,
             settings,
             is_first_start,
@@ -231,13 +251,14 @@
             clock: clock.clone(),
             poll_period: if self.is_first_start { FLEET_POLL_PERIOD } else { POLL_PERIOD },
         };
+        let (fleet, server_feed) = self.fleet_ports(&feeds, &clock);
         let ports = GatewayPorts {
             spawner: self.plan.spawner(&node),
             table: self.table.for_node(&node),
             servers: self.servers.for_node(&node, clock.clone()),
-            fleet: Rc::new(feeds.clone()),
+            fleet,
             config_feed: Rc::new(feeds.clone()),
-            server_feed: Rc::new(feeds.clone()),
+            server_feed,
             nodes: Rc::new(self.net.clone()),
             datagrams: Rc::new(endpoint),
             clock,
@@ -259,6 +280,18 @@
         self.gateways.insert(number, gateway);
     }
 
+    fn fleet_ports(
+        &self,
+        feeds: &FixedFeeds,
+        clock: &Rc<dyn Clock>,
+    ) -> (Rc<dyn FleetControl>, Rc<dyn ServerFeed>) {
+        let Some(fleet) = &self.fleet else {
+            return (Rc::new(feeds.clone()), Rc::new(feeds.clone()));
+        };
+        let port = fleet.for_node(clock.clone());
+        (port.clone(), port)
+    }
+
     /// Sends a request to a node. Nobody looks at the answer.
     pub fn send(&self, number: u16, request: ForwardRequest) {
         let gateway = self.gateways[&number].clone();
--- a/crates/policy/src/fleet_conversion.rs
+++ b/crates/policy/src/fleet_conversion.rs
@@ -130,7 +130,9 @@
         let reserved: HashSet<&ServerLife> =
             self.conversions.iter().flat_map(|conversion| &conversion.servers).collect();
         let groups = self.groups.values();
-        let groups = groups.filter(|group| !group.yielding && !group.is_evacuated(view));
+        let groups = groups.filter(|group| {
+            !group.yielding && !group.is_evacuated(view) && !group.is_awaited(view)
+        });
         let serving: Vec<&PlannedGroup> = groups
             .filter(|group| group.health(now, index, &self.settings) == GroupHealth::Serving)
             .collect();
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -8,7 +8,7 @@
 use comfreyturn_ports::FleetAction;
 use comfreyturn_types::{EngineSpec, FleetServer, ModelName, ServerLife, ServiceName};
 
-use crate::{EvacuationSet, planned_group::PlannedGroup};
+use crate::{EvacuationSet, StalePlaces, planned_group::PlannedGroup};
 
 /// Settings of a [`FleetPlanner`](crate::FleetPlanner).
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +73,10 @@
     /// Servers that do not answer.
     pub lost: &'a HashSet<ServerLife>,
 
+    /// Servers whose listed place may be out of date. They get no order to join, and groups that
+    /// may be theirs stay as they are until those that answer have told their place.
+    pub stale: &'a StalePlaces,
+
     /// Failure domains whose servers get no orders. Their groups stay as they are, and the demand
     /// is planned for the other servers.
     pub evacuated: &'a EvacuationSet,
@@ -92,6 +96,11 @@
     pub(crate) fn is_evacuated(&self, server: &FleetServer) -> bool {
         self.evacuated.contains(&server.failure_domain)
     }
+
+    /// Whether a server will tell its place, which isn't known.
+    pub(crate) fn is_awaited(&self, life: &ServerLife) -> bool {
+        self.stale.is_stale(life) && !self.lost.contains(life)
+    }
 }
 
 /// An order to one server.
@@ -121,6 +130,14 @@
         self.orders.push(FleetOrder { life: life.clone(), action });
     }
 
+    /// Counts on a group as it was.
+    pub(crate) fn keep(&mut self, group: &PlannedGroup) {
+        self.hold(group);
+        if !group.dissolving {
+            *self.active.entry(group.record.model.clone()).or_default() += 1;
+        }
+    }
+
     pub(crate) fn hold(&mut self, group: &PlannedGroup) {
         self.held.extend(group.record.members.iter().map(|member| member.life.clone()));
     }
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -111,9 +111,7 @@
         self.warm_spares(now, view, &mut plan);
         let mut orders = std::mem::take(&mut plan.orders);
         self.last_plan = plan;
-        let is_evacuated =
-            |life: &ServerLife| index.find(life).is_some_and(|server| view.is_evacuated(server));
-        orders.retain(|order| !is_evacuated(&order.life));
+        orders.retain(|order| is_allowed(&index, order));
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
             self.sent.insert((order.life.clone(), order.action.clone()), now);
@@ -122,7 +120,8 @@
     }
 
     /// Records a server's reply to an order. Unless it refuses the order as outdated, the reply to
-    /// an order to leave proves that the server is no longer in the group.
+    /// an order to leave proves that the server is no longer in the group. A refusal tells nothing
+    /// of other groups, so the caller must mark the server's place as stale.
     pub fn record_outcome(&mut self, order: &FleetOrder, outcome: OrderOutcome) {
         if let FleetAction::Leave { group, .. } = &order.action
             && outcome != OrderOutcome::Outdated
@@ -184,7 +183,7 @@
     /// The row of a group is written before its first order and removed when it is dissolved, so
     /// members that report an unknown group missed its dissolution. If every member still reports
     /// it, the group is kept and gets a row; otherwise it is dissolved. Groups in evacuated domains
-    /// wait for the end of the evacuation.
+    /// wait for the end of the evacuation, and those of stale places for the servers' answers.
     fn match_reported_groups(&mut self, now: Instant, index: &FleetIndex<'_>) {
         let view = index.view;
         let reported = reported_groups(view.servers.iter().copied(), view.service, view.engine);
@@ -198,7 +197,7 @@
                 continue;
             }
             let whole = reported.members.iter().all(Option::is_some);
-            if !whole && reported.is_evacuated(view) {
+            if reported.is_awaited(view) || (!whole && reported.is_evacuated(view)) {
                 continue;
             }
             let record = reported_record(view.service, reported);
@@ -213,7 +212,8 @@
             let is_recent = now.saturating_duration_since(group.since) < form_timeout;
             let keep = names.contains(name)
                 || (is_recent && !group.dissolving)
-                || group.is_evacuated(view);
+                || group.is_evacuated(view)
+                || group.is_awaited(view);
             if !keep && group.is_saved {
                 obsolete.push(name.clone());
             }
@@ -238,6 +238,10 @@
             plan.hold(group);
             return;
         }
+        if group.is_awaited(index.view) {
+            plan.keep(group);
+            return;
+        }
         let health = group.health(now, index, &self.settings);
         let is_head_listed = index.is_listed(&group.record.head().life);
         group.head_was_seen |= is_head_listed && group.head_phase(index).is_some();
@@ -320,9 +324,19 @@
         && !server.leaving
         && !view.unlisted.contains(&server.life)
         && !view.lost.contains(&server.life)
+        && !view.stale.is_stale(&server.life)
         && !view.is_evacuated(server)
 }
 
+/// Whether an order may be sent: none to evacuated servers, and none to join a group to a server that
+/// may be in another one.
+fn is_allowed(index: &FleetIndex<'_>, order: &FleetOrder) -> bool {
+    let FleetOrder { life, action } = order;
+    let is_evacuated = index.find(life).is_some_and(|server| index.view.is_evacuated(server));
+    let joins = matches!(action, FleetAction::Join { .. });
+    !is_evacuated && !(joins && index.view.stale.is_stale(life))
+}
+
 pub(crate) fn membership_model<'a>(
     view: &FleetView<'a>,
     server: &FleetServer,
--- a/crates/policy/src/fleet_release.rs
+++ b/crates/policy/src/fleet_release.rs
@@ -53,14 +53,15 @@
 
     /// Members of groups that this planner doesn't know and whose head isn't listed. The head may
     /// still serve, so they leave before they join another group. Members of an unknown group in an
-    /// evacuated domain are held until the evacuation ends.
+    /// evacuated domain are held until the evacuation ends, and beside a stale place until its server
+    /// has told where it is.
     pub(crate) fn release_orphans(&self, index: &FleetIndex<'_>, plan: &mut FleetPlan) {
         let view = index.view;
         let reported = reported_groups(view.servers.iter().copied(), view.service, view.engine);
         let is_unknown = |group: &&ReportedGroup<'_>| !self.groups.contains_key(&group.group);
         for group in reported.iter().filter(is_unknown) {
             let members = group.members.iter().flatten().map(|member| &member.life);
-            if group.is_evacuated(view) {
+            if group.is_evacuated(view) || group.is_awaited(view) {
                 plan.held.extend(members.cloned());
                 continue;
             }
--- a/crates/policy/src/fleet_staging.rs
+++ b/crates/policy/src/fleet_staging.rs
@@ -80,6 +80,7 @@
         for group in self.groups.values() {
             let is_stable = !group.yielding
                 && !group.is_evacuated(view)
+                && !group.is_awaited(view)
                 && group.health(now, index, &self.settings) == GroupHealth::Serving;
             let model = shortage.second_model(&group.record.model);
             let Some(model) = model.filter(|_| is_stable) else { continue };
--- a/crates/policy/src/fleet_state.rs
+++ b/crates/policy/src/fleet_state.rs
@@ -56,6 +56,11 @@
         self.members.iter().flatten().any(|server| view.is_evacuated(server))
     }
 
+    /// Whether a member that reports the group may be elsewhere by now.
+    pub(crate) fn is_awaited(&self, view: &FleetView<'_>) -> bool {
+        self.members.iter().flatten().any(|server| view.is_awaited(&server.life))
+    }
+
     /// Whether the head takes requests.
     pub fn is_open(&self) -> bool {
         let head = self.head().filter(|head| !head.leaving);
--- a/crates/policy/src/fleet_summary.rs
+++ b/crates/policy/src/fleet_summary.rs
@@ -28,11 +28,15 @@
             0 => String::new(),
             count => format!(", {count} evacuated"),
         };
+        let stale = match view.stale.len() {
+            0 => String::new(),
+            count => format!(", {count} of unknown place"),
+        };
         let loading = self.loading(view);
         let pools = self.pools(view, &self.last_plan.held);
         let pools: String = pools.iter().map(|pool| pool.summary(&view.engine.models)).collect();
         format!(
-            "{grouped} in groups, {free} free, {staged} of these staged, {loading} loading, {lost} lost{evacuated};\
+            "{grouped} in groups, {free} free, {staged} of these staged, {loading} loading, {lost} lost{evacuated}{stale};\
              {models} free by domain, by staged model and unstaged:{pools}"
         )
     }
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -124,6 +124,11 @@
         members.any(|member| view.evacuated.contains(&member.failure_domain))
     }
 
+    /// Whether it isn't known yet where a member is.
+    pub(crate) fn is_awaited(&self, view: &FleetView<'_>) -> bool {
+        self.lives().any(|life| view.is_awaited(life))
+    }
+
     /// Keeps the group as it is during an evacuation. It is not given up for another one any more,
     /// and the times within which its members must act begin anew.
     pub(crate) fn suspend(&mut self, now: Instant) {
@@ -233,7 +238,7 @@
         }
         match self.head_phase(index) {
             Some(phase) => phase == MemberPhase::Broken,
-            None => self.head_was_seen,
+            None => self.head_was_seen && !index.view.stale.is_stale(head),
         }
     }
 
--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -6,8 +6,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, is_standby_group,
-    newest_places,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StalePlaces,
+    is_standby_group, newest_places,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -23,6 +23,7 @@
     servers: Vec<FleetServer>,
     unlisted: HashSet<ServerLife>,
     lost: HashSet<ServerLife>,
+    stale: StalePlaces,
     evacuated: EvacuationSet,
     work: HashMap<ModelName, f64>,
     before_traffic: bool,
@@ -75,6 +76,7 @@
             servers,
             unlisted: HashSet::new(),
             lost: HashSet::new(),
+            stale: StalePlaces::default(),
             evacuated: EvacuationSet::default(),
             work,
             before_traffic: false,
@@ -101,6 +103,7 @@
             servers: self.servers.iter().collect(),
             unlisted: &self.unlisted,
             lost: &self.lost,
+            stale: &self.stale,
             evacuated: &self.evacuated,
             work: &self.work,
             before_traffic: self.before_traffic,
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -7,8 +7,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, group_model,
-    standby_model,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StalePlaces,
+    group_model, standby_model,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -287,6 +287,7 @@
             servers: self.servers[..self.listed].iter().map(|server| &server.entry).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            stale: &StalePlaces::default(),
             evacuated: &EvacuationSet::default(),
             work: &work,
             before_traffic: !has_traffic,
--- a/crates/ports/src/fleet_control.rs
+++ b/crates/ports/src/fleet_control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use comfreyturn_types::{FencingNumber, FleetServer, GroupId, ModelName, VmId};
+use comfreyturn_types::{FencingNumber, FleetServer, GroupId, GroupMembership, ModelName, VmId};
 
 /// The outcome of an order that the server responded to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -90,6 +90,30 @@
     }
 }
 
+/// A server's place in a group, as the server itself tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum ReportedPlace {
+    /// It doesn't say.
+    #[default]
+    Unstated,
+
+    /// It is in no group.
+    Free,
+
+    /// It is in this group.
+    Member(GroupMembership),
+}
+
+/// A server's answer to a probe. It may be some hundred milliseconds old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServerReport {
+    /// For how long it still tolerates only a low rate of requests; `None` if it does not say.
+    pub cold_left: Option<Duration>,
+
+    /// Its place in a group.
+    pub place: ReportedPlace,
+}
+
 /// Orders to servers that form groups, and liveness probes.
 #[async_trait(?Send)]
 pub trait FleetControl {
@@ -101,7 +125,6 @@
         fencing: FencingNumber,
     ) -> FleetResult<OrderOutcome>;
 
-    /// Checks that a server responds. Returns for how long it still tolerates only a low rate of
-    /// requests; `None` if it does not say.
-    async fn probe(&self, server: &FleetServer) -> FleetResult<Option<Duration>>;
+    /// Checks that a server responds, and returns what it reports of itself.
+    async fn probe(&self, server: &FleetServer) -> FleetResult<ServerReport>;
 }
--- a/crates/standin/src/fakes/fixed_feeds.rs
+++ b/crates/standin/src/fakes/fixed_feeds.rs
@@ -12,7 +12,7 @@
 use comfreyturn_ports::{
     Clock, ConfigFeed, ConfigReading, DatagramLink, EvacuationReading, FeedError, FeedResult,
     FleetAction, FleetControl, FleetError, FleetResult, NodeEntry, NodeRegistry, OrderOutcome,
-    ServerFeed, ServerReading, TableResult,
+    ServerFeed, ServerReading, ServerReport, TableResult,
 };
 use comfreyturn_types::{FencingNumber, FleetServer, GatewayConfig, NodeId};
 
@@ -117,7 +117,7 @@
         Ok(OrderOutcome::Taken)
     }
 
-    async fn probe(&self, _server: &FleetServer) -> FleetResult<Option<Duration>> {
+    async fn probe(&self, _server: &FleetServer) -> FleetResult<ServerReport> {
         Err(FleetError)
     }
 }
