Take no older configuration for the newest one after a start

Cause: a reading counts as unproven after a restore only if the process knew an earlier era, which one that starts does not. Change: a reading proves nothing while another node holds a newer version, nor before other nodes were heard; a node that hears none compares with nobody after one second. Attestations of other nodes still prove the newest version at once.

Open: if all processes that know the newer version end together, nothing tells of it.

--- a/crates/gateway/src/config_view.rs
+++ b/crates/gateway/src/config_view.rs
@@ -20,6 +20,10 @@
 /// counts as one that reads it.
 const CONFIG_ANSWER_TIME: Duration = Duration::from_millis(400);
 
+/// A process that started this long ago and heard no other node has none to compare its
+/// configuration with.
+const LONE_START_TIME: Duration = Duration::from_secs(1);
+
 /// The least urgent priority.
 pub(crate) const LEAST_PRIORITY: u8 = 9;
 
@@ -139,6 +143,20 @@
         own.unwrap_or_default() < self.peer_config_version.get()
     }
 
+    /// Records that the platform's configuration was the newest at `moment`. A restored store may hold
+    /// an older one, which a process that starts can't tell from its own readings, so the reading
+    /// proves nothing while another node holds a newer one, or before other nodes were heard.
+    pub(crate) fn confirm_config(&self, now: Instant, moment: Instant) {
+        let has_compared = self.is_first_start
+            || self.peer_config_version.get() > 0
+            || self.was_running_for(now, LONE_START_TIME);
+        if has_compared && !self.lacks_config() {
+            let mut confirmed = self.confirmed.get();
+            confirmed.confirm(moment);
+            self.confirmed.set(confirmed);
+        }
+    }
+
     /// Whether the configuration must be confirmed again.
     pub(crate) fn needs_config(&self, now: Instant) -> bool {
         let is_old = |age: Duration| age >= self.settings.renewal_age();
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -38,12 +38,8 @@
                     if !std::mem::replace(&mut is_connected, true) {
                         log::info!("config: store reached again.");
                     }
-                    self.state.config_read_at.set(Some(self.ports.clock.now()));
-                    if let Some(moment) = reading.proven_at {
-                        let mut confirmed = self.state.confirmed.get();
-                        confirmed.confirm(moment);
-                        self.state.confirmed.set(confirmed);
-                    }
+                    let now = self.ports.clock.now();
+                    self.state.config_read_at.set(Some(now));
                     if let Some(config) = reading.config {
                         log::info!(
                             config_version = config.version,
@@ -53,6 +49,9 @@
                         );
                         self.state.apply_config(config);
                     }
+                    if let Some(moment) = reading.proven_at {
+                        self.state.confirm_config(now, moment);
+                    }
                 }
                 Err(error) => {
                     if std::mem::replace(&mut is_connected, false) {
--- a/crates/gateway/tests/nodes/config_attestation.rs
+++ b/crates/gateway/tests/nodes/config_attestation.rs
@@ -63,6 +63,36 @@
     assert!(!nodes.gateways[&3].is_ready(), "a key may be revoked in version 2");
 }
 
+/// Guards against a key that was taken away and is accepted again: a process that starts after the
+/// store was restored reads an older configuration, which other nodes know not to be the newest
+/// (CONFIG).
+#[test]
+fn node_that_starts_does_not_serve_by_an_older_configuration_than_its_peers() {
+    let mut nodes = nodes_with_config();
+    (1..=3).for_each(|number| nodes.feeds[&number].put_config(config(2)));
+    nodes.run(1500);
+    nodes.restart(3);
+    nodes.feeds[&3].put_config(config(1));
+    for _ in 0..100 {
+        nodes.run(50);
+        assert!(!nodes.gateways[&3].is_ready(), "a key may be revoked in version 2");
+    }
+    nodes.feeds[&3].put_config(config(2));
+    nodes.run(1500);
+    assert!(nodes.gateways[&3].is_ready());
+}
+
+/// Guards against a node that waits for others that do not run.
+#[test]
+fn node_that_starts_alone_serves_within_two_seconds() {
+    let mut nodes = nodes_with_config();
+    (1..=3).for_each(|number| nodes.plan.kill(&name(number)));
+    nodes.start(3);
+    nodes.feeds[&3].put_config(config(1));
+    nodes.run(2000);
+    assert!(nodes.gateways[&3].is_ready());
+}
+
 #[test]
 fn attestation_delayed_in_a_socket_is_ignored() {
     let mut nodes = nodes_with_config();
