Ask servers whose entries fall behind, and take what they tell

Now an older entry is kept out only while the list is of an older copy; at other times it is taken, the server's place counts as unknown, and the server is asked. What it tells replaces the list. Nodes that get the list from others keep newer places over the first entries of a new era as well.

--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -239,11 +239,9 @@
             self.grace_until = None;
             self.is_restored = false;
         }
-        match keep_missing {
-            true if self.is_restored => KeptEntries::Known,
-            true => KeptEntries::Missing,
-            false => KeptEntries::None,
-        }
+        // Changes of the new era are written in it; only a whole reading holds entries of the copy.
+        let known = keep_missing && is_whole && self.is_restored;
+        KeptEntries { missing: keep_missing, known }
     }
 
     /// Whether the grace time is over and the whole list must be read.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -80,6 +80,6 @@
 pub use resume_point::EventIds;
 pub use server_log::{LogPosition, LogSlice, LoggedChange, ServerLog};
 pub use server_paths::TunnelPermit;
-pub use server_table::{AppliedReading, KeptEntries, ServerTable};
+pub use server_table::{AppliedReading, KeptEntries, RegressedEntry, ServerTable};
 pub use stall_tracker::StallTracker;
 pub use view_reports::{ModelRate, ReportKind, ViewReport, ViewReports};
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::{
-    AppliedReading, KeptEntries, LoggedChange, gateway_metrics, gateway_state::GatewayState,
+    AppliedReading, KeptEntries, LoggedChange, RegressedEntry, gateway_metrics,
+    gateway_state::GatewayState,
 };
 
 /// How long servers that left the list are kept.
@@ -41,7 +42,7 @@
         log.complete_at(version);
         drop((servers, log));
         self.observe_list_era(now, known, version.era);
-        self.mark_missing_groups(now, &applied);
+        self.mark_regressed(now, &applied);
         self.record_cold_entries(now, first, &applied);
         self.record_dropped(now, applied.dropped);
     }
@@ -68,11 +69,14 @@
         let first = self.first_listing();
         let known = self.list_version();
         let newest = changes.iter().map(|change| change.version).chain(complete).max();
-        let applied = self.servers.borrow_mut().apply(reading, KeptEntries::None);
+        let is_restored =
+            known != StoreVersion::default() && newest.is_some_and(|newest| newest.era > known.era);
+        let kept = KeptEntries { missing: false, known: is_restored };
+        let applied = self.servers.borrow_mut().apply(reading, kept);
         if let Some(newest) = newest {
             self.observe_list_era(now, known, newest.era);
         }
-        self.mark_missing_groups(now, &applied);
+        self.mark_regressed(now, &applied);
         let mut log = self.list_log.borrow_mut();
         for change in changes.into_iter().filter(|change| applied.changed.contains(&change.vm)) {
             log.push(change);
@@ -106,11 +110,15 @@
         }
     }
 
-    /// Marks the places of servers whose entries name no group any more.
-    fn mark_missing_groups(&self, now: Instant, applied: &AppliedReading) {
+    /// Marks the places of servers whose entries show an older group or none any more.
+    fn mark_regressed(&self, now: Instant, applied: &AppliedReading) {
         let mut places = self.stale_places.borrow_mut();
-        for (life, group) in &applied.without_group {
-            places.mark_group_missing(now, life, group);
+        for RegressedEntry { life, known_group, is_free } in &applied.regressed {
+            if *is_free {
+                places.mark_group_missing(now, life, known_group);
+            } else {
+                places.mark(now, life, StaleCause::Contradicted);
+            }
         }
     }
 
--- a/crates/gateway/src/server_table.rs
+++ b/crates/gateway/src/server_table.rs
@@ -23,23 +23,30 @@
     pub has_changes: bool,
 
     /// Servers whose entry shows an older group than the entry before, or none any more.
-    pub regressed: Vec<ServerLife>,
+    pub regressed: Vec<RegressedEntry>,
+}
+
+/// An entry that shows an older group than the entry before, or none any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegressedEntry {
+    /// The server.
+    pub life: ServerLife,
 
-    /// Servers whose entry shows no group any more, with the group of the entry before.
-    pub without_group: Vec<(ServerLife, GroupId)>,
+    /// The group of the entry before.
+    pub known_group: GroupId,
+
+    /// Whether the entry shows no group.
+    pub is_free: bool,
 }
 
 /// What a reading leaves as it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeptEntries {
-    /// Nothing: the reading is the present list.
-    None,
-
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeptEntries {
     /// Servers that are missing from it: their entries may have expired while they live.
-    Missing,
+    pub missing: bool,
 
-    /// These, and entries that show no newer group: the reading is from an older copy.
-    Known,
+    /// Entries that show no newer group than those known: the reading is of an older copy.
+    pub known: bool,
 }
 
 /// The servers in the platform's list, as last read.
@@ -56,23 +63,20 @@
 }
 
 impl ServerTable {
-    /// Applies a reading. An entry with an older group than the known one of the same life is from an
-    /// older copy of the store or of another writer, and is passed over: epochs only rise.
+    /// Applies a reading.
     pub fn apply(&mut self, reading: ServerReading, kept: KeptEntries) -> AppliedReading {
         let mut applied = AppliedReading::default();
         let mut missing: HashSet<VmId> = HashSet::new();
-        let keep_missing = kept != KeptEntries::None;
-        let keep_known = kept == KeptEntries::Known && reading.is_whole;
-        if reading.is_whole && !keep_missing {
+        if reading.is_whole && !kept.missing {
             missing = self.servers.keys().cloned().collect();
         }
         for change in reading.changes {
             match change {
                 ServerChange::Listed(server) => {
                     missing.remove(&server.life.vm);
-                    self.insert(*server, keep_known, &mut applied);
+                    self.insert(*server, kept.known, &mut applied);
                 }
-                ServerChange::Dropped(vm) if !keep_missing => {
+                ServerChange::Dropped(vm) if !kept.missing => {
                     missing.insert(vm);
                 }
                 ServerChange::Dropped(_) => {}
@@ -92,9 +96,8 @@
         let old = self.servers.get(&vm);
         let same_life = old.filter(|old| old.life == server.life);
         if let Some(old) = same_life {
-            record_regression(old, &server, applied);
-            let is_older = server.membership.is_some() && epoch(&server) < epoch(old);
-            if is_older || (keep_known && epoch(&server) <= epoch(old)) {
+            applied.regressed.extend(regression(old, &server));
+            if keep_known && epoch(&server) <= epoch(old) {
                 server = FleetServer { leaving: old.leaving || server.leaving, ..old.clone() };
             }
         }
@@ -116,15 +119,10 @@
         applied.changed.push(vm);
     }
 
-    /// Sets the place that a listed server told itself; returns whether it was listed elsewhere. A
-    /// group older than the listed one is passed over.
+    /// Sets the place that a listed server told itself; returns whether it was listed elsewhere.
     pub fn set_place(&mut self, life: &ServerLife, place: Option<GroupMembership>) -> bool {
         let server = self.servers.get_mut(&life.vm).filter(|server| server.life == *life);
         let Some(server) = server.filter(|server| server.membership != place) else { return false };
-        let told = place.as_ref().map(|place| place.epoch);
-        if told.is_some() && told < epoch(server) {
-            return false;
-        }
         server.membership = place;
         self.forget_groups();
         true
@@ -201,14 +199,14 @@
     }
 }
 
-/// Records that an entry shows an older group than the one before, or none.
-fn record_regression(old: &FleetServer, server: &FleetServer, applied: &mut AppliedReading) {
-    if epoch(server) < epoch(old) {
-        applied.regressed.push(server.life.clone());
-    }
-    if let (Some(old), None) = (&old.membership, &server.membership) {
-        applied.without_group.push((server.life.clone(), old.group.clone()));
-    }
+/// What an entry says less than the one before of the same life. Epochs of a life only rise.
+fn regression(old: &FleetServer, server: &FleetServer) -> Option<RegressedEntry> {
+    let known = old.membership.as_ref().filter(|known| epoch(server) < Some(known.epoch))?;
+    Some(RegressedEntry {
+        life: server.life.clone(),
+        known_group: known.group.clone(),
+        is_free: server.membership.is_none(),
+    })
 }
 
 /// The epoch of a server's group; `None`, which is the lowest, without a group.
--- a/crates/gateway/tests/gateway_tables.rs
+++ b/crates/gateway/tests/gateway_tables.rs
@@ -73,12 +73,15 @@
 fn group_serves_only_once_every_member_was_ready() {
     let mut table = ServerTable::default();
     let head = member("a", 0, MemberPhase::Open);
-    table.apply(reading(true, vec![head.clone()], &[]), KeptEntries::None);
+    table.apply(reading(true, vec![head.clone()], &[]), KeptEntries::default());
     assert_eq!(serving(&mut table), 0, "one member is missing");
     let joining = member("b", 1, MemberPhase::Joining);
-    table.apply(reading(false, vec![joining], &[]), KeptEntries::None);
+    table.apply(reading(false, vec![joining], &[]), KeptEntries::default());
     assert_eq!(serving(&mut table), 0, "one member was never ready");
-    table.apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &[]), KeptEntries::None);
+    table.apply(
+        reading(false, vec![member("b", 1, MemberPhase::Ready)], &[]),
+        KeptEntries::default(),
+    );
     assert_eq!(serving(&mut table), 1);
 }
 
@@ -91,7 +94,7 @@
     assert!(standby_model(&engine(), &group).is_some(), "the name of a standby group");
     for phase in [MemberPhase::Ready, MemberPhase::Open] {
         spare.membership = Some(GroupMembership { group: group.clone(), epoch: 7, rank: 0, phase });
-        table.apply(reading(false, vec![spare.clone()], &[]), KeptEntries::None);
+        table.apply(reading(false, vec![spare.clone()], &[]), KeptEntries::default());
         assert_eq!(serving(&mut table), 0, "{phase}");
         assert_eq!(table.groups(&ServiceName::from("pool"), &engine()).len(), 0, "{phase}");
     }
@@ -101,14 +104,16 @@
 fn group_serves_without_the_entry_of_a_member_but_not_of_its_head() {
     let mut table = ServerTable::default();
     let members = || vec![member("a", 0, MemberPhase::Open), member("b", 1, MemberPhase::Ready)];
-    table.apply(reading(true, members(), &[]), KeptEntries::None);
+    table.apply(reading(true, members(), &[]), KeptEntries::default());
     assert_eq!(serving(&mut table), 1);
-    let applied = table.apply(reading(false, Vec::new(), &["b"]), KeptEntries::None);
+    let applied = table.apply(reading(false, Vec::new(), &["b"]), KeptEntries::default());
     assert_eq!(applied.dropped.len(), 1);
     assert!(applied.has_changes);
     assert_eq!(serving(&mut table), 1);
-    table
-        .apply(reading(false, vec![member("b", 1, MemberPhase::Ready)], &["a"]), KeptEntries::None);
+    table.apply(
+        reading(false, vec![member("b", 1, MemberPhase::Ready)], &["a"]),
+        KeptEntries::default(),
+    );
     assert_eq!(serving(&mut table), 0);
 }
 
@@ -119,7 +124,7 @@
     head.leaving = true;
     table.apply(
         reading(true, vec![head, member("b", 1, MemberPhase::Ready)], &[]),
-        KeptEntries::None,
+        KeptEntries::default(),
     );
     assert_eq!(serving(&mut table), 0);
 }
@@ -127,23 +132,30 @@
 #[test]
 fn missing_servers_stay_in_the_table_with_keep_missing() {
     let mut table = ServerTable::default();
-    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
-    let applied = table.apply(reading(true, Vec::new(), &["a"]), KeptEntries::Missing);
+    table
+        .apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::default());
+    let applied = table.apply(
+        reading(true, Vec::new(), &["a"]),
+        KeptEntries { missing: true, ..KeptEntries::default() },
+    );
     assert!(applied.dropped.is_empty());
     assert!(table.get(&life("a")).is_some());
-    let applied = table.apply(reading(true, Vec::new(), &[]), KeptEntries::None);
+    let applied = table.apply(reading(true, Vec::new(), &[]), KeptEntries::default());
     assert_eq!(applied.dropped.len(), 1);
 }
 
 #[test]
 fn unchanged_entry_is_not_reported_as_a_change() {
     let mut table = ServerTable::default();
-    table.apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
-    let again = table
-        .apply(reading(false, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::None);
+    table
+        .apply(reading(true, vec![member("a", 0, MemberPhase::Open)], &[]), KeptEntries::default());
+    let again = table.apply(
+        reading(false, vec![member("a", 0, MemberPhase::Open)], &[]),
+        KeptEntries::default(),
+    );
     assert!(!again.has_changes);
     let closing = member("a", 0, MemberPhase::Closing);
-    assert!(table.apply(reading(false, vec![closing], &[]), KeptEntries::None).has_changes);
+    assert!(table.apply(reading(false, vec![closing], &[]), KeptEntries::default()).has_changes);
 }
 
 #[test]
@@ -403,3 +415,25 @@
 fn every_version_of_a_new_era_is_newer() {
     assert!(StoreVersion { era: 2, number: 1 } > StoreVersion { era: 1, number: 900 });
 }
+
+/// Guards against newer entries that a reading of an older copy replaces.
+#[test]
+fn reading_of_an_older_copy_keeps_newer_places_and_those_that_leave() {
+    let mut table = ServerTable::default();
+    let mut newer = member("a", 0, MemberPhase::Open);
+    newer.membership.as_mut().unwrap().epoch = 9;
+    newer.leaving = true;
+    table.apply(reading(true, vec![newer.clone()], &[]), KeptEntries::default());
+    let kept = KeptEntries { missing: true, known: true };
+    let free = FleetServer { membership: None, leaving: false, ..newer.clone() };
+    let older = FleetServer { leaving: false, ..member("a", 0, MemberPhase::Ready) };
+    for entry in [free, older] {
+        let applied = table.apply(reading(true, vec![entry.clone()], &[]), kept);
+        assert_eq!(table.get(&life("a")), Some(&newer));
+        assert_eq!(applied.regressed.len(), 1);
+        assert_eq!(applied.regressed[0].is_free, entry.membership.is_none());
+    }
+    newer.membership.as_mut().unwrap().epoch = 10;
+    table.apply(reading(true, vec![newer.clone()], &[]), kept);
+    assert_eq!(table.get(&life("a")), Some(&newer), "an entry of a newer group is taken");
+}
