--- a/crates/gateway/tests/nodes/restored_store.rs
+++ b/crates/gateway/tests/nodes/restored_store.rs
@@ -56,7 +56,7 @@
     let comfreyturn_ports::ServerChange::Listed(server) = listed(&format!("s{number:03}")) else {
         unreachable!("a listed server")
     };
-    let model = if number % 2 == 0 { "large" } else { "small" };
+    let model = if number.is_multiple_of(2) { "large" } else { "small" };
     FleetServer {
         fabric_domain: Some(FabricDomain::from(format!("d{}", number % DOMAINS))),
         staged: vec![ModelName::from(model)],
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -333,8 +333,9 @@
 fn is_allowed(index: &FleetIndex<'_>, order: &FleetOrder) -> bool {
     let FleetOrder { life, action } = order;
     let is_evacuated = index.find(life).is_some_and(|server| index.view.is_evacuated(server));
-    let joins = matches!(action, FleetAction::Join { .. });
-    !is_evacuated && !(joins && index.view.stale.is_stale(life))
+    let is_join = matches!(action, FleetAction::Join { .. });
+    let may_be_elsewhere = is_join && index.view.stale.is_stale(life);
+    !is_evacuated && !may_be_elsewhere
 }
 
 pub(crate) fn membership_model<'a>(
