--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -327,8 +327,8 @@
         }
     }
 
-    /// Records what the answer to an order to leave tells of the server's place. A refusal tells only
-    /// that it isn't in that group, as its entry says.
+    /// Records what the answer to an order to leave tells of the server's place. A refusal tells that
+    /// the server isn't in the group that its entry names, and not where it is.
     fn record_place(&self, order: &FleetOrder, outcome: OrderOutcome) {
         let FleetAction::Leave { group, .. } = &order.action else { return };
         let now = self.gateway.ports.clock.now();
--- a/crates/gateway/src/server_prober.rs
+++ b/crates/gateway/src/server_prober.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Asks servers whose place isn't known. There may be many of them, so no answer says nothing of a
-    /// server that is no suspect.
+    /// Asks servers whose place isn't known. There may be many of them, so a missing answer doesn't
+    /// count as a failed probe of a server that is no suspect.
     async fn ask_places(&self) {
         let Gateway { ports, state, .. } = &*self.gateway;
         let unknown: Vec<FleetServer> = {
--- a/crates/policy/src/stale_places.rs
+++ b/crates/policy/src/stale_places.rs
@@ -2,8 +2,8 @@
 //!
 //! The list tells what a server did when it wrote its entry. After the store was restored from an
 //! older copy that may be long ago, and a server that can't reach the store stays listed where it
-//! was. A server ordered out of a group that it is taken not to be in would be in two groups, so
-//! such a server gets no order to join until it was asked.
+//! was. A server that joins a group while it is in another one, unknown to the planner, is in two
+//! groups, so such a server gets no order to join before it has told its place.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -15,7 +15,8 @@
 /// Why a server's listed place may be out of date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StaleCause {
-    /// The store was restored from an older copy, or the server refused an order that fits its entry.
+    /// The store was restored from an older copy, the server's entry shows an older group than the one
+    /// before, or the server refused an order that fits its entry.
     Contradicted,
 
     /// This process has read the list only once, and doesn't know whether the store was restored
@@ -88,7 +89,7 @@
     }
 
     /// Records that a server told its place when asked at `asked_at`; returns whether the place is
-    /// newer than all doubts, so that it replaces the listed one.
+    /// newer than the last mark, so that it replaces the listed one.
     pub fn record_report(&mut self, life: &ServerLife, asked_at: Instant) -> bool {
         let Some(place) = self.places.get(life) else { return false };
         let is_new = asked_at.saturating_duration_since(place.since) >= self.settings.report_lag;
@@ -109,9 +110,8 @@
         }
     }
 
-    /// Forgets servers that are not `known`, and doubts that the list alone has settled by now: what
-    /// it still shows was written lately. After a restore that doesn't hold for a server that is cut
-    /// off from the store.
+    /// Forgets servers that are not `known`, and those whose entry must have been written again by now.
+    /// A contradicted entry is not settled by time: its server may be cut off from the store.
     pub fn retain(&mut self, now: Instant, known: impl Fn(&ServerLife) -> bool) {
         let lifetime = self.settings.entry_lifetime;
         self.places.retain(|life, place| {
