--- a/crates/policy/tests/fleet_planner.rs
+++ b/crates/policy/tests/fleet_planner.rs
@@ -6,8 +6,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StalePlaces,
-    is_standby_group, newest_places,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StaleCause,
+    StalePlaces, is_standby_group, newest_places,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -426,6 +426,34 @@
     assert_eq!(joins(&fleet.orders()).len(), 4);
 }
 
+/// Guards against a group that is ended because the entry of a member went back, though it serves.
+#[test]
+fn group_stays_as_it_is_until_its_members_have_told_their_places() {
+    let mut fleet = staged_fleet(10, 8);
+    fleet.settle();
+    let (entries, records) = (fleet.servers.clone(), fleet.records());
+    let is_second = |own: &GroupMembership| own.rank == 1;
+    let member = fleet.servers.iter_mut().find(|s| s.membership.as_ref().is_some_and(is_second));
+    let member = member.unwrap();
+    member.membership = None;
+    let life = member.life.clone();
+    fleet.stale.mark(fleet.now, &life, StaleCause::Contradicted);
+    fleet.planner = FleetPlanner::new(2, FleetPlannerSettings::default());
+    fleet.planner.restore(fleet.now, records);
+    for _ in 0..4 {
+        assert_eq!(fleet.orders(), Vec::new());
+    }
+    fleet.servers = entries;
+    assert!(fleet.stale.record_report(&life, fleet.now));
+    assert_eq!(fleet.orders(), Vec::new(), "the group serves");
+    // A member that doesn't answer holds up nothing, and joins nothing.
+    fleet.stale.mark(fleet.now, &life, StaleCause::Contradicted);
+    fleet.lost.insert(life.clone());
+    let orders: Vec<FleetOrder> = (0..4).flat_map(|_| fleet.orders()).collect();
+    assert!(orders.iter().any(is_leave), "the group has lost a member");
+    assert!(orders.iter().all(|order| order.life != life));
+}
+
 #[test]
 fn unlisted_head_that_answers_keeps_its_members_until_it_has_left() {
     let mut fleet = staged_fleet(10, 8);
