Keep an evacuation that a restored store lacks

Cause: the first reading of the new era replaced the set of evacuated domains, so a row that the copy lacks counted as removed. Ruled out: the changes after a version (a cursor of another era always reads the whole rows) and messages of other nodes (older versions are not applied).

Change: EvacuationSet keeps domains that it knew before the restore and that the restored store lacks, until the row was written and removed again, or for 30 s. The bound is needed because removing a missing row changes nothing that nodes can read. A node that starts afterwards takes them over from the others' datagrams: two new optional fields, which older builds ignore; without them nothing is kept, as before.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -1,8 +1,11 @@
 //! Evacuated failure domains: how this node learns of them, and what it does not send there.
 
-use std::collections::{BTreeSet, HashSet};
+use std::{
+    collections::{BTreeSet, HashSet},
+    time::{Duration, Instant},
+};
 
-use comfreyturn_policy::{EvacuationChange, MAX_EVACUATED_DOMAINS};
+use comfreyturn_policy::{EvacuationChange, MAX_EVACUATED_DOMAINS, ToldEvacuation};
 use comfreyturn_ports::EvacuationReading;
 use comfreyturn_proto::peer;
 use comfreyturn_types::{FailureDomain, FleetServer, GroupId, NodeId, StoreVersion};
@@ -10,14 +13,18 @@
 use crate::{
     beat_codec::{decode_version, encode_version},
     gateway_state::GatewayState,
+    node_snapshot::whole_ms,
 };
 
 /// The field `from` of log lines on what this node read itself.
 const STORE: &str = "store";
 
+/// The field `from` of log lines on evacuations that were kept long enough.
+const TIME: &str = "time";
+
 impl GatewayState {
     /// Applies the evacuated domains that this node read from the store.
-    pub(crate) fn apply_evacuation_reading(&self, reading: EvacuationReading) {
+    pub(crate) fn apply_evacuation_reading(&self, now: Instant, reading: EvacuationReading) {
         let EvacuationReading { version, domains } = reading;
         if domains.len() > MAX_EVACUATED_DOMAINS {
             log::warn!(
@@ -25,31 +32,43 @@
                 "evacuation: too many failure domains, the last ones by name are ignored."
             );
         }
-        let change = self.evacuation.borrow_mut().apply_reading(version, domains);
+        let change = self.evacuation.borrow_mut().apply_reading(now, version, domains);
         self.log_change(&change, version, STORE);
     }
 
     /// Applies the evacuated domains that another node knows; `None` if it never heard of any.
     pub(crate) fn apply_told_evacuation(
         &self,
+        now: Instant,
         node: &NodeId,
         message: Option<&peer::EvacuatedDomains>,
     ) {
         let Some(message) = message else { return };
         let version = decode_version(message.version.as_ref());
-        let names = message.domains.iter().filter(|name| !name.is_empty());
-        let domains: BTreeSet<_> = names.map(|name| FailureDomain::from(name.as_str())).collect();
-        let change = self.evacuation.borrow_mut().apply_told(version, domains);
+        let told = ToldEvacuation {
+            version,
+            domains: decode_domains(&message.domains),
+            kept: decode_domains(&message.kept_domains),
+            kept_for: Duration::from_millis(message.kept_ms),
+        };
+        let change = self.evacuation.borrow_mut().apply_told(now, told);
         self.log_change(&change, version, node.as_str());
     }
 
+    /// Ends evacuations that a restored store lacked and that operators didn't write again.
+    pub(crate) fn end_kept_evacuations(&self, now: Instant) {
+        let change = self.evacuation.borrow_mut().end_kept(now);
+        self.log_change(&change, self.list_version(), TIME);
+    }
+
     /// The evacuated domains for another node.
-    pub(crate) fn encode_evacuation(&self) -> Option<peer::EvacuatedDomains> {
-        let evacuation = self.evacuation.borrow();
-        let (version, domains) = evacuation.told()?;
+    pub(crate) fn encode_evacuation(&self, now: Instant) -> Option<peer::EvacuatedDomains> {
+        let told = self.evacuation.borrow().told(now)?;
         Some(peer::EvacuatedDomains {
-            version: Some(encode_version(version)),
-            domains: domains.iter().map(ToString::to_string).collect(),
+            version: Some(encode_version(told.version)),
+            domains: encode_domains(&told.domains),
+            kept_domains: encode_domains(&told.kept),
+            kept_ms: whole_ms(told.kept_for),
         })
     }
 
@@ -69,6 +88,12 @@
                 );
             }
         }
+        for domain in &change.kept {
+            log::warn!(
+                domain:% = domain, version:% = version, from = from;
+                "evacuation: the restored store lacks it, the failure domain stays evacuated for now."
+            );
+        }
         for domain in &change.ended {
             log::info!(
                 domain:% = domain, version:% = version, from = from;
@@ -99,3 +124,12 @@
         self.servers.borrow().all().filter(|server| self.is_evacuated(server)).count()
     }
 }
+
+fn encode_domains(domains: &BTreeSet<FailureDomain>) -> Vec<String> {
+    domains.iter().map(ToString::to_string).collect()
+}
+
+fn decode_domains(names: &[String]) -> BTreeSet<FailureDomain> {
+    let names = names.iter().filter(|name| !name.is_empty());
+    names.map(|name| FailureDomain::from(name.as_str())).collect()
+}
--- a/crates/gateway/src/feed_loops.rs
+++ b/crates/gateway/src/feed_loops.rs
@@ -31,7 +31,7 @@
             let reading = self.ports.config_feed.next(wait).await;
             // Before the confirmation, so that a usable configuration implies known evacuations.
             if let Some(evacuation) = self.ports.config_feed.evacuation() {
-                self.state.apply_evacuation_reading(evacuation);
+                self.state.apply_evacuation_reading(self.ports.clock.now(), evacuation);
             }
             match reading {
                 Ok(reading) => {
--- a/crates/gateway/src/heartbeat_loop.rs
+++ b/crates/gateway/src/heartbeat_loop.rs
@@ -131,6 +131,7 @@
         state.crashes.borrow_mut().retain(|(at, _, _)| is_recent(at));
         state.parts.borrow_mut().forget_told(now);
         state.waits.borrow_mut().forget_told(now);
+        state.end_kept_evacuations(now);
         state.refresh_loads();
     }
 
@@ -230,7 +231,7 @@
             reads_config: state.reads_config(now),
             list_version: Some(encode_version(state.list_version())),
             list_age_ms: encode_age(snapshot.list_age.map(|age| age + MILLISECOND)),
-            evacuated: state.encode_evacuation(),
+            evacuated: state.encode_evacuation(now),
             ..Default::default()
         };
         encode_sender(&identity.node, &self.own_status(), &mut beat);
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -96,7 +96,7 @@
         drop(view);
         state.record_peer_config(beat.newest_config);
         // Before the attestation, so that a usable configuration implies known evacuations.
-        state.apply_told_evacuation(node, beat.evacuated.as_ref());
+        state.apply_told_evacuation(now, node, beat.evacuated.as_ref());
         let echoed_at = self.echoed(beat).map(|(assembled_at, _)| assembled_at);
         if let Some(attestation) = attestation(beat, echoed_at) {
             state.apply_attestation(&attestation);
