Write the rows of many groups in several transactions

Cause: GroupRows::save wrote all new and obsolete rows and the check of the lease in one transaction. The platform's store takes 100 entries; it refuses a larger one each time, and orders are sent only for groups with a row.

Change: up to 64 changes go in one transaction as before, more are split, removals first, so that no two rows list a server. Each part is recorded as it is written, so a failure halfway repeats only the rest.

groups_of_a_large_fleet_are_formed_after_the_store_lost_all_their_rows failed before at its first check (0 groups open of 480 servers, all weights staged) and passes now.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -18,7 +18,10 @@
 use futures_util::future::{Either, select};
 
 use crate::{
-    Gateway, gateway_metrics::count_order, group_rows::GroupRows, node_snapshot::age_ms,
+    Gateway,
+    gateway_metrics::count_order,
+    group_rows::{GroupRows, RowChanges},
+    node_snapshot::age_ms,
     server_prober::ServerProber,
 };
 
@@ -226,23 +229,24 @@
 
     /// Writes the rows changed by the planners; returns whether orders for new groups may be sent.
     async fn save_rows(&self, lease: &HeldLease) -> bool {
-        let mut written = Vec::new();
-        let mut removed = Vec::new();
+        let mut changes = RowChanges::default();
         for planner in self.plans.borrow().planners.values() {
             let (unsaved, obsolete) = planner.row_changes();
-            written.extend(unsaved);
-            removed.extend(obsolete);
+            changes.written.extend(unsaved);
+            changes.removed.extend(obsolete);
         }
         // Removals alone are written together with the next new group.
-        if written.is_empty() {
+        if changes.written.is_empty() {
             return false;
         }
-        if let Err(error) = self.rows.save(lease, &written, &removed).await {
-            log::warn!(groups = written.len(), cause:% = error; "fleet: rows of groups not written.");
-            return false;
-        }
-        for planner in self.plans.borrow_mut().planners.values_mut() {
-            planner.record_rows(&written, &removed);
+        for part in changes.into_parts() {
+            if let Err(error) = self.rows.save(lease, &part).await {
+                log::warn!(rows = part.len(), cause:% = error; "fleet: rows of groups not written.");
+                return false;
+            }
+            for planner in self.plans.borrow_mut().planners.values_mut() {
+                planner.record_rows(&part.written, &part.removed);
+            }
         }
         true
     }
--- a/crates/gateway/src/group_rows.rs
+++ b/crates/gateway/src/group_rows.rs
@@ -42,20 +42,14 @@
     }
 
     /// Writes and removes rows in one transaction, if this node still holds the lease.
-    pub(crate) async fn save(
-        &self,
-        lease: &HeldLease,
-        written: &[FleetGroupRecord],
-        removed: &[GroupId],
-    ) -> TableResult<()> {
-        let mut writes = Vec::with_capacity(written.len() + removed.len());
-        for record in written {
+    pub(crate) async fn save(&self, lease: &HeldLease, changes: &RowChanges) -> TableResult<()> {
+        let mut writes = Vec::with_capacity(changes.len());
+        for record in &changes.written {
             let value = serde_json::to_string(record).map_err(|_| TableError::Malformed)?;
             writes.push(RowWrite { key: self.keys.group(&record.group), value: Some(value) });
         }
-        writes.extend(
-            removed.iter().map(|group| RowWrite { key: self.keys.group(group), value: None }),
-        );
+        let removed = changes.removed.iter();
+        writes.extend(removed.map(|group| RowWrite { key: self.keys.group(group), value: None }));
         let transaction = TableTransaction { checks: vec![self.lease.check(lease)], writes };
         match self.table.commit(Step::GroupCommit, transaction).await? {
             CommitOutcome::Committed => Ok(()),
@@ -67,3 +61,35 @@
         }
     }
 }
+
+/// Most changes of rows in one transaction. Stores take 100 entries, one of which is the check of
+/// the lease, and 1 MB.
+const CHANGES_PER_TRANSACTION: usize = 64;
+
+/// Changes of the rows of groups.
+#[derive(Default)]
+pub(crate) struct RowChanges {
+    pub(crate) written: Vec<FleetGroupRecord>,
+
+    /// Groups that were dissolved.
+    pub(crate) removed: Vec<GroupId>,
+}
+
+impl RowChanges {
+    pub(crate) fn len(&self) -> usize {
+        self.written.len() + self.removed.len()
+    }
+
+    /// Splits the changes into parts for one transaction each. Removals come first: servers of a
+    /// dissolved group may be members of a new one, and no two rows may list them.
+    pub(crate) fn into_parts(self) -> Vec<RowChanges> {
+        if self.len() <= CHANGES_PER_TRANSACTION {
+            return vec![self];
+        }
+        let removed = self.removed.chunks(CHANGES_PER_TRANSACTION);
+        let removed = removed.map(|part| RowChanges { removed: part.to_vec(), ..Self::default() });
+        let written = self.written.chunks(CHANGES_PER_TRANSACTION);
+        let written = written.map(|part| RowChanges { written: part.to_vec(), ..Self::default() });
+        removed.chain(written).collect()
+    }
+}
--- a/crates/gateway/tests/nodes/restored_store.rs
+++ b/crates/gateway/tests/nodes/restored_store.rs
@@ -18,6 +18,9 @@
 const SERVERS: usize = 36;
 const DOMAINS: usize = 3;
 
+/// Servers of more groups than a transaction of the store can hold.
+const LARGE_FLEET: usize = 480;
+
 /// The longest time between two steps of the servers.
 const STEP_MS: u64 = 20;
 
@@ -67,9 +70,15 @@
 impl RestoredSite {
     /// Nodes and servers whose groups serve.
     fn started() -> Self {
+        let site = Self::with_servers(SERVERS);
+        assert!(site.fleet.open_groups() >= 8, "{} groups", site.fleet.open_groups());
+        site
+    }
+
+    fn with_servers(count: usize) -> Self {
         let settings = GatewaySettings { fencing_checked: true, ..GatewaySettings::default() };
         let (mut nodes, fleet) =
-            TestNodes::with_model_servers(settings, (0..SERVERS).map(server).collect());
+            TestNodes::with_model_servers(settings, (0..count).map(server).collect());
         (1..=NODES).for_each(|number| Self::start_node(&mut nodes, number));
         let mut site = Self { nodes, fleet };
         site.run(6000);
@@ -77,7 +86,6 @@
         let model = Some(ModelName::from("small"));
         site.nodes.send(1, comfreyturn_gateway::ForwardRequest { model, ..plain_request(now) });
         site.run(2000);
-        assert!(site.fleet.open_groups() >= 8, "{} groups", site.fleet.open_groups());
         site
     }
 
@@ -123,6 +131,10 @@
         self.fleet.restore(copy_age);
     }
 
+    fn group_rows(&self) -> usize {
+        self.nodes.table.rows("").iter().filter(|(key, _)| key.contains("group/")).count()
+    }
+
     fn holder(&self) -> Option<u16> {
         let alive = (1..=NODES).filter(|number| self.nodes.plan.is_alive(&name(*number)));
         alive.into_iter().find(|number| self.nodes.gateways[number].forms_groups())
@@ -232,3 +244,20 @@
         assert_eq!(site.fleet.take_ended_groups(), Vec::<String>::new());
     }
 }
+
+/// Guards against rows of groups that are never written because the store takes no transaction with
+/// so many of them: after a restore to a copy that has none of the rows, no new group was formed.
+#[test]
+fn groups_of_a_large_fleet_are_formed_after_the_store_lost_all_their_rows() {
+    let mut site = RestoredSite::with_servers(LARGE_FLEET);
+    let open = site.fleet.open_groups();
+    assert!(open > 100, "{open} groups are open");
+    site.restore(Duration::from_millis(500), Duration::from_mins(1));
+    site.run(3000);
+    let joins = site.fleet.joins();
+    site.replace_servers(6);
+    site.run(6000);
+    assert!(site.fleet.joins() > joins, "groups are formed with the new servers");
+    assert!(site.group_rows() > 100, "{} rows of groups", site.group_rows());
+    assert_eq!(site.fleet.two(), Vec::<String>::new());
+}
--- a/crates/gateway/tests/nodes/test_nodes.rs
+++ b/crates/gateway/tests/nodes/test_nodes.rs
@@ -151,7 +151,7 @@
     clock: ManualClock,
     pool: LocalPool,
     pub plan: FaultPlan,
-    table: MemoryTable,
+    pub table: MemoryTable,
     pub net: TestNet,
 
     /// The feeds of each node.
--- a/crates/standin/src/fakes/memory_table.rs
+++ b/crates/standin/src/fakes/memory_table.rs
@@ -14,6 +14,9 @@
 use super::{FaultEndpoint, FaultPlan, call_outcome::RequestDelivery};
 use crate::TableRows;
 
+/// Most checks and writes of a transaction. Larger ones are refused, as the platforms' stores do.
+const MAX_TRANSACTION_ENTRIES: usize = 100;
+
 /// Bits of a row version below the era.
 const NUMBER_BITS: u32 = 40;
 
@@ -155,6 +158,9 @@
         step: Step,
         transaction: TableTransaction,
     ) -> TableResult<CommitOutcome> {
+        if transaction.checks.len() + transaction.writes.len() > MAX_TRANSACTION_ENTRIES {
+            return Err(TableError::Malformed);
+        }
         self.call(step, move |table| table.commit_in_era(transaction.clone())).await
     }
 
