List entries of another writer that end groups as a known failure

The new test writes such an entry, and one that can't be read, over that of an open head, whose server writes it again within 1.2 s. It fails for both each time: the members are ordered to leave 104 ms later, and what runs there is cut off. No rule on two groups is broken (TWO 0).

Cause, by the code: an unreadable entry reaches the planner as one that left the list, and a head that left the list fails its group at once; an entry without a start time counts as a later life, which proves that the earlier one is out. Nodes also tell each other such an entry as a removal, so mending it needs a new statement between nodes.

--- a/crates/gateway/tests/nodes/model_fleet.rs
+++ b/crates/gateway/tests/nodes/model_fleet.rs
@@ -37,6 +37,19 @@
 const COPY_PERIOD: Duration = Duration::from_millis(100);
 const CALL_TIME: Duration = Duration::from_millis(2);
 
+/// An entry of another writer.
+#[derive(Clone, Copy, Debug)]
+pub enum SpoiltEntry {
+    /// All but the group.
+    WithoutGroup,
+
+    /// Only what all entries have, without the start time.
+    Basic,
+
+    /// Nothing that can be read.
+    Unreadable,
+}
+
 #[derive(Clone)]
 struct ListRow {
     entry: FleetServer,
@@ -241,13 +254,24 @@
         }
     }
 
-    /// The head of an open group writes an entry without its place, as another writer would.
-    pub fn spoil_entry_of_a_head(&self) -> bool {
+    /// Another writer writes the entry of the head of an open group.
+    pub fn spoil_entry_of_a_head(&self, spoilt: SpoiltEntry) -> bool {
         let now = self.clock.elapsed();
         let mut world = self.world.borrow_mut();
         let head = world.servers.iter().find(|server| server.phase() == Some(MemberPhase::Open));
         let Some(entry) = head.map(|server| server.entry.clone()) else { return false };
-        world.write(now, FleetServer { membership: None, ..entry });
+        match spoilt {
+            SpoiltEntry::WithoutGroup => {
+                world.write(now, FleetServer { membership: None, ..entry })
+            }
+            SpoiltEntry::Basic => {
+                let life = ServerLife { born: 0, ..entry.life };
+                let (fabric_domain, model, staged, membership) = (None, None, Vec::new(), None);
+                let entry = FleetServer { life, fabric_domain, model, staged, membership, ..entry };
+                world.write(now, entry);
+            }
+            SpoiltEntry::Unreadable => world.remove(entry.life.vm),
+        }
         true
     }
 
@@ -300,12 +324,17 @@
         due.into_iter().for_each(|entry| self.write(now, entry));
         let silent = self.rows.iter().filter(|(_, row)| now >= row.written_at + ENTRY_LIFETIME);
         for vm in silent.map(|(vm, _)| vm.clone()).collect::<Vec<VmId>>() {
-            self.rows.remove(&vm);
-            self.version.number += 1;
-            self.removed.insert(vm, self.version.number);
+            self.remove(vm);
         }
     }
 
+    /// Removes an entry, or makes it one that nodes take for none.
+    fn remove(&mut self, vm: VmId) {
+        self.rows.remove(&vm);
+        self.version.number += 1;
+        self.removed.insert(vm, self.version.number);
+    }
+
     fn advance_servers(&mut self, now: Duration) {
         let is_away = now < self.away_until;
         for server in self.servers.iter_mut().filter(|server| !server.has_ended) {
--- a/crates/gateway/tests/nodes/restored_store.rs
+++ b/crates/gateway/tests/nodes/restored_store.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 
 use crate::{
-    model_fleet::ModelFleet,
+    model_fleet::{ModelFleet, SpoiltEntry},
     plain_service::{listed, plain_config, plain_request},
     test_nodes::{TestNodes, name},
 };
@@ -238,7 +238,7 @@
 fn entry_without_the_group_of_an_open_head_frees_no_member() {
     let mut site = RestoredSite::started();
     for _ in 0..3 {
-        assert!(site.fleet.spoil_entry_of_a_head());
+        assert!(site.fleet.spoil_entry_of_a_head(SpoiltEntry::WithoutGroup));
         site.run(3000);
         assert_eq!(site.fleet.two(), Vec::<String>::new());
         assert_eq!(site.fleet.take_ended_groups(), Vec::<String>::new());
@@ -261,3 +261,18 @@
     assert!(site.group_rows() > 100, "{} rows of groups", site.group_rows());
     assert_eq!(site.fleet.two(), Vec::<String>::new());
 }
+
+/// Guards against groups that are ended, and members that are freed, by an entry of another writer
+/// over that of an open head: one with the basic fields only, or one that can't be read.
+#[test]
+fn entry_of_another_writer_ends_no_group_that_serves() {
+    for spoilt in [SpoiltEntry::Basic, SpoiltEntry::Unreadable] {
+        let mut site = RestoredSite::started();
+        for _ in 0..3 {
+            assert!(site.fleet.spoil_entry_of_a_head(spoilt));
+            site.run(3000);
+            assert_eq!(site.fleet.two(), Vec::<String>::new(), "{spoilt:?}");
+            assert_eq!(site.fleet.take_ended_groups(), Vec::<String>::new(), "{spoilt:?}");
+        }
+    }
+}
