Give requests through other nodes more than one chance to reach a cold server

Cause: a test that brings its case about by chance. In 24 runs with a count printed, 0 to 7 requests of the three cut nodes reached the cold server in its 7 s, about four on average, and none in two runs; which server a request goes to is random. Its bounds never failed. Ruled out: tunnels that are refused (the same runs have other counts, with the same nodes and parts).

Change: the server begins four lives cold in place of one.

--- a/crates/gateway/tests/nodes/cold_servers.rs
+++ b/crates/gateway/tests/nodes/cold_servers.rs
@@ -36,6 +36,10 @@
 /// Time after which nodes know what the list, or an answer, says.
 const NEWS_TIME: Duration = Duration::from_millis(600);
 
+/// Lives of the server that begin cold while some nodes send through others. In each, about four of
+/// their requests reach it, at random.
+const TUNNEL_ROUNDS: u64 = 4;
+
 /// Part of what a cold server tolerates that is used at least. Senders don't prefer it, and only some
 /// of the nodes send to it.
 const LEAST_USED: f64 = 0.3;
@@ -268,20 +272,26 @@
     for number in 1..=3 {
         site.nodes.servers.set_cut(&name(number), address(number), true);
     }
-    site.send_for(3000, |_| true);
-    let listed_at = site.change(entry(COLD, 1, COLD_TIME), |_| true);
-    site.send_for(7000, |_| true);
-    let since = listed_at + NEWS_TIME;
-    site.check(since, site.now(), "tunnels");
-    let arrivals = site.nodes.servers.arrivals();
-    let own = arrivals.iter().filter(|arrival| arrival.life.vm.as_str() == COLD);
-    let recent: Vec<_> = own.filter(|arrival| arrival.at >= since).collect();
-    let tunnelled = recent.iter().filter(|arrival| arrival.seen != arrival.node).count();
-    assert!(tunnelled > 0, "no request went through another node");
-    for number in 4..=7 {
-        let seen = recent.iter().filter(|arrival| arrival.seen == name(number)).count();
-        let part = BOUND.most(RATE) / 9.0 - 1.0;
-        let allowed = part * (site.now() - since).as_secs_f64() + 1.0;
-        assert!(seen as f64 <= allowed, "node {number} was seen {seen} times, allowed {allowed}");
+    let mut tunnelled = 0;
+    for born in 1..=TUNNEL_ROUNDS {
+        site.send_for(3000, |_| true);
+        let listed_at = site.change(entry(COLD, born, COLD_TIME), |_| true);
+        site.send_for(7000, |_| true);
+        let since = listed_at + NEWS_TIME;
+        site.check(since, site.now(), "tunnels");
+        let arrivals = site.nodes.servers.arrivals();
+        let own = arrivals.iter().filter(|arrival| arrival.life.vm.as_str() == COLD);
+        let recent: Vec<_> = own.filter(|arrival| arrival.at >= since).collect();
+        tunnelled += recent.iter().filter(|arrival| arrival.seen != arrival.node).count();
+        for number in 4..=7 {
+            let seen = recent.iter().filter(|arrival| arrival.seen == name(number)).count();
+            let part = BOUND.most(RATE) / 9.0 - 1.0;
+            let allowed = part * (site.now() - since).as_secs_f64() + 1.0;
+            assert!(
+                seen as f64 <= allowed,
+                "node {number} was seen {seen} times, allowed {allowed}"
+            );
+        }
     }
+    assert!(tunnelled > 0, "no request went through another node");
 }
