Kill the node only once each caller's request runs

The callers' threads had not connected 500 ms after they were started, so their calls began after the node was dead; the checker excuses only calls that were open at its death.

The test now waits until engines began to run the request of each caller, and then kills the node. All 16 are under way at the kill, which is stricter. No check changed.

--- a/crates/ctl/tests/process_faults.rs
+++ b/crates/ctl/tests/process_faults.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::{
+    collections::HashSet,
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -49,6 +50,14 @@
     Some(answer.json())
 }
 
+/// Number of requests that engines began to run.
+fn started_requests(site: &Site) -> usize {
+    let records = site.engines.iter().filter_map(records);
+    let runs = records.flat_map(|records| records["executions"].as_array().cloned());
+    let requests = runs.flatten().map(|run| run["prompt_hash"].to_string());
+    requests.collect::<HashSet<_>>().len()
+}
+
 fn set_faults(site: &Site, faults: &Value) {
     let answer = http::send(site.platform.address, "POST", "/faults", &[], &faults.to_string());
     assert!(answer.is_some_and(|answer| answer.status < 300), "faults not set");
@@ -78,7 +87,10 @@
     let mut site = Site::start_serving(&layout, 2);
     let addresses = addresses_from(site.nodes[0].callers);
     let callers = start_callers(&addresses, "killed node", 16, 60, CALLER_LIMIT);
-    thread::sleep(Duration::from_millis(500));
+    // A call that begins after the kill finds no node, which breaks no promise.
+    wait_for("a run for each caller", START_LIMIT, || {
+        (started_requests(&site) >= callers.len()).then_some(())
+    });
     let crash = crash_record(&site.nodes[0]);
     site.nodes[0].process.kill();
     let traces = join_all(callers);
