review: case 10, a silent member's group is cut off

Cause: a member that doesn't answer two probes makes its whole group count as failed, and the head is ordered to leave at once.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -10,7 +10,7 @@
     exit 2
 fi
 cd "$root" || exit 2
-timeout -k 2 115 "$rig" unmarked-ends "$root" "$here/record.txt"
+timeout -k 2 115 "$rig" silent-member "$root" "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 echo "ended with $code"
--- a/review/rig-2/cases/mod.rs
+++ b/review/rig-2/cases/mod.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod same_ids;
 mod shared_part;
+mod silent_member;
 mod stale_key;
 mod two_groups;
 mod unmarked_ends;
@@ -12,6 +13,7 @@
 
 pub fn run(case: &str, scene: &Scene) -> std::io::Result<End> {
     match case {
+        "silent-member" => silent_member::run(scene),
         "stale-key" => stale_key::run(scene),
         "unmarked-ends" => unmarked_ends::run(scene),
         "same-ids" => same_ids::run(scene),
--- a/review/rig-2/servers.rs
+++ b/review/rig-2/servers.rs
@@ -127,6 +127,9 @@
     /// Whether it writes its entry.
     pub listed: AtomicBool,
     pub draining: AtomicBool,
+
+    /// Until when it says nothing and works on nothing.
+    pub silent_until: Mutex<Option<Instant>>,
     pub arrivals: AtomicU64,
     pub running: AtomicU64,
     handler: Arc<Handler>,
@@ -221,6 +224,7 @@
             alive: AtomicBool::new(true),
             listed: AtomicBool::new(true),
             draining: AtomicBool::new(false),
+            silent_until: Mutex::default(),
             arrivals: AtomicU64::new(0),
             running: AtomicU64::new(0),
             handler,
@@ -398,7 +402,15 @@
         place
     }
 
+    /// Whether it says nothing now.
+    pub fn is_silent(&self) -> bool {
+        self.silent_until.lock().unwrap().is_some_and(|until| Instant::now() < until)
+    }
+
     fn report(&self, stream: &mut TcpStream) -> io::Result<()> {
+        while self.is_silent() {
+            thread::sleep(Duration::from_millis(5));
+        }
         self.advance();
         let running = self.running.load(Ordering::SeqCst);
         let (seq, busy) = {
@@ -482,9 +494,10 @@
     /// Whether the group of this head takes requests, and whether its work moves.
     pub fn group_state(&self) -> Option<(Group, bool)> {
         self.advance();
-        let engine = self.engine.lock().unwrap();
-        let group = engine.group.clone()?;
-        let moves = group.lacking.is_none() && group.phase != Phase::Broken;
+        let group = self.engine.lock().unwrap().group.clone()?;
+        let mut members = group.members.iter().filter_map(|id| self.world.server(id));
+        let waits = members.any(|member| member.is_silent());
+        let moves = group.lacking.is_none() && group.phase != Phase::Broken && !waits;
         Some((group, moves))
     }
 
