--- a/review/rig-2/cases/silent_member.rs
+++ b/review/rig-2/cases/silent_member.rs
@@ -19,7 +19,7 @@
 };
 
 /// For how long the member is silent.
-const SILENCE: Duration = Duration::from_millis(1300);
+const SILENCE: Duration = Duration::from_millis(1400);
 
 const EVENTS: u64 = 60;
 const GAP: Duration = Duration::from_millis(50);
