Read an early answer to its end after the server takes no more of the request

Callers got a 502 for an upload that a server had refused: it answers before the upload is in, with a length or in chunks, and closes the connection with the rest unread. The answer was whole, and had arrived.

Cause: the failure of a write ended the connection for the HTTP library, whatever was still to be read. Through another node, that node stopped passing on what the server sends at its own failed write.

Ruled out: that the bytes were lost on the way. They can be read after the reset.

A write that fails because the server has closed the connection no longer ends it; reading goes on to the end, which reading reports, as an error if no complete answer came before. The tunnel passes on what the server sends until it ends. An answer without a length that ends so still counts as broken off.

--- a/crates/adapters/src/request_stream.rs
+++ b/crates/adapters/src/request_stream.rs
@@ -14,6 +14,9 @@
 /// Size of the read buffer.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// How writing fails if the server has closed the connection. Reading ends then as well.
+const CLOSED: [io::ErrorKind; 2] = [io::ErrorKind::BrokenPipe, io::ErrorKind::ConnectionReset];
+
 /// A connection for hyper, as the client.
 ///
 /// Its end may be the end of an answer. A server that ends the connection before it has read the
@@ -45,6 +48,15 @@
     }
 }
 
+/// The outcome of a write. A server that takes no more of a request may have answered it, so only
+/// reading tells that the connection has ended, after what has arrived.
+fn unless_closed<T>(written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    match written {
+        Poll::Ready(Err(error)) if CLOSED.contains(&error.kind()) => Poll::Pending,
+        written => written,
+    }
+}
+
 impl Read for RequestStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -71,7 +83,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        self.stream().poll_write(context, bytes)
+        unless_closed(self.stream().poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -80,7 +92,7 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        self.stream().poll_write_vectored(context, bytes)
+        unless_closed(self.stream().poll_write_vectored(context, bytes))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -88,7 +100,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.as_mut().stream().poll_flush(context))?;
+        ready!(unless_closed(self.as_mut().stream().poll_flush(context)))?;
         self.is_flushed = true;
         if let Some(waker) = self.end_waker.take() {
             waker.wake();
--- a/crates/adapters/src/tunnel.rs
+++ b/crates/adapters/src/tunnel.rs
@@ -12,7 +12,8 @@
     time::{sleep, timeout},
 };
 use futures_util::{
-    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, SinkExt, StreamExt, future::select,
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, SinkExt, StreamExt,
+    future::{pending, select},
 };
 use prost::Message;
 use tokio_util::{
@@ -161,7 +162,26 @@
     }
 }
 
-/// Passes bytes on in both directions until one of them ends.
+/// Why no more bytes are passed on in one direction.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+enum CopyError {
+    /// The sender's connection broke.
+    Read(io::Error),
+
+    /// The receiver takes no more.
+    Write(io::Error),
+}
+
+impl From<CopyError> for io::Error {
+    fn from(error: CopyError) -> Self {
+        match error {
+            CopyError::Read(error) | CopyError::Write(error) => error,
+        }
+    }
+}
+
+/// Passes bytes on in both directions until one of them ends. A server that takes no more of a
+/// request may have answered it, so what it sends is passed on to the end.
 async fn exchange(
     node: MeteredStream,
     server: MeteredStream,
@@ -170,13 +190,22 @@
     let (from_node, mut to_node) = node.split();
     let (from_server, to_server) = server.split();
     let mut reader = HeadReader::default();
-    let forth = copy(from_node, to_server, |_| {});
+    let forth = async {
+        match copy(from_node, to_server, |_| {}).await {
+            Err(CopyError::Write(error)) => {
+                log::debug!("tunnels: a server takes no more of a request: {error}.");
+                pending().await
+            }
+            end => end,
+        }
+    };
     let back = copy(from_server, &mut to_node, |bytes| {
         if let Some(head) = reader.push(bytes) {
             watch.response_begins(&head);
         }
     });
-    select(std::pin::pin!(forth), std::pin::pin!(back)).await.factor_first().0
+    let end = select(std::pin::pin!(forth), std::pin::pin!(back)).await.factor_first().0;
+    Ok(end?)
 }
 
 /// Passes bytes on as they arrive, each piece before the next one is read, and shows them to `see`.
@@ -184,15 +213,15 @@
     mut reader: impl AsyncRead + Unpin,
     mut writer: impl AsyncWrite + Unpin,
     mut see: impl FnMut(&[u8]),
-) -> io::Result<()> {
+) -> Result<(), CopyError> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let count = reader.read(&mut chunk).await?;
+        let count = reader.read(&mut chunk).await.map_err(CopyError::Read)?;
         if count == 0 {
             return Ok(());
         }
         see(&chunk[..count]);
-        writer.write_all(&chunk[..count]).await?;
-        writer.flush().await?;
+        writer.write_all(&chunk[..count]).await.map_err(CopyError::Write)?;
+        writer.flush().await.map_err(CopyError::Write)?;
     }
 }
--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -21,6 +21,13 @@
 const LIMIT: Duration = Duration::from_secs(2);
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// The size of a request's body that no connection's buffers hold, in bytes.
+const UPLOAD_BYTES: usize = 8_000_000;
+
+/// Tries of a request that is answered early: reading or writing may meet the end of the connection
+/// first.
+const EARLY_TRIES: usize = 20;
+
 /// Time after which both sides know of a closed connection.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
@@ -227,3 +234,21 @@
         }
     }
 }
+
+/// Guards against the loss of a refusal whose server closes the connection before it has read the
+/// request.
+#[compio::test]
+async fn early_answer_of_a_server_that_reads_no_more_is_whole() {
+    let text = "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno".to_owned();
+    let script = vec![Action::ReadSome, Action::Write(text)];
+    let server = ScriptServer::start(vec![script; 2 * EARLY_TRIES]);
+    let (helper, pool) = (Helper::start(true).await, pool());
+    let body = Bytes::from(vec![b'u'; UPLOAD_BYTES]);
+    for _ in 0..EARLY_TRIES {
+        let request = || Request::post("/x").body(Full::new(body.clone())).unwrap();
+        let direct = pool.send_alone(server.address, request(), LIMIT).await;
+        assert!(is_whole(direct).await);
+        let helped = pool.send_through(helper.address, server.address, request(), LIMIT).await;
+        assert!(is_whole(helped).await, "through a helper");
+    }
+}
