Take a status beyond 599, or a switch of protocols, for no response

Cause: the HTTP library accepts each number of three digits from 100 on as a status, and a 101 as a final response. Who reads an answer took each status that it got.

Ruled out, with tests that passed at once and stay: statuses 000 to 099 and those that are no number of three digits, names of headers with blanks or control bytes, lines without a colon, control bytes in values, other first lines. The library refuses them, and callers get a 502.

Only 200 to 599 are statuses of final responses now, in the one place where the pool gets a response's head and in the reader of heads that pass through. Any other one is a connection without an answer.

--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -17,6 +17,7 @@
 use crate::{
     ByteMeter, HttpAnswer, HttpSettings,
     http_connection::{HttpConnection, SendError, WholeRequest},
+    response_head::is_final_status,
 };
 
 /// Error of an HTTP call.
@@ -204,7 +205,14 @@
 ) -> HttpResult<Attempt> {
     let sending = timeout(limit, connection.send(request)).await;
     match sending {
-        Ok(Ok(response)) => Ok(Attempt::Answered(connection, response)),
+        Ok(Ok(response)) if is_final_status(response.status()) => {
+            Ok(Attempt::Answered(connection, response))
+        }
+        Ok(Ok(response)) => {
+            let status = response.status().as_u16();
+            log::warn!(status = status; "http: the head of a response is not valid.");
+            Err(HttpError::NoAnswer)
+        }
         Ok(Err(SendError::Returned(request))) => Ok(Attempt::Returned(request)),
         Ok(Err(SendError::Lost)) | Err(_) => Err(HttpError::NoAnswer),
     }
--- a/crates/adapters/src/response_head.rs
+++ b/crates/adapters/src/response_head.rs
@@ -1,7 +1,12 @@
-//! Reading of the head of a response that is passed on as bytes.
+//! Which heads are those of a response, and reading of one that is passed on as bytes.
+
+use std::ops::RangeInclusive;
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+/// The statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A head beyond this size is not read, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -18,6 +23,24 @@
     pub headers: HeaderMap,
 }
 
+impl ResponseHead {
+    /// Whether a response to a request follows. `101 Switching Protocols` is none: no request asks
+    /// for another protocol.
+    fn is_final(&self) -> bool {
+        is_final_status(self.status)
+    }
+
+    /// Whether the head of another response follows.
+    fn is_interim(&self) -> bool {
+        self.status.is_informational() && self.status != StatusCode::SWITCHING_PROTOCOLS
+    }
+}
+
+/// Whether this is the status of a final response. HTTP defines no others.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Collects the bytes of a connection until they hold the head of its first final response.
 #[derive(Debug, Default)]
 pub(crate) struct HeadReader {
@@ -43,9 +66,9 @@
                     return None;
                 }
             };
-            if !head.status.is_informational() {
+            if !head.is_interim() {
                 self.finish();
-                return Some(head);
+                return head.is_final().then_some(head);
             }
             self.bytes.drain(..length);
         }
--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -195,6 +195,26 @@
     assert!(helper.heads.borrow().is_empty());
 }
 
+/// Guards against a notice to the node that helps which is taken from a head that is not that of a
+/// response (MIXED).
+#[compio::test]
+async fn invalid_head_is_not_that_of_a_response() {
+    let busy = "HTTP/1.1 503 Busy\r\n";
+    let begins = [
+        "HTTP/1.1 600 None\r\n".to_owned(),
+        "HTTP/1.1 099 None\r\n".to_owned(),
+        format!("HTTP/1.1 101 Switching Protocols\r\n\r\n{busy}"),
+        format!("{busy}X y: 1\r\n"),
+    ];
+    for begin in begins {
+        let text = format!("{begin}Retry-After: 3\r\nContent-Length: 2\r\n\r\nno");
+        let server = ScriptServer::answering(&text);
+        let (helper, pool) = (Helper::start(true).await, pool());
+        assert!(helper.send(&pool, server.address).await.is_err(), "{begin:?}");
+        assert!(helper.heads.borrow().is_empty(), "{begin:?}");
+    }
+}
+
 /// An answer in each framing that states its end, and how many of its bytes a whole answer needs.
 const FRAMED_ANSWERS: [&str; 4] = [
     "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 12\r\n\r\nabcdefghijkl",
