Refuse an answer in a transfer coding that is not understood

Cause: the HTTP library looks only at whether the last coding is that of chunks; otherwise the body ends with the connection. The header is of one hop and not passed on, so the caller could not know either.

An answer with any transfer coding but one `chunked` counts as no answer now, in the same place as its status.

Tests: answer_with_a_body_that_cannot_be_read_is_not_returned failed before, at `x`, and the case of invalid_head_is_not_that_of_a_response is in no run of the code before, since that test ended at its first case; both pass. Its other cases (lengths that are no numbers or unequal, malformed chunks) were handled before as well.

--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -17,7 +17,7 @@
 use crate::{
     ByteMeter, HttpAnswer, HttpSettings,
     http_connection::{HttpConnection, SendError, WholeRequest},
-    response_head::is_final_status,
+    response_head::is_final_head,
 };
 
 /// Error of an HTTP call.
@@ -205,7 +205,7 @@
 ) -> HttpResult<Attempt> {
     let sending = timeout(limit, connection.send(request)).await;
     match sending {
-        Ok(Ok(response)) if is_final_status(response.status()) => {
+        Ok(Ok(response)) if is_final_head(response.status(), response.headers()) => {
             Ok(Attempt::Answered(connection, response))
         }
         Ok(Ok(response)) => {
--- a/crates/adapters/src/response_head.rs
+++ b/crates/adapters/src/response_head.rs
@@ -2,11 +2,14 @@
 
 use std::ops::RangeInclusive;
 
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::TRANSFER_ENCODING};
 
 /// The statuses of final responses.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// The only transfer coding that is understood.
+const CHUNKED: &[u8] = b"chunked";
+
 /// A head beyond this size is not read, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -27,7 +30,7 @@
     /// Whether a response to a request follows. `101 Switching Protocols` is none: no request asks
     /// for another protocol.
     fn is_final(&self) -> bool {
-        is_final_status(self.status)
+        is_final_head(self.status, &self.headers)
     }
 
     /// Whether the head of another response follows.
@@ -36,9 +39,13 @@
     }
 }
 
-/// Whether this is the status of a final response. HTTP defines no others.
-pub(crate) fn is_final_status(status: StatusCode) -> bool {
-    FINAL_STATUSES.contains(&status.as_u16())
+/// Whether this is the head of a final response whose body can be read: with a status that HTTP
+/// defines, and with no transfer coding but one of chunks.
+pub(crate) fn is_final_head(status: StatusCode, headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(CHUNKED);
+    let is_understood = codings.next().is_none_or(is_chunked) && codings.next().is_none();
+    FINAL_STATUSES.contains(&status.as_u16()) && is_understood
 }
 
 /// Collects the bytes of a connection until they hold the head of its first final response.
--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -204,6 +204,7 @@
         "HTTP/1.1 600 None\r\n".to_owned(),
         "HTTP/1.1 099 None\r\n".to_owned(),
         format!("HTTP/1.1 101 Switching Protocols\r\n\r\n{busy}"),
+        format!("{busy}Transfer-Encoding: chunked, x\r\n"),
         format!("{busy}X y: 1\r\n"),
     ];
     for begin in begins {
