Bound what a server may send between the parts of its answer

Cause: the HTTP library reads on as long as bytes are there until a head, or the size of a chunk, is complete. It skips interim responses and counts none of their bytes, nor those of a size. Reading never gave way to other tasks, so no timeout could end it either.

Ruled out, with tests that passed at once and stay: heads without end (lines, one line, blanks), bodies and events without end, extensions of chunks and trailers without end. Each has a limit, in the library or in the node.

MeteredStream gives way to other tasks after some reads in a row, for all connections that it reads, those of tunnels and of other nodes included. RequestStream reads 96 KiB at most from one part of an answer (its head, bytes of its body) to the next; heads up to 64 KiB are read, with large bodies behind them.

Tests, on the code before: interim_responses_without_end_do_not_stop_a_node and body_without_end_is_given_up (at the zeros) failed, the node gave no answer within 10 s; with the giving way alone the server of the zeros could send 54 MB until the route's timeout.

--- a/crates/adapters/src/http_answer.rs
+++ b/crates/adapters/src/http_answer.rs
@@ -53,6 +53,7 @@
     pub async fn chunk(&mut self) -> HttpResult<Option<Bytes>> {
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|_| HttpError::NoAnswer)?;
+            self.connection.record_part();
             if let Ok(bytes) = frame.into_data() {
                 return Ok(Some(bytes));
             }
--- a/crates/adapters/src/http_connection.rs
+++ b/crates/adapters/src/http_connection.rs
@@ -16,7 +16,9 @@
 };
 
 use crate::{
-    ByteMeter, HttpError, HttpResult, metered_stream::MeteredStream, request_stream::RequestStream,
+    ByteMeter, HttpError, HttpResult,
+    metered_stream::MeteredStream,
+    request_stream::{ReadAllowance, RequestStream},
     tunnel::open_tunnel,
 };
 
@@ -35,6 +37,7 @@
 /// A connection with the task that drives it. Dropping it closes the connection immediately.
 pub(crate) struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
 
     /// The socket, unless the connection goes through another node.
     socket: Option<TcpStream>,
@@ -73,14 +76,15 @@
         stream: MeteredStream,
         socket: Option<TcpStream>,
     ) -> HttpResult<Self> {
-        let handshake = http1::handshake(RequestStream::new(stream)).await;
+        let allowance = ReadAllowance::default();
+        let handshake = http1::handshake(RequestStream::new(stream, allowance.clone())).await;
         let (sender, connection) = handshake.map_err(|_| HttpError::NotSent)?;
         let task = compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("http: connection to {address} ended: {error}.");
             }
         });
-        Ok(Self { sender, socket, _task: task })
+        Ok(Self { sender, allowance, socket, _task: task })
     }
 
     /// Whether the connection is still open, as far as is known.
@@ -88,6 +92,11 @@
         !self.sender.is_closed()
     }
 
+    /// A part of the answer's body has arrived.
+    pub(crate) fn record_part(&self) {
+        self.allowance.refill();
+    }
+
     /// Whether a kept connection can take another request: the server has neither closed it nor sent
     /// anything since the last response. Both may have arrived while this thread was busy.
     pub(crate) async fn is_reusable(&self) -> bool {
@@ -104,8 +113,10 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::Returned(Box::new(request)));
         }
-        let sending = self.sender.try_send_request(request);
-        sending.await.map_err(|mut error| match error.take_message() {
+        self.allowance.refill();
+        let answer = self.sender.try_send_request(request).await;
+        self.allowance.refill();
+        answer.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::Returned(Box::new(request)),
             None => SendError::Lost,
         })
--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -285,6 +285,11 @@
         }
     }
 
+    /// A part of the response's body has arrived.
+    pub(crate) fn record_part(&self) {
+        self.connection.record_part();
+    }
+
     /// Largest complete response, in bytes.
     pub(crate) fn answer_limit(&self) -> usize {
         self.permit.pool.settings.answer_limit
--- a/crates/adapters/src/metered_stream.rs
+++ b/crates/adapters/src/metered_stream.rs
@@ -12,6 +12,9 @@
 
 use crate::ByteMeter;
 
+/// Reads in a row after which other tasks and timers go on, however much has arrived.
+const MAX_READS_IN_A_ROW: u32 = 16;
+
 /// A TCP connection, counted by a [`ByteMeter`].
 ///
 /// The system reports the failure of a connection once, to whichever of reading and writing meets it
@@ -24,6 +27,9 @@
 
     /// How writing failed, if it has.
     write_error: Option<io::ErrorKind>,
+
+    /// Reads since other tasks could last go on.
+    reads_in_a_row: u32,
 }
 
 impl MeteredStream {
@@ -33,7 +39,8 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("adapters: cannot set TCP_NODELAY: {error}.");
         }
-        Self { stream: HyperStream::new_plain(stream), meter, write_error: None }
+        let stream = HyperStream::new_plain(stream);
+        Self { stream, meter, write_error: None, reads_in_a_row: 0 }
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut HyperStream<TcpStream>> {
@@ -62,7 +69,14 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(AsyncRead::poll_read(self.as_mut().stream(), context, buffer))?;
+        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = AsyncRead::poll_read(self.as_mut().stream(), context, buffer);
+        self.reads_in_a_row = if read.is_pending() { 0 } else { self.reads_in_a_row + 1 };
+        let bytes = ready!(read)?;
         if bytes == 0 && !buffer.is_empty() {
             self.check_writing(context)?;
             return Poll::Ready(Ok(0));
--- a/crates/adapters/src/request_stream.rs
+++ b/crates/adapters/src/request_stream.rs
@@ -1,8 +1,10 @@
 //! A connection over which HTTP requests are sent.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, Waker, ready},
 };
 
@@ -14,6 +16,37 @@
 /// Size of the read buffer.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// The most bytes that a server may send until the head of its answer is complete, with all interim
+/// responses before it, and from then on until the next bytes of the body. hyper reads two chunks of
+/// the body ahead at most, which count as well, so there is room for a head of 64 KiB.
+const MAX_BYTES_BETWEEN_PARTS: usize = 64 * 1024 + 2 * CHUNK_BYTES;
+
+/// How much a server may still send until the next part of its answer is complete. It bounds how
+/// much is read of bytes that are no answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadAllowance {
+    left: Rc<Cell<usize>>,
+}
+
+impl Default for ReadAllowance {
+    fn default() -> Self {
+        Self { left: Rc::new(Cell::new(MAX_BYTES_BETWEEN_PARTS)) }
+    }
+}
+
+impl ReadAllowance {
+    /// A request is sent, or a part of its answer is complete.
+    pub(crate) fn refill(&self) {
+        self.left.set(MAX_BYTES_BETWEEN_PARTS);
+    }
+
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let left = self.left.get().checked_sub(bytes).ok_or(io::ErrorKind::InvalidData)?;
+        self.left.set(left);
+        Ok(())
+    }
+}
+
 /// How writing fails if the server has closed the connection. Reading ends then as well.
 const CLOSED: [io::ErrorKind; 2] = [io::ErrorKind::BrokenPipe, io::ErrorKind::ConnectionReset];
 
@@ -34,13 +67,14 @@
 
     /// The task to which the end of the connection was not reported yet.
     end_waker: Option<Waker>,
+    allowance: ReadAllowance,
 }
 
 impl RequestStream {
     /// Wraps a connection on which nothing was sent yet.
-    pub(crate) fn new(stream: MeteredStream) -> Self {
+    pub(crate) fn new(stream: MeteredStream, allowance: ReadAllowance) -> Self {
         let chunk = vec![0; CHUNK_BYTES].into_boxed_slice();
-        Self { stream, chunk, is_flushed: true, end_waker: None }
+        Self { stream, chunk, is_flushed: true, end_waker: None, allowance }
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut MeteredStream> {
@@ -71,6 +105,7 @@
             this.end_waker = Some(context.waker().clone());
             return Poll::Pending;
         }
+        this.allowance.take(bytes)?;
         buffer.put_slice(&chunk[..bytes]);
         Poll::Ready(Ok(()))
     }
