Bound the memory that answers take together

Cause: limits for single answers, and none for their sum. Whole answers are kept until their callers have read them, events until they are complete.

Ruled out: a single answer or event; heads (the limit between the parts of an answer).

An answer for which there is no room counts as none: it is given up, and a repeatable request may go to another server. Bodies, partial events, and answers that a pool reads whole (the store, orders and probes, the product's own mode) are counted, bodies until their callers have them.

--- a/crates/adapters/src/http_answer.rs
+++ b/crates/adapters/src/http_answer.rs
@@ -66,7 +66,8 @@
     /// # Errors
     ///
     /// [`HttpError::NoAnswer`] if the connection broke or the time limit passed,
-    /// [`HttpError::TooLarge`] if the body is larger than the settings allow.
+    /// [`HttpError::TooLarge`] if the body is larger than the settings allow, or than the memory
+    /// that other responses leave.
     pub async fn whole(mut self, limit: Duration) -> HttpResult<WholeAnswer> {
         let body = timeout(limit, self.collect()).await.map_err(|_| HttpError::NoAnswer)??;
         self.connection.return_to_pool();
@@ -75,14 +76,18 @@
 
     async fn collect(&mut self) -> HttpResult<Bytes> {
         let limit = self.connection.answer_limit();
+        let mut held = self.connection.hold_memory();
         let mut body = BytesMut::new();
         while let Some(bytes) = self.chunk().await? {
             if body.len() + bytes.len() > limit {
                 return Err(HttpError::TooLarge);
             }
             body.extend_from_slice(&bytes);
+            if !held.resize(body.capacity()) {
+                return Err(HttpError::TooLarge);
+            }
         }
-        Ok(body.freeze())
+        Ok(held.attach(body.freeze()))
     }
 }
 
--- a/crates/adapters/src/http_pool.rs
+++ b/crates/adapters/src/http_pool.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use comfreyturn_policy::{AnswerMemory, HeldMemory};
 use compio::time::timeout;
 use http::{HeaderValue, Request, Response, header::HOST};
 use http_body_util::Full;
@@ -31,7 +32,7 @@
     #[display("no response")]
     NoAnswer,
 
-    /// The response is larger than the settings allow.
+    /// The response is larger than the settings allow, or than the memory that others leave.
     #[display("response too large")]
     TooLarge,
 }
@@ -43,6 +44,7 @@
 pub struct HttpPool {
     settings: HttpSettings,
     meter: ByteMeter,
+    memory: AnswerMemory,
     hosts: RefCell<HashMap<SocketAddr, HostConnections>>,
 }
 
@@ -63,7 +65,8 @@
 impl HttpPool {
     /// Creates an empty pool. `meter` counts the bytes of its connections.
     pub fn new(settings: HttpSettings, meter: ByteMeter) -> Rc<Self> {
-        Rc::new(Self { settings, meter, hosts: RefCell::default() })
+        let memory = AnswerMemory::new(settings.answer_memory);
+        Rc::new(Self { settings, meter, memory, hosts: RefCell::default() })
     }
 
     /// The limits of the pool.
@@ -294,4 +297,9 @@
     pub(crate) fn answer_limit(&self) -> usize {
         self.permit.pool.settings.answer_limit
     }
+
+    /// The memory for a complete response.
+    pub(crate) fn hold_memory(&self) -> HeldMemory {
+        self.permit.pool.memory.hold()
+    }
 }
--- a/crates/adapters/src/http_settings.rs
+++ b/crates/adapters/src/http_settings.rs
@@ -19,6 +19,10 @@
 
     /// Largest complete response, in bytes.
     pub answer_limit: usize,
+
+    /// What complete responses may take while they are received and used, all of them together, in
+    /// bytes.
+    pub answer_memory: usize,
 }
 
 impl Default for HttpSettings {
@@ -29,6 +33,7 @@
             idle_timeout: Duration::from_secs(15),
             connections_per_address: 1024,
             answer_limit: 16 * 1024 * 1024,
+            answer_memory: 64 * 1024 * 1024,
         }
     }
 }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -6,9 +6,9 @@
 };
 
 use bytes::BytesMut;
-use comfreyturn_policy::{SuspectLedger, SuspectStatus};
+use comfreyturn_policy::{HeldMemory, SuspectLedger, SuspectStatus};
 use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
-use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServiceSpec};
+use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, FutureExt as _, select};
 
 use crate::{
@@ -123,6 +123,7 @@
         attempt.reading_guard = None;
         let status = attempt.answer.status();
         let headers = attempt.answer.headers().clone();
+        let mut held = self.state.answer_memory.hold();
         let mut body = BytesMut::new();
         let reading = async {
             let mut asked_at = self.now();
@@ -131,6 +132,7 @@
                     return Err(LinkError::Foreign);
                 }
                 body.extend_from_slice(&bytes);
+                self.reserve(&mut held, body.capacity(), &attempt.life)?;
                 let now = self.now();
                 let is_late = now.saturating_duration_since(asked_at) >= self.answer_limit();
                 watch.heard(now);
@@ -142,13 +144,29 @@
         match self.until_end(reading).await {
             Some(Ok(())) => {
                 self.trace.heard(&attempt.life);
-                Ok(WholeAnswer { status, headers, body: body.freeze() })
+                Ok(WholeAnswer { status, headers, body: held.attach(body.freeze()) })
             }
             Some(Err(error)) => Err(self.attempt_error(error)),
             None => Err(AttemptError::OutOfTime),
         }
     }
 
+    /// Makes room for an answer of this size.
+    pub(crate) fn reserve(
+        &self,
+        held: &mut HeldMemory,
+        bytes: usize,
+        life: &ServerLife,
+    ) -> LinkResult<()> {
+        if held.resize(bytes) {
+            return Ok(());
+        }
+        let taken = self.state.answer_memory.shared_bytes();
+        log::warn!(request:% = self.request.id, server:% = life, bytes = bytes, taken = taken;
+            "gateway: no memory for an answer.");
+        Err(LinkError::Foreign)
+    }
+
     // ---------------------------------------------------------------------------------------
     // Attempts
 
--- a/crates/gateway/src/forward_stream.rs
+++ b/crates/gateway/src/forward_stream.rs
@@ -46,7 +46,7 @@
                 false => Ok(BegunAnswer::Whole(whole)),
             };
         }
-        let mut source = StreamSource::new(attempt, watch);
+        let mut source = StreamSource::new(attempt, watch, self.state.answer_memory.hold());
         let events = source.read_first(self, point.as_ref()).await?;
         Ok(BegunAnswer::Stream(Box::new(source), events))
     }
@@ -62,7 +62,7 @@
         if !attempt.answer.status().is_success() {
             return Err(AttemptError::Link(LinkError::Foreign).into());
         }
-        let mut source = StreamSource::new(attempt, watch);
+        let mut source = StreamSource::new(attempt, watch, self.state.answer_memory.hold());
         let events = source.read_first(self, Some(&point)).await?;
         Ok((source, events))
     }
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -163,6 +163,9 @@
     /// Size limit of a buffered answer, in bytes.
     pub whole_answer_limit: usize,
 
+    /// What answers may take until they are returned, all of them together, in bytes.
+    pub answer_memory: usize,
+
     /// Servers that ask this node to wait.
     pub server_waits: WaitSettings,
 
@@ -259,6 +262,7 @@
             path_probe_period: Duration::from_millis(500),
             helped_requests: 400,
             whole_answer_limit: 1024 * 1024,
+            answer_memory: 64 * 1024 * 1024,
             server_waits: WaitSettings::default(),
             send_quotas: SendQuotaSettings::default(),
             cold_quotas: SendQuotaSettings::within_second(SecondBound::default()),
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,9 +9,9 @@
 };
 
 use comfreyturn_policy::{
-    ArrivalMeter, ColdServers, ConfirmedConfig, CrashLedger, CrashLedgerSettings, EvacuationSet,
-    HeadPicker, PaceMeter, PathMonitor, RefusalCause, RunTimes, SendQuotas, SenderRoster,
-    ServerRooms, ServerWaits, ShutdownTerm, StalePlaces, StatedLimits, return_delay,
+    AnswerMemory, ArrivalMeter, ColdServers, ConfirmedConfig, CrashLedger, CrashLedgerSettings,
+    EvacuationSet, HeadPicker, PaceMeter, PathMonitor, RefusalCause, RunTimes, SendQuotas,
+    SenderRoster, ServerRooms, ServerWaits, ShutdownTerm, StalePlaces, StatedLimits, return_delay,
 };
 use comfreyturn_types::{
     FailureDomain, FleetServer, ModelName, RouteName, ServerLife, ServiceName, ServiceSpec,
@@ -170,6 +170,9 @@
     pub(crate) forms_groups: Cell<bool>,
     pub(crate) picker: HeadPicker,
     pub(crate) waiting: WaitingRequests,
+
+    /// The memory for answers until they are returned.
+    pub(crate) answer_memory: AnswerMemory,
 }
 
 impl GatewayState {
@@ -183,6 +186,7 @@
         Self {
             picker: HeadPicker::new(settings.picker),
             waiting: WaitingRequests::new(settings.waiting),
+            answer_memory: AnswerMemory::new(settings.answer_memory),
             config: RefCell::default(),
             confirmed: Cell::default(),
             servers: RefCell::default(),
--- a/crates/gateway/src/stream_source.rs
+++ b/crates/gateway/src/stream_source.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use comfreyturn_policy::HeldMemory;
 use comfreyturn_ports::LinkError;
 
 use crate::{
@@ -47,14 +48,17 @@
     splitter: EventSplitter,
     progress: AnswerProgress,
 
+    /// The memory of the partial event.
+    held: HeldMemory,
+
     /// Where the stream was resumed at this server.
     resumed_at: Option<ResumePoint>,
 }
 
 impl StreamSource {
-    pub(crate) fn new(attempt: Attempt, watch: Rc<SilenceWatch>) -> Self {
+    pub(crate) fn new(attempt: Attempt, watch: Rc<SilenceWatch>, held: HeldMemory) -> Self {
         let (splitter, progress) = (EventSplitter::default(), AnswerProgress::default());
-        Self { attempt, watch, splitter, progress, resumed_at: None }
+        Self { attempt, watch, splitter, progress, held, resumed_at: None }
     }
 
     /// Where another server has to go on; `None` if that can't be told.
@@ -104,6 +108,9 @@
             if self.splitter.is_foreign() || self.splitter.partial_len() > MAX_EVENT_BYTES {
                 return Err(run.attempt_error(LinkError::Foreign));
             }
+            let reserved =
+                run.reserve(&mut self.held, self.splitter.partial_len(), &self.attempt.life);
+            reserved.map_err(|error| run.attempt_error(error))?;
             let asked_at = run.now();
             let chunk = run.until_end(self.attempt.answer.chunk()).await;
             let chunk = chunk.ok_or(AttemptError::OutOfTime)?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod ack_tally;
 mod address_order;
 mod admission_queue;
+mod answer_memory;
 mod arrival_meter;
 mod caller_spread;
 mod capacity_share;
@@ -97,6 +98,7 @@
 pub use ack_tally::*;
 pub use address_order::*;
 pub use admission_queue::*;
+pub use answer_memory::*;
 pub use arrival_meter::*;
 pub use caller_spread::*;
 pub use capacity_share::*;
