--- a/crates/adapters/src/request_stream.rs
+++ b/crates/adapters/src/request_stream.rs
@@ -21,6 +21,9 @@
 /// the body ahead at most, which count as well, so there is room for a head of 64 KiB.
 const MAX_BYTES_BETWEEN_PARTS: usize = 64 * 1024 + 2 * CHUNK_BYTES;
 
+/// How writing fails if the server has closed the connection. Reading ends then as well.
+const CLOSED: [io::ErrorKind; 2] = [io::ErrorKind::BrokenPipe, io::ErrorKind::ConnectionReset];
+
 /// How much a server may still send until the next part of its answer is complete. It bounds how
 /// much is read of bytes that are no answer.
 #[derive(Clone, Debug)]
@@ -47,9 +50,6 @@
     }
 }
 
-/// How writing fails if the server has closed the connection. Reading ends then as well.
-const CLOSED: [io::ErrorKind; 2] = [io::ErrorKind::BrokenPipe, io::ErrorKind::ConnectionReset];
-
 /// A connection for hyper, as the client.
 ///
 /// Its end may be the end of an answer. A server that ends the connection before it has read the
@@ -61,7 +61,7 @@
     /// Read buffer. Reading directly into hyper's own buffer needs unsafe code.
     chunk: Box<[u8]>,
 
-    /// Whether all that hyper has handed over is written. Hyper hands over a whole request before it
+    /// Whether all that hyper has handed over is written. It hands over a whole request before it
     /// flushes.
     is_flushed: bool,
 
--- a/crates/policy/src/answer_memory.rs
+++ b/crates/policy/src/answer_memory.rs
@@ -11,7 +11,8 @@
 const GUARANTEED_BYTES: usize = 16 * 1024;
 
 /// The memory for answers that a node keeps until they are returned, in bytes. Each answer has a small
-/// part of its own; what is beyond that is limited for all of them together.
+/// part of its own; what is beyond that is limited for all of them together. It is used on one thread;
+/// the count is atomic because the content of an answer may be sent to others.
 #[derive(Clone, Debug)]
 pub struct AnswerMemory {
     limit: usize,
