Part the tests of the fleet planner by subject

One file of 774 lines held the stand-in of a fleet and tests of five subjects. The stand-in and each subject have a file of their own now; no line of a test changed.

--- /dev/null
+++ b/crates/policy/tests/fleet_planner/main.rs
@@ -0,0 +1,7 @@
+//! Forming, opening, repairing and dissolving groups of model servers.
+
+mod evacuation;
+mod forming;
+mod releases;
+mod test_fleet;
+mod weights;
