Close a head before it leaves, and let it leave once it has no requests

Cause: two probes without an answer make a member lost, a lost member makes its group fail, and a group that fails was dissolved by an order to leave, which takes effect at once. Only for a silent head was silence no evidence. Ruled out: that nodes end the streams; the head closes them when it leaves.

Change: a head that may run requests of any node gets an order to close first, and to leave once none has a request there. It is bounded: 5 s while a member doesn't answer, 10 s if all do. If silent members answer before, the group is opened again. A silent head gets no order for 5 s, also beside silent members. The same holds for a head whose entry lapsed and for groups that give their servers up. A head without requests leaves at once, as before, so a repair takes no longer where nothing can be cut off. It works since what nodes have at a server is counted anyway: a request that isn't counted yet has not begun in a group that stands still, and is refused as not run.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -271,6 +271,7 @@
         let now = self.gateway.ports.clock.now();
         let servers = state.servers.borrow();
         let lost = state.lost.borrow();
+        let busy = state.loads.busy();
         let evacuated = state.evacuation.borrow();
         let stale = state.stale_places.borrow();
         let unlisted_servers = state.unlisted.borrow();
@@ -290,6 +291,7 @@
             servers: servers.all().chain(dropped).filter(|s| s.service == *name).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            busy: &busy,
             stale: &stale,
             evacuated: &evacuated,
             work: &work,
--- a/crates/gateway/src/load_tracker.rs
+++ b/crates/gateway/src/load_tracker.rs
@@ -1,6 +1,10 @@
 //! Requests in flight at each server, from all nodes.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+};
 
 use comfreyturn_types::ServerLife;
 
@@ -58,6 +62,13 @@
         (count(&totals.own, life), count(&totals.others, life))
     }
 
+    /// Servers with requests in flight, of any node.
+    pub fn busy(&self) -> HashSet<ServerLife> {
+        let totals = self.totals.borrow();
+        let counts = totals.own.iter().chain(&totals.others);
+        counts.filter(|(_, count)| **count > 0).map(|(life, _)| life.clone()).collect()
+    }
+
     /// Prompt tokens that a server still has to read.
     pub fn unread(&self, life: &ServerLife) -> u32 {
         let totals = self.totals.borrow();
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -30,9 +30,14 @@
     /// A head that has been neither listed nor reachable for this time is considered gone.
     pub head_loss_timeout: Duration,
 
-    /// A head that is listed and doesn't answer is ordered to leave its group after this time. Longer
-    /// than the list keeps a server that crashed.
-    pub head_silence_timeout: Duration,
+    /// A group of which a member is listed and doesn't answer is kept for this time, and its head
+    /// leaves it after this time at the latest. Longer than the list keeps a server that crashed, and
+    /// than a head needs to find that it lost a member.
+    pub silence_timeout: Duration,
+
+    /// The head of a group that is given up, though all members answer, is ordered to leave after
+    /// this time at the latest. Longer than almost all requests run.
+    pub drain_timeout: Duration,
 
     /// Concurrent loads before the first request, as a multiple of the number that run at full
     /// speed. A factor above one keeps the weight store busy when a load ends.
@@ -47,7 +52,8 @@
             order_retry_interval: Duration::from_millis(500),
             form_timeout: Duration::from_millis(2500),
             head_loss_timeout: Duration::from_millis(300),
-            head_silence_timeout: Duration::from_secs(5),
+            silence_timeout: Duration::from_secs(5),
+            drain_timeout: Duration::from_secs(10),
             first_load_factor: 2.0,
         }
     }
@@ -73,6 +79,9 @@
     /// Servers that do not answer.
     pub lost: &'a HashSet<ServerLife>,
 
+    /// Servers that run requests of callers, as far as this node knows.
+    pub busy: &'a HashSet<ServerLife>,
+
     /// Servers whose listed place may be out of date. They get no order to join, and groups that
     /// may be theirs stay as they are until those that answer have told their place.
     pub stale: &'a StalePlaces,
--- a/crates/policy/src/fleet_release.rs
+++ b/crates/policy/src/fleet_release.rs
@@ -16,10 +16,11 @@
 };
 
 impl FleetPlanner {
-    /// Dissolves a group. Its members are held until its head is known to have stopped serving: a
-    /// member that joined another group before that would be in two groups. If the head is silent,
-    /// or the list alone tells that it doesn't serve, each member leaves the group first; a group
-    /// that a member left runs nothing.
+    /// Dissolves a group. Its head closes before it leaves, so that what runs there is not cut off.
+    /// The members are held until the head is known to have stopped serving: a member that joined
+    /// another group before that would be in two groups. If the head is silent, or the list alone
+    /// tells that it doesn't serve, each member leaves the group first; a group that a member left
+    /// runs nothing.
     pub(crate) fn dissolve(
         &mut self,
         now: Instant,
@@ -32,9 +33,11 @@
         let phase = group.head_phase(index);
         let serves = matches!(phase, Some(MemberPhase::Open | MemberPhase::Closing));
         let has_left = self.has_left(head, name);
-        // A silent head that goes on would carry the order out, and its streams would end.
-        if serves && !has_left && group.head_silent_since.is_none() {
-            plan.order(head, FleetAction::Leave { group: name.clone(), epoch: *epoch });
+        if serves
+            && !has_left
+            && let Some(action) = group.ending_order(now, index, &self.settings)
+        {
+            plan.order(head, action);
         }
         // A listed head that does not answer may be unreachable from this node only.
         let is_listed = index.is_listed(head);
@@ -43,7 +46,8 @@
             return;
         }
         let is_gone = !is_listed && !index.is_reachable(head) && self.is_head_gone(now, head);
-        if is_idle || is_gone {
+        let may_run = group.may_run(now, index, &self.settings);
+        if (is_idle && !may_run) || is_gone {
             let members = members.iter().map(|member| &member.life);
             self.release_members(index, name, *epoch, members, plan);
         } else {
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyturn_ports::FleetAction;
 use comfreyturn_types::{
     EngineSpec, FleetGroupRecord, FleetServer, GroupId, MemberPhase, ModelName, ServerLife, VmId,
 };
@@ -65,9 +66,13 @@
     /// stopped serving.
     pub(crate) dissolving: bool,
 
-    /// Since when its head has been silent, if that is all that tells that the group failed. It is
-    /// dissolved meanwhile, and kept if the head answers again.
-    pub(crate) head_silent_since: Option<Instant>,
+    /// Since when it is being dissolved.
+    /// Invariant: set exactly while `dissolving` is, once the group was planned.
+    pub(crate) dissolving_since: Option<Instant>,
+
+    /// Since when members have been silent, if that is all that tells that the group failed. It is
+    /// dissolved meanwhile, and kept if they answer again.
+    pub(crate) silent_since: Option<Instant>,
 
     /// Whether the planner saw its head in it.
     pub(crate) head_was_seen: bool,
@@ -106,7 +111,8 @@
             is_saved,
             was_ready: false,
             dissolving: false,
-            head_silent_since: None,
+            dissolving_since: None,
+            silent_since: None,
             head_was_seen: false,
             may_be_open: true,
             yielding: false,
@@ -186,17 +192,24 @@
         }
     }
 
-    /// Whether its head is listed and serves, by its last report, but doesn't answer, while all other
-    /// members do. It may be silent for a moment only.
-    fn is_head_silent(&self, index: &FleetIndex<'_>) -> bool {
-        let head = &self.record.head().life;
-        let serves =
-            matches!(self.head_phase(index), Some(MemberPhase::Open | MemberPhase::Closing));
-        let others_respond = self.lives().skip(1).all(|life| index.is_reachable(life));
-        index.is_listed(head) && serves && !index.is_reachable(head) && others_respond
+    /// Whether all members are listed in it, but some don't answer. They may be silent for a moment
+    /// only.
+    fn is_silent(&self, index: &FleetIndex<'_>) -> bool {
+        let is_in = |life: &ServerLife| {
+            let server = index.find(life).filter(|_| index.is_listed(life));
+            server.is_some_and(|server| {
+                phase_in_group(server, &self.record.group, self.record.epoch).is_some()
+            })
+        };
+        self.lives().all(is_in) && !self.responds(index)
+    }
+
+    /// Whether all members respond.
+    fn responds(&self, index: &FleetIndex<'_>) -> bool {
+        self.lives().all(|life| index.is_reachable(life))
     }
 
-    /// Dissolves the group if it failed, and keeps it if its head was silent for a while only.
+    /// Dissolves the group if it failed, and keeps it if members were silent for a while only.
     pub(crate) fn update_dissolving(
         &mut self,
         now: Instant,
@@ -204,18 +217,68 @@
         health: GroupHealth,
         settings: &FleetPlannerSettings,
     ) {
-        let silent_since = self.head_silent_since.take();
-        if self.is_head_silent(index) {
+        let silent_since = self.silent_since.take();
+        if self.is_silent(index) {
             let since = silent_since.or((!self.dissolving).then_some(now));
-            let is_awaited = |since: &Instant| {
-                now.saturating_duration_since(*since) < settings.head_silence_timeout
-            };
-            self.head_silent_since = since.filter(is_awaited);
+            let is_awaited =
+                |since: &Instant| now.saturating_duration_since(*since) < settings.silence_timeout;
+            self.silent_since = since.filter(is_awaited);
         } else if silent_since.is_some() {
             self.dissolving = false;
         }
         self.dissolving |=
             health == GroupHealth::Failed || (self.yielding && health == GroupHealth::Ready);
+        let since = self.dissolving_since.unwrap_or(now);
+        self.dissolving_since = self.dissolving.then_some(since);
+    }
+
+    /// Whether the head of a group that is being dissolved may still run requests that would be cut
+    /// off if it left now.
+    pub(crate) fn may_run(
+        &self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        settings: &FleetPlannerSettings,
+    ) -> bool {
+        let is_in = self.head_phase(index).is_some();
+        is_in
+            && index.view.busy.contains(&self.record.head().life)
+            && !self.is_overdue(now, index, settings)
+    }
+
+    /// The order by which a head that serves ends its work. Leaving cuts off what runs there, so the
+    /// head first closes, and leaves once nothing runs. A silent head would carry out an order when it
+    /// goes on, so it gets none until it counts as gone.
+    pub(crate) fn ending_order(
+        &self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        settings: &FleetPlannerSettings,
+    ) -> Option<FleetAction> {
+        let FleetGroupRecord { group, epoch, .. } = &self.record;
+        let (group, epoch) = (group.clone(), *epoch);
+        let head = &self.record.head().life;
+        let is_overdue = self.is_overdue(now, index, settings);
+        if !is_overdue && !index.is_reachable(head) {
+            return None;
+        }
+        if !self.may_run(now, index, settings) {
+            return Some(FleetAction::Leave { group, epoch });
+        }
+        let is_open = self.head_phase(index) == Some(MemberPhase::Open);
+        is_open.then_some(FleetAction::Close { group, epoch })
+    }
+
+    /// Whether the group has been dissolved for so long that its head must leave, whatever runs there.
+    fn is_overdue(
+        &self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        settings: &FleetPlannerSettings,
+    ) -> bool {
+        let limit =
+            if self.responds(index) { settings.drain_timeout } else { settings.silence_timeout };
+        self.dissolving_since.is_some_and(|since| now.saturating_duration_since(since) >= limit)
     }
 
     /// The phase of its head, as listed or as last listed.
--- a/crates/policy/tests/fleet_planner/main.rs
+++ b/crates/policy/tests/fleet_planner/main.rs
@@ -3,5 +3,6 @@
 mod evacuation;
 mod forming;
 mod releases;
+mod silences;
 mod test_fleet;
 mod weights;
--- a/crates/policy/tests/fleet_planner/releases.rs
+++ b/crates/policy/tests/fleet_planner/releases.rs
@@ -9,7 +9,7 @@
     MemberRecord, ModelName, ServiceName,
 };
 
-use crate::test_fleet::{TestFleet, is_leave, joins, model, server, set_phase, staged_fleet};
+use crate::test_fleet::{is_leave, joins, server, set_phase, staged_fleet};
 
 #[test]
 fn lost_member_is_replaced_by_a_spare_after_the_head_left() {
@@ -46,48 +46,6 @@
     }
 }
 
-/// Guards against a planner that ends the streams of a sound head which is silent for a second or two:
-/// it was ordered to leave its group, and carried that out when it went on.
-#[test]
-fn head_that_is_silent_for_a_while_keeps_its_group() {
-    let mut fleet = staged_fleet(10, 8);
-    fleet.settle();
-    let open = fleet.in_phase(MemberPhase::Open);
-    fleet.lost.insert(open[0].clone());
-    for _ in 0..3 {
-        let orders = fleet.orders();
-        assert!(!orders.iter().any(is_leave), "{orders:?}");
-    }
-    fleet.lost.clear();
-    fleet.settle();
-    assert_eq!(fleet.in_phase(MemberPhase::Open), open);
-}
-
-/// Guards against a head that never answers, though it is listed, and holds its members for ever.
-#[test]
-fn listed_head_that_stays_silent_is_ordered_to_leave() {
-    let mut fleet = staged_fleet(8, 8);
-    fleet.settle();
-    let head = fleet.in_phase(MemberPhase::Open)[0].clone();
-    fleet.lost.insert(head.clone());
-    let orders: Vec<FleetOrder> = (0..8).flat_map(|_| fleet.orders()).collect();
-    assert!(orders.iter().any(|order| order.life == head && is_leave(order)));
-}
-
-/// Guards against a slower repair: spares take the place of a silent head's group at once.
-#[test]
-fn spares_replace_the_group_of_a_silent_head_at_once() {
-    let servers = (0..10).map(|index| server(index, &["big"])).collect();
-    let mut fleet = TestFleet::new(servers, vec![model("big", 2)]);
-    fleet.work.insert(ModelName::from("big"), 30.0);
-    fleet.settle();
-    let open = fleet.in_phase(MemberPhase::Open);
-    assert_eq!(open.len(), 4);
-    fleet.lost.insert(open[0].clone());
-    let orders = fleet.orders();
-    assert_eq!(joins(&orders).len(), 2, "{orders:?}");
-}
-
 /// Guards against a server in two groups: a head that nobody hears may still be open (TWO).
 #[test]
 fn head_that_is_neither_listed_nor_reachable_frees_its_members_once_they_have_left() {
@@ -231,6 +189,31 @@
     assert_eq!(joins(&fleet.orders()).len(), 4);
 }
 
+/// Guards against requests that are cut off at a sound head whose entry lapsed, because it is cut off
+/// from the store only (LOST).
+#[test]
+fn unlisted_head_that_answers_leaves_once_its_requests_have_ended() {
+    for ends in [true, false] {
+        let mut fleet = staged_fleet(10, 8);
+        fleet.settle();
+        let head = fleet.in_phase(MemberPhase::Open)[0].clone();
+        fleet.unlisted.insert(head.clone());
+        fleet.busy.insert(head.clone());
+        for _ in 0..9 {
+            let orders = fleet.orders();
+            assert!(!orders.iter().any(is_leave), "{orders:?}");
+            assert!(joins(&orders).is_empty());
+        }
+        if ends {
+            fleet.busy.clear();
+        } else {
+            fleet.orders();
+        }
+        let orders = fleet.orders();
+        assert!(orders.iter().any(|order| order.life == head && is_leave(order)), "{orders:?}");
+    }
+}
+
 #[test]
 fn unlisted_member_that_answers_leaves_its_group_alone() {
     let mut fleet = staged_fleet(10, 8);
--- a/crates/policy/tests/fleet_planner/test_fleet.rs
+++ b/crates/policy/tests/fleet_planner/test_fleet.rs
@@ -22,6 +22,7 @@
     pub servers: Vec<FleetServer>,
     pub unlisted: HashSet<ServerLife>,
     pub lost: HashSet<ServerLife>,
+    pub busy: HashSet<ServerLife>,
     pub stale: StalePlaces,
     pub evacuated: EvacuationSet,
     pub work: HashMap<ModelName, f64>,
@@ -75,6 +76,7 @@
             servers,
             unlisted: HashSet::new(),
             lost: HashSet::new(),
+            busy: HashSet::new(),
             stale: StalePlaces::default(),
             evacuated: EvacuationSet::default(),
             work,
@@ -102,6 +104,7 @@
             servers: self.servers.iter().collect(),
             unlisted: &self.unlisted,
             lost: &self.lost,
+            busy: &self.busy,
             stale: &self.stale,
             evacuated: &self.evacuated,
             work: &self.work,
@@ -153,6 +156,17 @@
         matching.map(|server| server.life.clone()).collect()
     }
 
+    /// The member of the same group that has this rank.
+    pub fn member(&self, mate: &ServerLife, rank: u32) -> ServerLife {
+        let place = |server: &&FleetServer| server.membership.clone();
+        let own = self.servers.iter().find(|server| server.life == *mate);
+        let group = own.as_ref().and_then(place).unwrap().group;
+        let is_member = |server: &&FleetServer| {
+            place(server).is_some_and(|own| own.group == group && own.rank == rank)
+        };
+        self.servers.iter().find(is_member).unwrap().life.clone()
+    }
+
     pub fn records(&self) -> Vec<FleetGroupRecord> {
         let mut groups: HashMap<_, Vec<&FleetServer>> = HashMap::new();
         for server in &self.servers {
@@ -191,6 +205,10 @@
     matches!(order.action, FleetAction::Leave { .. })
 }
 
+pub fn is_close(order: &FleetOrder) -> bool {
+    matches!(order.action, FleetAction::Close { .. })
+}
+
 /// Orders to join a group, except the standby group of a spare, which can't serve.
 pub fn joins(orders: &[FleetOrder]) -> Vec<&FleetOrder> {
     let is_join = |order: &&FleetOrder| match &order.action {
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -287,6 +287,7 @@
             servers: self.servers[..self.listed].iter().map(|server| &server.entry).collect(),
             unlisted: &unlisted,
             lost: &lost,
+            busy: &HashSet::new(),
             stale: &StalePlaces::default(),
             evacuated: &EvacuationSet::default(),
             work: &work,
