Try a prompt of which only a server can tell whether it crashes

Cause: a crash counts against all parts that no server answered lately, so the common part was convicted beside the culprit; and only an answer clears a part, while nothing with it is sent. Ruled out: lost servers (the groups were open again) and quarantined requests (no two were alike).

Change: a prompt with all quarantined parts that explain the same crashes is refused, as before. One that lacks some of them is undecided: nodes try such prompts one after the other, in the part's rendezvous order and twice as many each half second, one at a time each. An answer clears its parts at all nodes; two crashes that no other part explains convict one, since one crash may be chance. Nodes tell which quarantined parts are undecided (a new field; absent, it means decided, as older builds mean it).

--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -37,6 +37,7 @@
     pub(crate) fn record_part_crash(&self, life: &ServerLife, error: LinkError) {
         if error == LinkError::Broken && !self.state.paths.borrow().is_lost() {
             let parts = &self.request.shared_parts;
+            self.progress.is_trial.set(false);
             self.state.parts.borrow_mut().record_crash(self.now(), crash_id(life), parts);
         }
     }
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::BytesMut;
-use comfreyturn_policy::{HeldMemory, SuspectLedger, SuspectStatus};
+use comfreyturn_policy::{HeldMemory, PromptStatus, SuspectLedger, SuspectStatus};
 use comfreyturn_ports::{LinkError, LinkResult, ServerAnswer, ServerCall, ServerReply};
 use comfreyturn_types::{CustomerName, FleetServer, RouteSpec, ServerLife, ServiceSpec};
 use futures_util::future::{Either, FutureExt as _, select};
@@ -56,7 +56,7 @@
         if matches!(suspect, SuspectStatus::Quarantined { .. }) {
             return self.not_run(NotRunReason::Suspect);
         }
-        if self.has_quarantined_part(self.now()) {
+        if !self.may_send_prompt(self.now()) {
             return self.not_run(NotRunReason::SuspectPart);
         }
         self.state.record_request(self.now(), &self.service.name);
@@ -284,14 +284,26 @@
         if self.customer.is_some() && !self.state.config_is_usable(now) {
             return Err(AttemptError::NotMade(NotRunReason::StaleConfig));
         }
-        if self.has_quarantined_part(now) {
+        if !self.may_send_prompt(now) {
             return Err(AttemptError::NotMade(NotRunReason::SuspectPart));
         }
         Ok(())
     }
 
-    fn has_quarantined_part(&self, now: Instant) -> bool {
-        self.state.parts.borrow().has_quarantined(now, &self.request.shared_parts)
+    /// Whether a server may get the request as far as the parts of its prompt tell. If only a server
+    /// can tell whether it would crash, nodes try one after the other.
+    fn may_send_prompt(&self, now: Instant) -> bool {
+        let mut parts = self.state.parts.borrow_mut();
+        match parts.status(now, &self.request.shared_parts) {
+            PromptStatus::Clear => true,
+            PromptStatus::Quarantined => false,
+            PromptStatus::Undecided { part } => {
+                let is_trial = self.progress.is_trial.get()
+                    || parts.try_begin_trial(now, part, &self.state.senders.borrow());
+                self.progress.is_trial.set(is_trial);
+                is_trial
+            }
+        }
     }
 
     // ---------------------------------------------------------------------------------------
--- a/crates/gateway/src/part_report.rs
+++ b/crates/gateway/src/part_report.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyturn_policy::PartQuarantine;
 use comfreyturn_proto::peer;
 use comfreyturn_types::PromptPart;
 
@@ -38,8 +39,8 @@
     /// Suspects that a server answered recently, and when.
     pub sound: HashMap<PromptPart, Instant>,
 
-    /// Quarantined parts, and since when.
-    pub quarantined: HashMap<PromptPart, Instant>,
+    /// Quarantined parts.
+    pub quarantined: HashMap<PromptPart, PartQuarantine>,
 }
 
 impl PartReport {
@@ -52,9 +53,10 @@
             let known = self.sound.entry(*part).or_insert(*at);
             *known = (*known).max(*at);
         }
-        for (part, at) in &other.quarantined {
-            let known = self.quarantined.entry(*part).or_insert(*at);
-            *known = (*known).min(*at);
+        for (part, told) in &other.quarantined {
+            let known = self.quarantined.entry(*part).or_insert(*told);
+            known.since = known.since.min(told.since);
+            known.is_undecided &= told.is_undecided;
         }
     }
 
@@ -81,8 +83,12 @@
         let mut crashes: Vec<_> = self.crashes.iter().collect();
         crashes.sort_by_key(|(_, seen)| Reverse(seen.at));
         beat.part_crashes = crashes.into_iter().take(MAX_CRASHES).map(crash).collect();
-        beat.sound_parts = encode_parts(now, &self.sound);
-        beat.quarantined_parts = encode_parts(now, &self.quarantined);
+        let since = |(part, told): (&PromptPart, &PartQuarantine)| (*part, told.since);
+        let is_undecided =
+            |part: PromptPart| self.quarantined.get(&part).is_some_and(|told| told.is_undecided);
+        beat.sound_parts = encode_parts(now, &self.sound, |_| false);
+        let quarantined = self.quarantined.iter().map(since).collect();
+        beat.quarantined_parts = encode_parts(now, &quarantined, is_undecided);
     }
 
     /// Reads the report in a message.
@@ -93,16 +99,28 @@
             Some((crash.crash, CrashedParts { at: at(crash.age_ms)?, parts }))
         };
         let part = |time: &peer::PartTime| Some((PromptPart(time.part), at(time.age_ms)?));
+        let quarantine = |time: &peer::PartTime| {
+            let (part, since) = part(time)?;
+            Some((part, PartQuarantine { since, is_undecided: time.undecided }))
+        };
         Self {
             crashes: beat.part_crashes.iter().filter_map(crash).collect(),
             sound: beat.sound_parts.iter().filter_map(part).collect(),
-            quarantined: beat.quarantined_parts.iter().filter_map(part).collect(),
+            quarantined: beat.quarantined_parts.iter().filter_map(quarantine).collect(),
         }
     }
 }
 
-fn encode_parts(now: Instant, times: &HashMap<PromptPart, Instant>) -> Vec<peer::PartTime> {
-    let time = |(part, age_ms): (&PromptPart, u32)| peer::PartTime { part: part.0, age_ms };
+fn encode_parts(
+    now: Instant,
+    times: &HashMap<PromptPart, Instant>,
+    is_undecided: impl Fn(PromptPart) -> bool,
+) -> Vec<peer::PartTime> {
+    let time = |(part, age_ms): (&PromptPart, u32)| peer::PartTime {
+        part: part.0,
+        age_ms,
+        undecided: is_undecided(*part),
+    };
     newest(now, times, MAX_PARTS).map(time).collect()
 }
 
--- a/crates/gateway/src/part_suspects.rs
+++ b/crates/gateway/src/part_suspects.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use comfreyturn_policy::{PartLedger, PartVerdict, SuspectStatus};
-use comfreyturn_types::PromptPart;
+use comfreyturn_policy::{
+    PartLedger, PartTrials, PartVerdict, PromptStatus, SenderRoster, rendezvous_order,
+};
+use comfreyturn_types::{NodeId, PromptPart};
 
 use crate::PartReport;
 
@@ -11,19 +13,28 @@
 const TELLING_TIME: Duration = Duration::from_secs(3);
 
 /// Which prompt parts may have crashed servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PartSuspects {
+    node: NodeId,
     ledger: PartLedger,
+    trials: PartTrials,
 
     /// The crashes that this node saw, and the suspects that it saw answered.
     own: PartReport,
 }
 
 impl PartSuspects {
+    /// Nothing is suspected. `node` is this node.
+    pub(crate) fn new(node: NodeId) -> Self {
+        let (ledger, trials) = (PartLedger::default(), PartTrials::default());
+        Self { node, ledger, trials, own: PartReport::default() }
+    }
+
     /// Records that a server answered a prompt with these parts.
     pub(crate) fn record_answer(&mut self, now: Instant, parts: &[PromptPart]) {
         for part in parts {
             if self.ledger.record_answer(now, *part) {
+                self.trials.forget(*part);
                 self.own.sound.insert(*part, now);
             }
         }
@@ -44,7 +55,9 @@
     /// Applies what another node tells.
     pub(crate) fn apply(&mut self, report: &PartReport) {
         for (part, at) in &report.sound {
-            self.ledger.record_answer(*at, *part);
+            if self.ledger.record_answer(*at, *part) {
+                self.trials.forget(*part);
+            }
         }
         for (crash, seen) in &report.crashes {
             for part in &seen.parts {
@@ -52,8 +65,8 @@
                 self.take_verdict(*part, verdict);
             }
         }
-        for (part, at) in &report.quarantined {
-            let verdict = self.ledger.record_quarantine(*at, *part);
+        for (part, quarantine) in &report.quarantined {
+            let verdict = self.ledger.record_quarantine(*part, *quarantine);
             self.take_verdict(*part, verdict);
         }
     }
@@ -70,10 +83,26 @@
         self.own.sound.retain(|_, at| is_recent(*at));
     }
 
-    /// Whether one of these parts is quarantined.
-    pub(crate) fn has_quarantined(&self, now: Instant, parts: &[PromptPart]) -> bool {
-        let status = |part: &PromptPart| self.ledger.status(now, *part);
-        parts.iter().any(|part| matches!(status(part), SuspectStatus::Quarantined { .. }))
+    /// What is known of a prompt with these parts.
+    pub(crate) fn status(&self, now: Instant, parts: &[PromptPart]) -> PromptStatus {
+        self.ledger.prompt_status(now, parts)
+    }
+
+    /// Whether this one of all nodes may find out now whether a prompt with a part crashes servers.
+    pub(crate) fn try_begin_trial(
+        &mut self,
+        now: Instant,
+        part: PromptPart,
+        roster: &SenderRoster,
+    ) -> bool {
+        let key = part.to_string();
+        let mut order = rendezvous_order(&key, roster.nodes()).into_iter();
+        let rank = order.position(|node| *node == self.node).unwrap_or(roster.len());
+        let may_begin = self.trials.try_begin(now, part, rank);
+        if may_begin {
+            log::info!(part:% = part, rank = rank; "suspects: prompt part is tried.");
+        }
+        may_begin
     }
 
     /// The number of quarantined parts.
--- a/crates/gateway/src/run_progress.rs
+++ b/crates/gateway/src/run_progress.rs
@@ -18,6 +18,9 @@
     /// Attempts by which a server may have run the request.
     ran: Cell<u32>,
 
+    /// Whether the request may be sent to find out whether a part of its prompt crashes servers.
+    pub(crate) is_trial: Cell<bool>,
+
     /// Whether the request waited so long that it can't meet its objective any more.
     pub(crate) is_late: Cell<bool>,
 }
--- a/crates/gateway/tests/nodes/crashing_parts.rs
+++ b/crates/gateway/tests/nodes/crashing_parts.rs
@@ -114,12 +114,19 @@
 
     fn request(&mut self, crashes: bool) -> ForwardRequest {
         let document = PromptPart(FIRST_DOCUMENT + self.rng.random_range(0..DOCUMENTS));
-        let mut headers = HeaderMap::new();
         let mut shared_parts = vec![COMMON_PART, document];
         if crashes {
-            headers.insert(CRASH_HEADER, HeaderValue::from_static("1"));
             shared_parts.push(CRASHING_PART);
         }
+        self.request_with(shared_parts)
+    }
+
+    /// A request with these parts.
+    fn request_with(&mut self, shared_parts: Vec<PromptPart>) -> ForwardRequest {
+        let mut headers = HeaderMap::new();
+        if shared_parts.contains(&CRASHING_PART) {
+            headers.insert(CRASH_HEADER, HeaderValue::from_static("1"));
+        }
         ForwardRequest {
             headers,
             body: Bytes::from(self.rng.random::<u64>().to_string()),
@@ -128,6 +135,50 @@
         }
     }
 
+    /// Sends requests with these parts, and one that no other has, to random nodes among some: one
+    /// after each pause, for a time.
+    fn send_with(
+        &mut self,
+        parts: &[PromptPart],
+        pause_ms: u64,
+        milliseconds: u64,
+        to: impl Fn(u16) -> bool,
+    ) {
+        let receivers: Vec<u16> = (1..=self.size).filter(|node| to(*node)).collect();
+        for _ in 0..milliseconds / pause_ms {
+            let own = PromptPart(self.rng.random_range(1 << 32..1 << 48));
+            let mut parts = parts.to_vec();
+            parts.push(own);
+            let request = self.request_with(parts);
+            if !request.shared_parts.contains(&CRASHING_PART) {
+                self.sound.push(request.received_at);
+            }
+            let number = receivers[self.rng.random_range(0..receivers.len())];
+            self.nodes.send(number, request);
+            for _ in 0..pause_ms.div_ceil(REQUEST_PAUSE_MS) {
+                self.nodes.run(pause_ms.min(REQUEST_PAUSE_MS));
+                self.replace_ended();
+            }
+        }
+    }
+
+    /// Sends requests that crash servers, one a second, after nobody sent any for a while.
+    fn crash_after_a_lull(&mut self, parts: &[PromptPart]) {
+        self.send_for(3000, false, |_| true);
+        self.nodes.run(3000);
+        self.send_with(parts, 1000, 8000, |_| true);
+        let crashes = self.nodes.servers.crashes().len();
+        assert!((3..=5).contains(&crashes), "{} nodes: {crashes} crashes", self.size);
+    }
+
+    /// Requests with the part that crashes servers which reached servers later than some time after
+    /// the crash after which nodes must stop.
+    fn late_crashing(&self) -> usize {
+        let crashes = self.nodes.servers.crashes();
+        let last = crashes.get(STOPPING_CRASH - 1);
+        last.map_or(0, |(_, at)| self.crashing_since(*at + SETTLING_TIME))
+    }
+
     /// Lists crashed servers as gone, and later their successors.
     fn replace_ended(&mut self) {
         let now = self.now();
@@ -267,3 +318,62 @@
     let late = site.crashing_since(since);
     assert!(late <= LATE_REQUESTS, "{late} more requests reached servers");
 }
+
+/// Guards against sound prompts that are refused until the end of a quarantine: prompts that crash
+/// servers came while no sound ones did, so the part that all share was in each of them (LOST).
+#[test]
+fn part_that_all_prompts_share_is_served_though_it_was_in_each_that_crashed() {
+    let other = PromptPart(3);
+    let orders = [
+        vec![COMMON_PART, CRASHING_PART],
+        vec![CRASHING_PART, COMMON_PART],
+        vec![COMMON_PART, CRASHING_PART, other],
+        vec![COMMON_PART, other, CRASHING_PART],
+    ];
+    for (size, parts) in SIZES.into_iter().flat_map(|size| orders.iter().map(move |o| (size, o))) {
+        let mut site = CrashingSite::started(size);
+        site.crash_after_a_lull(parts);
+        let sound: Vec<PromptPart> =
+            parts.iter().copied().filter(|part| *part != CRASHING_PART).collect();
+        let since = site.now();
+        for _ in 0..8 {
+            site.send_with(parts, REQUEST_PAUSE_MS, REQUEST_PAUSE_MS, |_| true);
+            site.send_with(&sound, REQUEST_PAUSE_MS, 1000, |_| true);
+        }
+        let share = site.sound_share(since);
+        assert!(share > 0.5, "{size} nodes, {parts:?}: {share} of the sound requests");
+        let late = site.late_crashing();
+        assert!(late <= LATE_REQUESTS, "{size} nodes, {parts:?}: {late} more requests");
+    }
+}
+
+/// Guards against the same at the only node that gets such prompts, which has just started and knows of
+/// the quarantine by the others (LOST).
+#[test]
+fn node_that_is_told_of_a_quarantine_serves_sound_prompts() {
+    for size in SIZES {
+        let mut site = CrashingSite::started(size);
+        site.crash_after_a_lull(&[COMMON_PART, CRASHING_PART]);
+        site.nodes.run(3000);
+        site.restart(1);
+        site.nodes.run(3000);
+        let since = site.now();
+        site.send_with(&[COMMON_PART], 100, 10_000, |node| node == 1);
+        let share = site.sound_share(since);
+        assert!(share > 0.5, "{size} nodes: {share} of the sound requests");
+    }
+}
+
+/// Guards against hundreds of nodes that each try a part that crashes servers (BUDGET).
+#[test]
+fn prompts_with_the_crashing_part_alone_crash_few_more_servers() {
+    for size in SIZES {
+        let mut site = CrashingSite::started(size);
+        site.crash_after_a_lull(&[COMMON_PART, CRASHING_PART]);
+        site.send_with(&[CRASHING_PART], REQUEST_PAUSE_MS, 8000, |_| true);
+        let late = site.late_crashing();
+        assert!(late <= LATE_REQUESTS, "{size} nodes: {late} more requests");
+        let crashes = site.nodes.servers.crashes().len();
+        assert!(crashes <= STOPPING_CRASH + LATE_REQUESTS, "{size} nodes: {crashes} crashes");
+    }
+}
--- a/crates/policy/src/part_ledger.rs
+++ b/crates/policy/src/part_ledger.rs
@@ -9,6 +9,12 @@
 
 use crate::SuspectStatus;
 
+/// The latest crashes of a part that are remembered.
+const KNOWN_CRASHES: usize = 16;
+
+/// Crashes with a part that other parts don't explain, and that may have happened by chance.
+const CHANCE_CRASHES: usize = 1;
+
 /// Settings of a [`PartLedger`].
 #[derive(Clone, Copy, Debug)]
 pub struct PartLedgerSettings {
@@ -62,14 +68,44 @@
     Quarantined,
 }
 
+/// What is known of a prompt, by its parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptStatus {
+    /// None of its parts is quarantined.
+    Clear,
+
+    /// It lacks a part that may be the cause in place of those of its parts that are quarantined.
+    /// Only a server can tell.
+    Undecided {
+        /// The first of these parts.
+        part: PromptPart,
+    },
+
+    /// It has all the parts one of which is the cause.
+    Quarantined,
+}
+
+/// A quarantined part, as nodes tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartQuarantine {
+    /// Since when it is quarantined.
+    pub since: Instant,
+
+    /// Whether another quarantined part may have caused the same crashes.
+    pub is_undecided: bool,
+}
+
 /// A part that may be the cause of crashes.
 #[derive(Clone, Debug)]
 struct PartEntry {
-    /// Crashes that count, each with its time. Invariant: bounded by
-    /// [`PartLedgerSettings::quarantine_crashes`].
+    /// The latest crashes, each with its time. Invariant: bounded by [`KNOWN_CRASHES`].
     crashes: Vec<(u64, Instant)>,
 
     quarantined_at: Option<Instant>,
+
+    /// Whether all nodes that told of the quarantine know of another part that may be the cause.
+    /// Counts while no crash is known.
+    is_told_undecided: bool,
     changed_at: Instant,
 }
 
@@ -78,6 +114,9 @@
 /// A part that crashes each server that begins to answer it is never answered. Parts that sound
 /// prompts share with it are, so an answer clears a part of all crashes up to then. Answers count
 /// whichever node received them; nodes tell each other of answers to suspects.
+///
+/// Parts that all prompts share may be quarantined beside the cause, if none of them was answered
+/// lately. So a prompt is refused for good only if it has all the parts that explain the same crashes.
 #[derive(Debug, Default)]
 pub struct PartLedger {
     settings: PartLedgerSettings,
@@ -120,16 +159,12 @@
         let settings = self.settings;
         let entry = self.suspects.entry(part).or_insert_with(|| PartEntry::new(at));
         entry.expire(at, &settings);
-        let distance = |other: Instant| at.max(other) - at.min(other);
-        let is_known = |(known, other): &(u64, Instant)| {
-            *known == crash || distance(*other) < settings.crash_spacing
-        };
-        if entry.quarantined_at.is_some() || entry.crashes.iter().any(is_known) {
+        if entry.knows(crash) {
             return PartVerdict::Suspect;
         }
-        entry.crashes.push((crash, at));
-        entry.changed_at = entry.changed_at.max(at);
-        if entry.crashes.len() < settings.quarantine_crashes {
+        entry.add_crash(crash, at);
+        let is_enough = entry.spaced_crashes(settings.crash_spacing) >= settings.quarantine_crashes;
+        if entry.quarantined_at.is_some() || !is_enough {
             return PartVerdict::Suspect;
         }
         entry.quarantined_at = Some(at);
@@ -137,13 +172,20 @@
     }
 
     /// Records that another node quarantined a part.
-    pub fn record_quarantine(&mut self, at: Instant, part: PromptPart) -> PartVerdict {
+    pub fn record_quarantine(
+        &mut self,
+        part: PromptPart,
+        quarantine: PartQuarantine,
+    ) -> PartVerdict {
+        let PartQuarantine { since: at, is_undecided } = quarantine;
         if self.has_proof(at, part) {
             return PartVerdict::Sound;
         }
         self.evict_suspects(at);
         let entry = self.suspects.entry(part).or_insert_with(|| PartEntry::new(at));
         entry.expire(at, &self.settings);
+        let is_news = entry.quarantined_at.is_none();
+        entry.is_told_undecided = is_undecided && (is_news || entry.is_told_undecided);
         entry.changed_at = entry.changed_at.max(at);
         // The earliest time counts: on its way through other nodes, news seems to become younger.
         let known =
@@ -184,12 +226,53 @@
         if is_suspect { SuspectStatus::Suspect } else { SuspectStatus::Clear }
     }
 
-    /// The quarantined parts, and since when.
-    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = (PromptPart, Instant)> {
-        let retention = self.settings.quarantine_retention;
-        let quarantined =
-            self.suspects.iter().filter_map(|(part, entry)| Some((*part, entry.quarantined_at?)));
-        quarantined.filter(move |(_, at)| now.saturating_duration_since(*at) < retention)
+    /// What is known of a prompt with these parts.
+    pub fn prompt_status(&self, now: Instant, parts: &[PromptPart]) -> PromptStatus {
+        let entries =
+            parts.iter().filter_map(|part| Some((*part, self.quarantined_entry(now, *part)?)));
+        let mut first = None;
+        for (part, entry) in entries {
+            let mut others = self.alternatives(now, part, entry);
+            if others.all(|other| parts.contains(&other)) {
+                return PromptStatus::Quarantined;
+            }
+            first = Some(first.map_or(part, |first: PromptPart| first.min(part)));
+        }
+        first.map_or(PromptStatus::Clear, |part| PromptStatus::Undecided { part })
+    }
+
+    /// The quarantined parts.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = (PromptPart, PartQuarantine)> {
+        self.quarantined_entries(now).map(move |(part, entry, since)| {
+            let is_undecided = self.alternatives(now, part, entry).next().is_some();
+            (part, PartQuarantine { since, is_undecided })
+        })
+    }
+
+    fn quarantined_entry(&self, now: Instant, part: PromptPart) -> Option<&PartEntry> {
+        let entry = self.suspects.get(&part)?;
+        entry.quarantined_since(now, &self.settings).map(|_| entry)
+    }
+
+    fn quarantined_entries(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (PromptPart, &PartEntry, Instant)> {
+        let entries = self.suspects.iter();
+        entries.filter_map(move |(part, entry)| {
+            Some((*part, entry, entry.quarantined_since(now, &self.settings)?))
+        })
+    }
+
+    /// Other quarantined parts that may have caused the crashes of a part.
+    fn alternatives(
+        &self,
+        now: Instant,
+        part: PromptPart,
+        entry: &PartEntry,
+    ) -> impl Iterator<Item = PromptPart> {
+        let others = self.quarantined_entries(now).filter(move |(other, _, _)| *other != part);
+        others.filter(|(_, other, _)| other.explains(entry)).map(|(other, _, _)| other)
     }
 
     /// Whether a part was answered so late that it can't have caused a crash at some time.
@@ -226,7 +309,53 @@
 
 impl PartEntry {
     fn new(now: Instant) -> Self {
-        Self { crashes: Vec::new(), quarantined_at: None, changed_at: now }
+        Self {
+            crashes: Vec::new(),
+            quarantined_at: None,
+            is_told_undecided: false,
+            changed_at: now,
+        }
+    }
+
+    fn knows(&self, crash: u64) -> bool {
+        self.crashes.iter().any(|(known, _)| *known == crash)
+    }
+
+    fn add_crash(&mut self, crash: u64, at: Instant) {
+        self.crashes.push((crash, at));
+        self.crashes.sort_by_key(|(_, at)| *at);
+        if self.crashes.len() > KNOWN_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.changed_at = self.changed_at.max(at);
+    }
+
+    /// The crashes, of which those that are close together count as one.
+    fn spaced_crashes(&self, spacing: Duration) -> usize {
+        let mut count = 0;
+        let mut counted_at: Option<Instant> = None;
+        for (_, at) in &self.crashes {
+            if counted_at.is_none_or(|counted| at.saturating_duration_since(counted) >= spacing) {
+                count += 1;
+                counted_at = Some(*at);
+            }
+        }
+        count
+    }
+
+    fn quarantined_since(&self, now: Instant, settings: &PartLedgerSettings) -> Option<Instant> {
+        let is_recent =
+            |at: &Instant| now.saturating_duration_since(*at) < settings.quarantine_retention;
+        self.quarantined_at.filter(is_recent)
+    }
+
+    /// Whether this part may have caused the crashes of another one.
+    fn explains(&self, other: &Self) -> bool {
+        if other.crashes.is_empty() {
+            return other.is_told_undecided;
+        }
+        let unexplained = other.crashes.iter().filter(|(crash, _)| !self.knows(*crash));
+        unexplained.count() <= CHANCE_CRASHES
     }
 
     /// Forgets crashes and a quarantine that are too old to count.
