Let whole answers clear the parts of their prompts, and count crashes within them

On a route whose answers are buffered, a sound part that was quarantined stayed so, and a part that crashes servers between the head and the body of their answer was never quarantined.

Cause: only streams recorded that a server answered a prompt, and that it broke off after the head of its answer.

Change: a whole answer of success clears the parts of its prompt; a connection that breaks within a whole answer counts as a crash. Requests without parts are not touched.

--- a/crates/gateway/src/forward_records.rs
+++ b/crates/gateway/src/forward_records.rs
@@ -32,8 +32,8 @@
         self.state.parts.borrow_mut().record_answer(self.now(), &self.request.shared_parts);
     }
 
-    /// Records a failed attempt at a server that had not answered yet. A connection that broke counts
-    /// as a possible crash caused by a part of the prompt.
+    /// Records a failed attempt at a server whose answer proved nothing yet. A connection that broke
+    /// counts as a possible crash caused by a part of the prompt.
     pub(crate) fn record_part_crash(&self, life: &ServerLife, error: LinkError) {
         if error == LinkError::Broken && !self.state.paths.borrow().is_lost() {
             let parts = &self.request.shared_parts;
--- a/crates/gateway/src/forward_run.rs
+++ b/crates/gateway/src/forward_run.rs
@@ -144,9 +144,18 @@
         match self.until_end(reading).await {
             Some(Ok(())) => {
                 self.trace.heard(&attempt.life);
+                if status.is_success() {
+                    self.record_answer();
+                }
                 Ok(WholeAnswer { status, headers, body: held.attach(body.freeze()) })
             }
-            Some(Err(error)) => Err(self.attempt_error(error)),
+            Some(Err(error)) => {
+                let error = self.attempt_error(error);
+                if let AttemptError::Link(error) = error {
+                    self.record_part_crash(&attempt.life, error);
+                }
+                Err(error)
+            }
             None => Err(AttemptError::OutOfTime),
         }
     }
--- a/crates/gateway/tests/forward/main.rs
+++ b/crates/gateway/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod config_changes;
+mod prompt_parts;
 mod resumed_streams;
 mod silent_servers;
 mod stopping_node;
