Believe what a server tells after it left a group, and wait for late orders

Cause: the planner concluded too much from an answered order. It kept for the whole life of a server that it had left a group, whatever its entry said later; and it took a server for free at once, though older orders to it were unanswered, whose group and epoch are still the newest that the server knows. Ruled out: the fencing number (one holder sent all orders) and a list that went back.

Change: an entry that shows the server in the group again, after it was seen out of it or 2 s after the answer, goes before the answer: the server is held and ordered to leave again. A head that left an order to join and one to open unanswered joins nothing for 13 s after the last of them, unless it knows a newer epoch; its members leave the group themselves. A planner that takes over doesn't know what was not answered, so heads of groups in which its node first saw them less than 13 s ago wait as well, and the rows of such groups stay.

--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -274,6 +274,7 @@
         let busy = state.loads.busy();
         let evacuated = state.evacuation.borrow();
         let stale = state.stale_places.borrow();
+        let sightings = state.sightings.borrow();
         let unlisted_servers = state.unlisted.borrow();
         let unlisted = unlisted_servers.keys().cloned().collect();
         let mut plans = self.plans.borrow_mut();
@@ -293,6 +294,7 @@
             lost: &lost,
             busy: &busy,
             stale: &stale,
+            sightings: &sightings,
             evacuated: &evacuated,
             work: &work,
             before_traffic: !state.has_traffic.get(),
@@ -324,7 +326,7 @@
     fn record_outcome(&self, service: &ServiceName, order: &FleetOrder, outcome: OrderOutcome) {
         self.record_place(order, outcome);
         if let Some(planner) = self.plans.borrow_mut().planners.get_mut(service) {
-            planner.record_outcome(order, outcome);
+            planner.record_outcome(self.gateway.ports.clock.now(), order, outcome);
         }
         // An order into a standby group that arrives after one into a group says nothing of the lease.
         let is_standby = order.action.group().is_some_and(|(group, _)| is_standby_group(group));
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -10,8 +10,9 @@
 
 use comfreyturn_policy::{
     AnswerMemory, ArrivalMeter, ColdServers, ConfirmedConfig, CrashLedger, CrashLedgerSettings,
-    EvacuationSet, HeadPicker, PaceMeter, PathMonitor, RefusalCause, RunTimes, SendQuotas,
-    SenderRoster, ServerRooms, ServerWaits, ShutdownTerm, StalePlaces, StatedLimits, return_delay,
+    EvacuationSet, GroupSightings, HeadPicker, PaceMeter, PathMonitor, RefusalCause, RunTimes,
+    SendQuotas, SenderRoster, ServerRooms, ServerWaits, ShutdownTerm, StalePlaces, StatedLimits,
+    return_delay,
 };
 use comfreyturn_types::{
     FailureDomain, FleetServer, ModelName, RouteName, ServerLife, ServiceName, ServiceSpec,
@@ -101,6 +102,9 @@
     /// of the server's life.
     pub(crate) crashes: RefCell<Vec<(Instant, u64, u64)>>,
 
+    /// Since when servers have been seen in their groups.
+    pub(crate) sightings: RefCell<GroupSightings>,
+
     /// Which prompt parts may have crashed servers.
     pub(crate) parts: RefCell<PartSuspects>,
 
@@ -213,6 +217,7 @@
             crashes: RefCell::default(),
             parts: RefCell::new(PartSuspects::new(node.clone())),
             lost: RefCell::default(),
+            sightings: RefCell::default(),
             stale_places: RefCell::new(StalePlaces::new(settings.stale_places)),
             list_era: Cell::new(None),
             unlisted: RefCell::default(),
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -41,6 +41,7 @@
         }
         log.complete_at(version);
         drop((servers, log));
+        self.record_sightings(now, &applied);
         self.observe_list_era(now, known, version.era);
         self.mark_regressed(now, &applied);
         self.record_cold_entries(now, first, &applied);
@@ -73,6 +74,7 @@
             known != StoreVersion::default() && newest.is_some_and(|newest| newest.era > known.era);
         let kept = KeptEntries { missing: false, known: is_restored };
         let applied = self.servers.borrow_mut().apply(reading, kept);
+        self.record_sightings(now, &applied);
         if let Some(newest) = newest {
             self.observe_list_era(now, known, newest.era);
         }
@@ -89,6 +91,13 @@
         self.record_dropped(now, applied.dropped);
     }
 
+    fn record_sightings(&self, now: Instant, applied: &AppliedReading) {
+        let servers = self.servers.borrow();
+        let mut sightings = self.sightings.borrow_mut();
+        let changed = applied.changed.iter().filter_map(|vm| servers.by_vm(vm));
+        changed.for_each(|server| sightings.record(now, server));
+    }
+
     /// Marks the places of all listed servers as stale when the list is of another era than before,
     /// and until it is whole. A process that starts doesn't know whether the store was restored just
     /// before, unless the whole deployment starts for the first time.
@@ -191,6 +200,7 @@
         self.quotas.borrow_mut().retain(|life| limits.limit(life).is_some());
         self.cold_quotas.borrow_mut().retain(known);
         self.stale_places.borrow_mut().retain(now, known);
+        self.sightings.borrow_mut().retain(known);
         self.lost.borrow_mut().retain(known);
     }
 
--- a/crates/policy/src/fleet_forming.rs
+++ b/crates/policy/src/fleet_forming.rs
@@ -48,7 +48,11 @@
             self.staging.insert(server.life.clone(), (model.clone(), now));
             self.load_starts.push(now);
         }
-        let group = PlannedGroup { may_be_open: false, ..PlannedGroup::new(record, now, false) };
+        let group = PlannedGroup {
+            is_own: true,
+            may_be_open: false,
+            ..PlannedGroup::new(record, now, false)
+        };
         plan.hold(&group);
         *plan.active.entry(model.clone()).or_default() += 1;
         self.groups.insert(group.record.group.clone(), group);
--- a/crates/policy/src/fleet_plan.rs
+++ b/crates/policy/src/fleet_plan.rs
@@ -8,7 +8,7 @@
 use comfreyturn_ports::FleetAction;
 use comfreyturn_types::{EngineSpec, FleetServer, ModelName, ServerLife, ServiceName};
 
-use crate::{EvacuationSet, StalePlaces, planned_group::PlannedGroup};
+use crate::{EvacuationSet, GroupSightings, StalePlaces, planned_group::PlannedGroup};
 
 /// Settings of a [`FleetPlanner`](crate::FleetPlanner).
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +39,9 @@
     /// this time at the latest. Longer than almost all requests run.
     pub drain_timeout: Duration,
 
+    /// An order that was not answered may still be carried out for this time.
+    pub late_order_time: Duration,
+
     /// Concurrent loads before the first request, as a multiple of the number that run at full
     /// speed. A factor above one keeps the weight store busy when a load ends.
     pub first_load_factor: f64,
@@ -54,6 +57,7 @@
             head_loss_timeout: Duration::from_millis(300),
             silence_timeout: Duration::from_secs(5),
             drain_timeout: Duration::from_secs(10),
+            late_order_time: Duration::from_secs(13),
             first_load_factor: 2.0,
         }
     }
@@ -86,6 +90,9 @@
     /// may be theirs stay as they are until those that answer have told their place.
     pub stale: &'a StalePlaces,
 
+    /// Since when servers have been seen in their groups.
+    pub sightings: &'a GroupSightings,
+
     /// Failure domains whose servers get no orders. Their groups stay as they are, and the demand
     /// is planned for the other servers.
     pub evacuated: &'a EvacuationSet,
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -22,6 +22,8 @@
     fleet_plan::FleetPlan,
     fleet_standby::{StandbyOrder, is_standby_group},
     fleet_state::{ReportedGroup, group_model, reported_groups},
+    late_orders::LateOrders,
+    left_groups::LeftGroups,
     planned_group::{FleetIndex, GroupHealth, PlannedGroup, load_timeout},
 };
 
@@ -44,8 +46,11 @@
     /// Dissolved groups whose rows are still stored.
     obsolete: Vec<GroupId>,
 
-    /// Servers that confirmed that they left a group.
-    pub(crate) left: HashSet<(ServerLife, GroupId)>,
+    /// Groups that servers confirmed to have left.
+    pub(crate) left: LeftGroups,
+
+    /// Orders that were not answered.
+    pub(crate) late_orders: LateOrders,
 
     /// When each order was last sent.
     sent: HashMap<(ServerLife, FleetAction), Instant>,
@@ -83,7 +88,8 @@
             groups: BTreeMap::new(),
             staging: HashMap::new(),
             obsolete: Vec::new(),
-            left: HashSet::new(),
+            left: LeftGroups::default(),
+            late_orders: LateOrders::default(),
             sent: HashMap::new(),
             unreachable_heads: HashMap::new(),
             load_starts: Vec::new(),
@@ -115,18 +121,20 @@
         orders.retain(|order| self.is_due(now, order));
         for order in &orders {
             self.sent.insert((order.life.clone(), order.action.clone()), now);
+            self.late_orders.record_sent(now, order);
         }
         orders
     }
 
     /// Records a server's reply to an order. Unless it refuses the order as outdated, the reply to
-    /// an order to leave proves that the server is no longer in the group. A refusal tells nothing
+    /// an order to leave proves that the server was out of the group then. A refusal tells nothing
     /// of other groups, so the caller must mark the server's place as stale.
-    pub fn record_outcome(&mut self, order: &FleetOrder, outcome: OrderOutcome) {
+    pub fn record_outcome(&mut self, now: Instant, order: &FleetOrder, outcome: OrderOutcome) {
+        self.late_orders.record_answered(order);
         if let FleetAction::Leave { group, .. } = &order.action
             && outcome != OrderOutcome::Outdated
         {
-            self.left.insert((order.life.clone(), group.clone()));
+            self.left.record(now, &order.life, group);
         }
     }
 
@@ -168,7 +176,8 @@
         self.sent.retain(|_, at| now.saturating_duration_since(*at) < retry_interval);
         let second = Duration::from_secs(1);
         self.load_starts.retain(|at| now.saturating_duration_since(*at) < second);
-        self.left.retain(|(life, _)| index.find(life).is_some());
+        self.left.update(now, index);
+        self.late_orders.forget(now, self.settings.late_order_time);
         let limit = |model: &ModelName| load_timeout(view.engine, model);
         self.staging.retain(|life, (model, since)| {
             let waiting = index.find(life).is_some_and(|server| !server.staged.contains(model));
@@ -206,12 +215,19 @@
             self.groups.insert(reported.group.clone(), group);
         }
         let names: HashSet<&GroupId> = reported.iter().map(|reported| &reported.group).collect();
+        let may_return: HashSet<GroupId> = self
+            .groups
+            .values()
+            .filter(|group| group.dissolving && self.may_return(now, index, group))
+            .map(|group| group.record.group.clone())
+            .collect();
         let form_timeout = self.settings.form_timeout;
         let obsolete = &mut self.obsolete;
         self.groups.retain(|name, group| {
             let is_recent = now.saturating_duration_since(group.since) < form_timeout;
             let keep = names.contains(name)
                 || (is_recent && !group.dissolving)
+                || may_return.contains(name)
                 || group.is_evacuated(view)
                 || group.is_awaited(view);
             if !keep && group.is_saved {
--- a/crates/policy/src/fleet_release.rs
+++ b/crates/policy/src/fleet_release.rs
@@ -42,19 +42,47 @@
         // A listed head that does not answer may be unreachable from this node only.
         let is_listed = index.is_listed(head);
         let is_idle = is_listed && !serves;
-        if has_left || group.is_head_out(index) || (is_idle && !group.may_be_open) {
-            return;
-        }
+        let is_out = has_left || group.is_head_out(index) || (is_idle && !group.may_be_open);
         let is_gone = !is_listed && !index.is_reachable(head) && self.is_head_gone(now, head);
         let may_run = group.may_run(now, index, &self.settings);
-        if (is_idle && !may_run) || is_gone {
+        if !is_out && !is_gone && (!is_idle || may_run) {
+            plan.hold(group);
+            return;
+        }
+        let may_return = self.may_return(now, index, group);
+        if may_return {
+            let may_join =
+                |life: &&ServerLife| *life == head || self.late_orders.may_join(life, name);
+            plan.held.extend(group.lives().filter(may_join).cloned());
+        }
+        if may_return || !is_out {
             let members = members.iter().map(|member| &member.life);
             self.release_members(index, name, *epoch, members, plan);
-        } else {
-            plan.hold(group);
         }
     }
 
+    /// Whether orders that the head of a group didn't answer may make it serve in the group again, or
+    /// put it there after it has left. Those of an earlier planner aren't known; they were sent before
+    /// the head was seen in the group. A head that knows a newer epoch refuses them.
+    pub(crate) fn may_return(
+        &self,
+        now: Instant,
+        index: &FleetIndex<'_>,
+        group: &PlannedGroup,
+    ) -> bool {
+        let FleetGroupRecord { group: name, epoch, .. } = &group.record;
+        let head = &group.record.head().life;
+        let Some(server) = index.find(head) else { return false };
+        if server.membership.as_ref().is_some_and(|place| place.epoch > *epoch) {
+            return false;
+        }
+        if group.is_own {
+            return self.late_orders.may_open(head, name);
+        }
+        let seen_at = index.view.sightings.first_seen(head, name).unwrap_or(group.since);
+        now.saturating_duration_since(seen_at) < self.settings.late_order_time
+    }
+
     /// Members of groups that this planner doesn't know and whose head isn't listed. The head may
     /// still serve, so they leave before they join another group. Members of an unknown group in an
     /// evacuated domain are held until the evacuation ends, and beside a stale place until its server
@@ -99,7 +127,7 @@
     }
 
     fn has_left(&self, life: &ServerLife, group: &GroupId) -> bool {
-        self.left.contains(&(life.clone(), group.clone()))
+        self.left.contains(life, group)
     }
 
     /// Whether a head has been neither listed nor reachable for the configured time.
--- a/crates/policy/src/planned_group.rs
+++ b/crates/policy/src/planned_group.rs
@@ -56,6 +56,9 @@
     /// When it was ordered or found.
     pub(crate) since: Instant,
 
+    /// Whether this planner formed it, so that it knows all orders to its members.
+    pub(crate) is_own: bool,
+
     /// Whether its row is stored.
     pub(crate) is_saved: bool,
 
@@ -108,6 +111,7 @@
         Self {
             record,
             since,
+            is_own: false,
             is_saved,
             was_ready: false,
             dissolving: false,
--- a/crates/policy/tests/fleet_planner/main.rs
+++ b/crates/policy/tests/fleet_planner/main.rs
@@ -2,6 +2,8 @@
 
 mod evacuation;
 mod forming;
+mod late_fleet;
+mod late_orders;
 mod releases;
 mod silences;
 mod test_fleet;
--- a/crates/policy/tests/fleet_planner/releases.rs
+++ b/crates/policy/tests/fleet_planner/releases.rs
@@ -62,11 +62,11 @@
         orders.into_iter().filter(|order| is_leave(order) && order.life != head).collect();
     assert_eq!(left.len(), 3);
     for order in &left {
-        fleet.planner.record_outcome(order, OrderOutcome::Outdated);
+        fleet.planner.record_outcome(fleet.now, order, OrderOutcome::Outdated);
     }
     assert!(joins(&fleet.orders()).is_empty(), "refused orders prove nothing");
     for order in &left {
-        fleet.planner.record_outcome(order, OrderOutcome::Taken);
+        fleet.planner.record_outcome(fleet.now, order, OrderOutcome::Taken);
     }
     assert_eq!(joins(&fleet.orders()).len(), 4);
 }
@@ -183,9 +183,9 @@
     let leave = orders.iter().find(|order| order.life == head).unwrap().clone();
     assert!(matches!(leave.action, FleetAction::Leave { .. }));
     assert!(joins(&fleet.orders()).is_empty());
-    fleet.planner.record_outcome(&leave, OrderOutcome::Outdated);
+    fleet.planner.record_outcome(fleet.now, &leave, OrderOutcome::Outdated);
     assert!(joins(&fleet.orders()).is_empty(), "a refused order does not prove that the head left");
-    fleet.planner.record_outcome(&leave, OrderOutcome::Taken);
+    fleet.planner.record_outcome(fleet.now, &leave, OrderOutcome::Taken);
     assert_eq!(joins(&fleet.orders()).len(), 4);
 }
 
--- a/crates/policy/tests/fleet_planner/test_fleet.rs
+++ b/crates/policy/tests/fleet_planner/test_fleet.rs
@@ -6,10 +6,10 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StalePlaces,
-    is_standby_group,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, GroupSightings,
+    StalePlaces, is_standby_group,
 };
-use comfreyturn_ports::FleetAction;
+use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
     EngineSpec, FabricDomain, FailureDomain, FleetGroupRecord, FleetServer, GroupMembership,
     MemberPhase, MemberRecord, ModelName, PooledModel, ServerLife, ServiceName, VmId,
@@ -24,10 +24,14 @@
     pub lost: HashSet<ServerLife>,
     pub busy: HashSet<ServerLife>,
     pub stale: StalePlaces,
+    pub sightings: GroupSightings,
     pub evacuated: EvacuationSet,
     pub work: HashMap<ModelName, f64>,
     pub before_traffic: bool,
     pub planner: FleetPlanner,
+
+    /// Whether the answers to orders reach the planner.
+    pub answers: bool,
     pub now: Instant,
 }
 
@@ -78,10 +82,12 @@
             lost: HashSet::new(),
             busy: HashSet::new(),
             stale: StalePlaces::default(),
+            sightings: GroupSightings::default(),
             evacuated: EvacuationSet::default(),
             work,
             before_traffic: false,
             planner: FleetPlanner::new(1, FleetPlannerSettings::default()),
+            answers: true,
             now: Instant::now(),
         }
     }
@@ -98,6 +104,7 @@
     }
 
     pub fn plan_once(&mut self) -> Vec<FleetOrder> {
+        self.servers.iter().for_each(|server| self.sightings.record(self.now, server));
         let view = FleetView {
             service: &self.service,
             engine: &self.engine,
@@ -106,6 +113,7 @@
             lost: &self.lost,
             busy: &self.busy,
             stale: &self.stale,
+            sightings: &self.sightings,
             evacuated: &self.evacuated,
             work: &self.work,
             before_traffic: self.before_traffic,
@@ -120,6 +128,9 @@
             let Some(server) = self.servers.iter_mut().find(|server| server.life == *life) else {
                 continue;
             };
+            if self.answers {
+                self.planner.record_outcome(self.now, order, OrderOutcome::Taken);
+            }
             match &order.action {
                 FleetAction::Join { group, epoch, model, members } => {
                     let rank = members.iter().position(|member| *member == life.vm).unwrap();
@@ -156,6 +167,11 @@
         matching.map(|server| server.life.clone()).collect()
     }
 
+    /// The listed server.
+    pub fn server(&mut self, life: &ServerLife) -> &mut FleetServer {
+        self.servers.iter_mut().find(|server| server.life == *life).unwrap()
+    }
+
     /// The member of the same group that has this rank.
     pub fn member(&self, mate: &ServerLife, rank: u32) -> ServerLife {
         let place = |server: &&FleetServer| server.membership.clone();
--- a/crates/policy/tests/fleet_share/sim_fleet.rs
+++ b/crates/policy/tests/fleet_share/sim_fleet.rs
@@ -7,8 +7,8 @@
 };
 
 use comfreyturn_policy::{
-    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, StalePlaces,
-    group_model, standby_model,
+    EvacuationSet, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, GroupSightings,
+    StalePlaces, group_model, standby_model,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome};
 use comfreyturn_types::{
@@ -237,7 +237,7 @@
             let orders = self.plan();
             for order in &orders {
                 self.carry_out(order);
-                self.planner.record_outcome(order, OrderOutcome::Taken);
+                self.planner.record_outcome(self.now, order, OrderOutcome::Taken);
             }
             let (written, removed) = self.planner.row_changes();
             self.planner.record_rows(&written, &removed);
@@ -289,6 +289,7 @@
             lost: &lost,
             busy: &HashSet::new(),
             stale: &StalePlaces::default(),
+            sightings: &GroupSightings::default(),
             evacuated: &EvacuationSet::default(),
             work: &work,
             before_traffic: !has_traffic,
