Take an entry without its group for the effect of an order once only

A server that left a group, was put back there by late orders, and whose entry another writer then wrote over without the group, would count as free while its group is open.

Cause: that a server confirmed that it left a group explained each later entry without that group, for its whole life.

Change: the confirmation explains one entry. The next one marks the place as stale, and the server is asked.

Measured: the test failed before, and passes now.

--- a/crates/policy/src/stale_places.rs
+++ b/crates/policy/src/stale_places.rs
@@ -57,7 +57,7 @@
     settings: StalePlacesSettings,
     places: HashMap<ServerLife, StalePlace>,
 
-    /// Groups that servers confirmed to have left.
+    /// Groups that servers confirmed to have left, until their entries show so.
     left: HashSet<(ServerLife, GroupId)>,
 }
 
@@ -75,10 +75,10 @@
         self.places.insert(life.clone(), StalePlace { cause, since: now });
     }
 
-    /// Records that a server's entry names no group any more. That is expected if the server
-    /// confirmed that it left the group.
+    /// Records that a server's entry names no group any more. That is expected once, if the server
+    /// confirmed that it left the group: late orders may put it there again.
     pub fn mark_group_missing(&mut self, now: Instant, life: &ServerLife, group: &GroupId) {
-        if !self.left.contains(&(life.clone(), group.clone())) {
+        if !self.left.remove(&(life.clone(), group.clone())) {
             self.mark(now, life, StaleCause::GroupMissing);
         }
     }
--- a/crates/policy/tests/stale_places.rs
+++ b/crates/policy/tests/stale_places.rs
@@ -64,3 +64,16 @@
     places.mark_group_missing(now, &life(), &GroupId::from("m.2"));
     assert!(places.is_stale(&life()));
 }
+
+/// Guards against a server that is taken for free though it is in the group that it left before: late
+/// orders put it back, and another writer wrote over its entry (TWO).
+#[test]
+fn answered_order_explains_one_entry_without_the_group_only() {
+    let mut places = StalePlaces::new(StalePlacesSettings::default());
+    let now = Instant::now();
+    places.record_left(&life(), &GroupId::from("m.1"));
+    places.mark_group_missing(now, &life(), &GroupId::from("m.1"));
+    assert!(!places.is_stale(&life()));
+    places.mark_group_missing(now, &life(), &GroupId::from("m.1"));
+    assert!(places.is_stale(&life()));
+}
