Test the status 000 on each path that reads answers

On other systems a server's answer with the status 000 reached a caller. Here it doesn't: the HTTP library takes no status below 100, on any path. Tests of it lacked for answers without a length, for tunnels, for orders and reports of servers, for the platform's store, and for the product's own mode (engines, plain services, table); each has one now, with 001, 099 and 600 beside it.

--- a/crates/adapters/tests/backend_client.rs
+++ b/crates/adapters/tests/backend_client.rs
@@ -126,6 +126,24 @@
     assert_eq!(complete(server.address).await.err(), Some(BackendError::Broken));
 }
 
+/// Guards against an answer with a status that HTTP does not define and that passes for one (MIXED).
+#[compio::test]
+async fn answer_with_an_invalid_status_counts_as_broken() {
+    for status in ["000", "000 None", "099 None", "600 None"] {
+        for head in [
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "Content-Length: 2\r\n\r\nok",
+            "\r\nok",
+        ] {
+            let text = format!("HTTP/1.1 {status}\r\n{head}");
+            assert_eq!(refusal(&text).await, BackendError::Broken, "{text:?}");
+            let server = ScriptServer::answering(&text);
+            let called = client().call(Step::ClaimDispatch, server.address, &plain_request()).await;
+            assert_eq!(called.err(), Some(BackendError::Broken), "{text:?}");
+        }
+    }
+}
+
 #[compio::test]
 async fn stream_split_into_small_chunks() {
     let text = format!(": hello\n\n{}{}data: {{\"finished\":\"stop\"}}\n\n", event(0), event(1));
--- a/crates/adapters/tests/engine_client.rs
+++ b/crates/adapters/tests/engine_client.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Guards against an answer with a status that HTTP does not define and that passes for one.
+#[compio::test]
+async fn answer_with_an_invalid_status_is_none() {
+    for status in ["000", "000 None", "099 None", "600 None"] {
+        let text = answer(status, "", r#"{"incarnation":1,"fencing":1,"assignment":null}"#);
+        let server = ScriptServer::answering(&text);
+        assert_eq!(order(server.address).await, Err(EngineError::NoAnswer), "{status}");
+        assert!(report(&text).await.is_err(), "{status}");
+    }
+}
+
 /// Guards against the answer to an earlier order that is read as the answer to this one.
 #[compio::test]
 async fn answer_to_an_earlier_order_is_not_read_again() {
--- a/crates/adapters/tests/table_client.rs
+++ b/crates/adapters/tests/table_client.rs
@@ -70,6 +70,17 @@
     assert_eq!(read(&ScriptServer::answering(&other)).await, Err(TableError::Malformed));
 }
 
+/// Guards against an answer with a status that HTTP does not define and that passes for one.
+#[compio::test]
+async fn answer_with_an_invalid_status_is_none() {
+    for status in ["000", "000 None", "099 None", "600 None"] {
+        let rows = answer(status, "", r#"{"rows":[{"version":1,"value":"v"}]}"#);
+        assert_eq!(read(&ScriptServer::answering(&rows)).await, Err(TableError::NoAnswer));
+        let committed = answer(status, "", r#""committed""#);
+        assert_eq!(commit(&ScriptServer::answering(&committed)).await, Err(TableError::NoAnswer));
+    }
+}
+
 #[compio::test]
 async fn malformed_responses() {
     let garbage = answer("200 OK", "", "<html>");
--- a/crates/adapters/tests/tunnel.rs
+++ b/crates/adapters/tests/tunnel.rs
@@ -201,6 +201,7 @@
 async fn invalid_head_is_not_that_of_a_response() {
     let busy = "HTTP/1.1 503 Busy\r\n";
     let begins = [
+        "HTTP/1.1 000 None\r\n".to_owned(),
         "HTTP/1.1 600 None\r\n".to_owned(),
         "HTTP/1.1 099 None\r\n".to_owned(),
         format!("HTTP/1.1 101 Switching Protocols\r\n\r\n{busy}"),
@@ -216,6 +217,18 @@
     }
 }
 
+/// Guards against the same where the answer has no length, and ends with its connection.
+#[compio::test]
+async fn invalid_status_without_a_length_is_not_that_of_a_response() {
+    for status in ["000", "000 None", "099 None", "600 None"] {
+        let text = format!("HTTP/1.1 {status}\r\nRetry-After: 3\r\n\r\nno");
+        let server = ScriptServer::answering(&text);
+        let (helper, pool) = (Helper::start(true).await, pool());
+        assert!(helper.send(&pool, server.address).await.is_err(), "{status}");
+        assert!(helper.heads.borrow().is_empty(), "{status}");
+    }
+}
+
 /// An answer in each framing that states its end, and how many of its bytes a whole answer needs.
 const FRAMED_ANSWERS: [&str; 4] = [
     "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 12\r\n\r\nabcdefghijkl",
