Wait for the late orders of an earlier planner only where there may be some

Operators would have seen: after each change of the planner, heads of young groups that were dissolved stayed idle for up to 13 s, also where every order had been answered.

Cause: a planner that takes over didn't know which orders of the earlier one were not answered, and waited for all.

Change: the holder of the lease tells when it last ordered a head to join a group without an answer (a new field; absent, there was none, as older builds tell nothing), and a planner hands on what it was told. Heads wait only if there was such an order, or if they were first seen in their group less than 5 s before the planner took over: it may not have been told of those.

--- a/crates/gateway/src/beat_codec.rs
+++ b/crates/gateway/src/beat_codec.rs
@@ -78,6 +78,8 @@
     beat.quarantined_requests = encode_requests(now, &report.quarantined);
     report.parts.encode(now, beat);
     beat.refusals = report.refusals.encode(now);
+    let unanswered_age = report.unanswered_join.map(|at| now.saturating_duration_since(at));
+    beat.unanswered_join_age_ms = encode_age(unanswered_age);
     beat.limits = (!report.limits.is_empty()).then(|| encode_limits(now, &report.limits));
     beat.cold_servers = (!report.cold.is_empty()).then(|| encode_cold(now, &report.cold));
 }
@@ -208,6 +210,8 @@
     report.rates = beat.rates.iter().map(rate).collect();
     report.quarantined = decode_requests(now, &beat.quarantined_requests);
     report.parts = PartReport::decode(now, beat);
+    let unanswered_age = decode_age(beat.unanswered_join_age_ms);
+    report.unanswered_join = unanswered_age.and_then(|age| now.checked_sub(age));
     if let Some(refusals) = &beat.refusals {
         report.refusals = RefusalReport::decode(now, refusals, &find);
     }
--- a/crates/gateway/src/fleet_loop.rs
+++ b/crates/gateway/src/fleet_loop.rs
@@ -9,7 +9,8 @@
 
 use comfreyturn_control::{LeaseKeeper, RowKeys};
 use comfreyturn_policy::{
-    FleetOrder, FleetPlanner, FleetView, HeldLease, StaleCause, is_standby_group,
+    EarlierOrders, FleetOrder, FleetPlanner, FleetPlannerSettings, FleetView, HeldLease,
+    StaleCause, is_standby_group,
 };
 use comfreyturn_ports::{FleetAction, OrderOutcome, TableResult};
 use comfreyturn_types::{
@@ -47,6 +48,9 @@
 
     /// Whether groups of an earlier lease holder were restored.
     restored: bool,
+
+    /// What is known of the orders of earlier lease holders.
+    earlier: Option<EarlierOrders>,
     planners: HashMap<ServiceName, FleetPlanner>,
 
     /// When the state of each service was last logged.
@@ -59,6 +63,24 @@
     pub(crate) was_measured: bool,
 }
 
+impl FleetPlans {
+    /// The planner of a service.
+    fn planner(
+        &mut self,
+        service: &ServiceName,
+        settings: FleetPlannerSettings,
+    ) -> &mut FleetPlanner {
+        let Self { fencing, earlier, planners, .. } = self;
+        planners.entry(service.clone()).or_insert_with(|| {
+            let planner = FleetPlanner::new(fencing.0, settings);
+            match *earlier {
+                Some(earlier) => planner.after(earlier),
+                None => planner,
+            }
+        })
+    }
+}
+
 impl FleetLoop {
     /// Creates the loop of a gateway.
     pub fn new(gateway: Rc<Gateway>) -> Self {
@@ -216,12 +238,12 @@
         );
         state.add_unlisted_members(now, &records);
         let restored = !records.is_empty();
-        let mut plans = FleetPlans { fencing, restored, ..FleetPlans::default() };
+        let unanswered_join = state.unanswered_join.get();
+        let earlier = Some(EarlierOrders { until: now, unanswered_join });
+        let mut plans = FleetPlans { fencing, restored, earlier, ..FleetPlans::default() };
         for record in records {
-            let planner = plans.planners.entry(record.service.clone());
-            let planner =
-                planner.or_insert_with(|| FleetPlanner::new(fencing.0, state.settings.planner));
-            planner.restore(now, vec![record]);
+            let service = record.service.clone();
+            plans.planner(&service, state.settings.planner).restore(now, vec![record]);
         }
         *self.plans.borrow_mut() = plans;
         Ok(())
@@ -281,10 +303,7 @@
         self.update_work(now, &mut plans, name, engine);
         let work = plans.work.clone();
         let is_work_measured = plans.was_measured;
-        let planner = plans
-            .planners
-            .entry(name.clone())
-            .or_insert_with(|| FleetPlanner::new(fencing.0, state.settings.planner));
+        let planner = plans.planner(name, state.settings.planner);
         let dropped = unlisted_servers.values().map(|(_, server)| server);
         let view = FleetView {
             service: name,
@@ -301,6 +320,9 @@
             is_work_measured,
         };
         let orders = planner.plan(now, &view);
+        let planners = plans.planners.values();
+        let unanswered_joins = planners.filter_map(|planner| planner.unanswered_join(now));
+        state.unanswered_join.set(unanswered_joins.max());
         let logged_at = plans.summary_at.get(name);
         if logged_at.is_none_or(|at| now.saturating_duration_since(*at) >= SUMMARY_PERIOD) {
             plans.summary_at.insert(name.clone(), now);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -102,6 +102,10 @@
     /// of the server's life.
     pub(crate) crashes: RefCell<Vec<(Instant, u64, u64)>>,
 
+    /// When the holder of the fleet's lease last ordered a head to join a group without an answer, as
+    /// far as this node knows.
+    pub(crate) unanswered_join: Cell<Option<Instant>>,
+
     /// Since when servers have been seen in their groups.
     pub(crate) sightings: RefCell<GroupSightings>,
 
@@ -217,6 +221,7 @@
             crashes: RefCell::default(),
             parts: RefCell::new(PartSuspects::new(node.clone())),
             lost: RefCell::default(),
+            unanswered_join: Cell::new(None),
             sightings: RefCell::default(),
             stale_places: RefCell::new(StalePlaces::new(settings.stale_places)),
             list_era: Cell::new(None),
@@ -310,6 +315,7 @@
             refusals,
             limits: self.limits.borrow().own_recent(now, self.settings.send_quotas.trial_age),
             cold: self.cold.borrow().own_recent(now),
+            unanswered_join: self.unanswered_join.get().filter(|_| self.forms_groups.get()),
         }
     }
 
--- a/crates/gateway/src/heartbeat_receive.rs
+++ b/crates/gateway/src/heartbeat_receive.rs
@@ -172,6 +172,11 @@
             state.record_cold_answer(life, *statement, AnswerReceiver::Other);
         }
         state.parts.borrow_mut().apply(&report.parts);
+        // The holder knows its own orders; told back to it they seem to become younger.
+        if !state.forms_groups.get() {
+            let known = state.unanswered_join.get();
+            state.unanswered_join.set(known.max(report.unanswered_join));
+        }
         let mut suspects = state.suspects.borrow_mut();
         for (fingerprint, crash) in &report.crashes {
             suspects.record_crash(now, *fingerprint, *crash);
--- a/crates/gateway/src/view_reports.rs
+++ b/crates/gateway/src/view_reports.rs
@@ -94,6 +94,9 @@
 
     /// Which servers refuse requests without asking for a wait.
     pub refusals: RefusalReport,
+
+    /// When the holder of the fleet's lease last ordered a head to join a group without an answer.
+    pub unanswered_join: Option<Instant>,
 }
 
 impl ViewReport {
@@ -138,6 +141,7 @@
         }
         self.parts.merge(&other.parts);
         self.refusals.merge(&other.refusals);
+        self.unanswered_join = self.unanswered_join.max(other.unanswered_join);
         for (life, statement) in &other.limits {
             let newest = self.limits.entry(life.clone()).or_insert(*statement);
             if newest.at < statement.at {
--- a/crates/gateway/tests/nodes/odd_datagrams.rs
+++ b/crates/gateway/tests/nodes/odd_datagrams.rs
@@ -113,6 +113,7 @@
         deaths: vec![peer::RequestDeath { fingerprint: number, death: number }],
         part_crashes: vec![peer::PartCrash { crash: number, age_ms: short, parts: vec![number] }],
         sound_parts: vec![peer::PartTime { part: number, age_ms: short, undecided: true }],
+        unanswered_join_age_ms: u64::from(short),
         quarantined_requests: vec![peer::RequestTime { fingerprint: number, age_ms: short }],
         quarantined_parts: vec![peer::PartTime { part: number, age_ms: short, undecided: true }],
         list_request: Some(peer::ListRequest { complete: version, incarnation, position: number }),
--- a/crates/policy/src/fleet_planner.rs
+++ b/crates/policy/src/fleet_planner.rs
@@ -22,7 +22,7 @@
     fleet_plan::FleetPlan,
     fleet_standby::{StandbyOrder, is_standby_group},
     fleet_state::{ReportedGroup, group_model, reported_groups},
-    late_orders::LateOrders,
+    late_orders::{EarlierOrders, LateOrders},
     left_groups::LeftGroups,
     planned_group::{FleetIndex, GroupHealth, PlannedGroup, load_timeout},
 };
@@ -52,6 +52,9 @@
     /// Orders that were not answered.
     pub(crate) late_orders: LateOrders,
 
+    /// What is known of the orders of earlier planners.
+    pub(crate) earlier: Option<EarlierOrders>,
+
     /// When each order was last sent.
     sent: HashMap<(ServerLife, FleetAction), Instant>,
 
@@ -90,6 +93,7 @@
             obsolete: Vec::new(),
             left: LeftGroups::default(),
             late_orders: LateOrders::default(),
+            earlier: None,
             sent: HashMap::new(),
             unreachable_heads: HashMap::new(),
             load_starts: Vec::new(),
@@ -99,6 +103,19 @@
         }
     }
 
+    /// The same after earlier planners, of whose orders this is known.
+    pub fn after(self, earlier: EarlierOrders) -> Self {
+        Self { earlier: Some(earlier), ..self }
+    }
+
+    /// When a head was last ordered to join a group without an answer, by this planner or an earlier
+    /// one, if that order may still be carried out.
+    pub fn unanswered_join(&self, now: Instant) -> Option<Instant> {
+        let earlier = self.earlier.and_then(|earlier| earlier.unanswered_join);
+        let last = self.late_orders.unanswered_join(now).max(earlier);
+        last.filter(|at| now.saturating_duration_since(*at) < self.settings.late_order_time)
+    }
+
     /// Decides the next orders.
     pub fn plan(&mut self, now: Instant, view: &FleetView<'_>) -> Vec<FleetOrder> {
         let index = FleetIndex::new(view);
@@ -177,7 +194,7 @@
         let second = Duration::from_secs(1);
         self.load_starts.retain(|at| now.saturating_duration_since(*at) < second);
         self.left.update(now, index);
-        self.late_orders.forget(now, self.settings.late_order_time);
+        self.late_orders.forget(now, self.settings.late_order_time, index);
         let limit = |model: &ModelName| load_timeout(view.engine, model);
         self.staging.retain(|life, (model, since)| {
             let waiting = index.find(life).is_some_and(|server| !server.staged.contains(model));
--- a/crates/policy/src/fleet_release.rs
+++ b/crates/policy/src/fleet_release.rs
@@ -12,6 +12,7 @@
     FleetPlanner,
     fleet_plan::FleetPlan,
     fleet_state::{ReportedGroup, reported_groups},
+    late_orders::EarlierOrders,
     planned_group::{FleetIndex, PlannedGroup, phase_in_group},
 };
 
@@ -62,8 +63,9 @@
     }
 
     /// Whether orders that the head of a group didn't answer may make it serve in the group again, or
-    /// put it there after it has left. Those of an earlier planner aren't known; they were sent before
-    /// the head was seen in the group. A head that knows a newer epoch refuses them.
+    /// put it there after it has left. Of those of an earlier planner it is known at most that there
+    /// were some; they were sent before the head was seen in the group. A head that knows a newer epoch
+    /// refuses them.
     pub(crate) fn may_return(
         &self,
         now: Instant,
@@ -80,7 +82,9 @@
             return self.late_orders.may_open(head, name);
         }
         let seen_at = index.view.sightings.first_seen(head, name).unwrap_or(group.since);
-        now.saturating_duration_since(seen_at) < self.settings.late_order_time
+        let unknown = EarlierOrders { until: group.since, unanswered_join: Some(group.since) };
+        let earlier = self.earlier.unwrap_or(unknown);
+        earlier.may_come(now, seen_at, self.settings.late_order_time)
     }
 
     /// Members of groups that this planner doesn't know and whose head isn't listed. The head may
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -128,6 +128,7 @@
 pub use head_picker::*;
 pub use isolation_detector::*;
 pub use key_table::*;
+pub use late_orders::EarlierOrders;
 pub use lease_term::*;
 pub use limit_share::*;
 pub use load_budget::*;
