End every process that the review's stand-ins start

Cause: a case could end between two restarts of its nodes, and case 11 left nodes running. The clients of case 15 opened a channel for each request, as few clients do. A fault of groups was seen only under many disturbances, without a script to see it again. Change: processes are registered, ended when a case ends, and end with the process that started them. Case 15's clients keep channels and use the addresses of the directory as it names them. `rig-3 fleet-soak` plays the many disturbances for ten minutes and checks TWO and PARTIAL.

--- a/review/rig-3/cases/cut_node.rs
+++ b/review/rig-3/cases/cut_node.rs
@@ -6,21 +6,21 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    thread::spawn,
+    thread::{JoinHandle, spawn},
 };
 
 use crate::{
     cases::{BOUNDS, STABLE_WINDOW_S, Verdict},
-    client::{Answer, Directory, Request, send},
+    client::{Answer, Channel, Directory, Request},
     cut::has_port,
     nodes::{Node, NodeOptions, TempFolder},
     plain::{Arrivals, PlainOptions, PlainServer},
     store::Store,
-    util::{new_id, now_s, record, sleep_ms, sleep_until, tell},
+    util::{new_id, now_s, random_below, record, sleep_ms, sleep_until, tell},
 };
 
-/// Requests a second, of all clients together; every third one is not idempotent.
-const RATE: f64 = 150.0;
+/// Mean pause of a client between two requests, in milliseconds.
+const PAUSE_MS: usize = 300;
 
 /// Traffic before and after the cut, in seconds.
 const CALM_S: f64 = 4.0;
@@ -107,45 +107,55 @@
     judge(&answers, &arrivals, &cut, cut_at, plot.cut_s)
 }
 
+/// Clients send a request from time to time, each over a channel that it keeps as long as that is open
+/// and the directory names its address.
 fn start_traffic(
     nodes: &[Arc<Node>],
     begun_at: f64,
     cut_s: f64,
-) -> (Vec<std::thread::JoinHandle<()>>, Arc<Mutex<Vec<Sent>>>) {
-    let directories: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let hold_s = if number % 3 == 0 { 6.0 } else { 2.0 };
-            Arc::new(Directory::new(nodes, "a", hold_s))
-        })
-        .collect();
+) -> (Vec<JoinHandle<()>>, Arc<Mutex<Vec<Sent>>>) {
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let count = (RATE * (CALM_S + cut_s + AFTER_S)) as usize;
-    let threads = (0..count).map(|number| {
-        let directory = directories[crate::util::random_below(CLIENTS)].clone();
+    let end_at = begun_at + CALM_S + cut_s + AFTER_S;
+    let threads = (0..CLIENTS).map(|number| {
+        let hold_s = if number % 3 == 0 { 6.0 } else { 2.0 };
+        let directory = Directory::new(nodes, "a", hold_s);
         let sent = sent.clone();
         spawn(move || {
-            sleep_until(begun_at + number as f64 / RATE);
-            let is_repeatable = number % 3 > 0;
-            let request = Request {
-                id: new_id(),
-                method: if is_repeatable { "GET" } else { "POST" },
-                path: match is_repeatable {
-                    true => format!("/cert/{number}"),
-                    false => format!("/appt/{number}"),
-                },
-                key: Some("key1".to_owned()),
-                deadline_ms: 3000,
-                fields: String::new(),
-                body: Arc::new(Vec::new()),
-            };
-            let Some(address) = directory.pick() else { return };
-            let answer = send(address, &request);
-            sent.lock().unwrap().push((request.id, address, answer));
+            let mut channel: Option<Channel> = None;
+            while now_s() < end_at {
+                sleep_ms(random_below(2 * PAUSE_MS) as u64);
+                let is_kept = |kept: &Channel| kept.is_open && directory.names(kept.address);
+                if !channel.as_ref().is_some_and(is_kept) {
+                    channel = directory.pick().and_then(Channel::open);
+                }
+                let Some(channel) = channel.as_mut() else { continue };
+                let request = request();
+                let answer = channel.send(&request);
+                sent.lock().unwrap().push((request.id, channel.address, answer));
+            }
         })
     });
     (threads.collect(), sent)
 }
 
+/// Every third request is not idempotent.
+fn request() -> Request {
+    let id = new_id();
+    let is_repeatable = random_below(3) > 0;
+    Request {
+        method: if is_repeatable { "GET" } else { "POST" },
+        path: match is_repeatable {
+            true => format!("/cert/{id}"),
+            false => format!("/appt/{id}"),
+        },
+        id,
+        key: Some("key1".to_owned()),
+        deadline_ms: 3000,
+        fields: String::new(),
+        body: Arc::default(),
+    }
+}
+
 fn judge(
     answers: &[Sent],
     arrivals: &Arrivals,
--- a/review/rig-3/cases/mod.rs
+++ b/review/rig-3/cases/mod.rs
@@ -1,6 +1,7 @@
 pub mod body_memory;
 pub mod crashing_part;
 pub mod cut_node;
+pub mod fleet_soak;
 pub mod left_server;
 
 /// The bounds of the settings, as on the users' sheets.
--- a/review/rig-3/client.rs
+++ b/review/rig-3/client.rs
@@ -64,6 +64,7 @@
 pub struct Channel {
     stream: TcpStream,
     reader: Reader,
+    pub address: SocketAddr,
     pub is_open: bool,
 }
 
@@ -72,7 +73,7 @@
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
         let _ = stream.set_nodelay(true);
         let reader = reader(&stream)?;
-        Some(Self { stream, reader, is_open: true })
+        Some(Self { stream, reader, address, is_open: true })
     }
 
     /// Sends a request and awaits the answer.
@@ -139,6 +140,17 @@
 
     /// An address at random; `None` if none was ever named.
     pub fn pick(&self) -> Option<SocketAddr> {
+        let addresses = self.addresses();
+        (!addresses.is_empty()).then(|| addresses[random_below(addresses.len())])
+    }
+
+    /// Whether the newest answer names an address.
+    pub fn names(&self, address: SocketAddr) -> bool {
+        self.addresses().contains(&address)
+    }
+
+    /// The addresses in the newest answer, which is asked for anew if it is too old.
+    fn addresses(&self) -> Vec<SocketAddr> {
         let mut known = self.known.lock().unwrap();
         if known.1.is_empty() || now_s() - known.0 >= self.hold_s {
             let first = random_below(self.nodes.len());
@@ -150,7 +162,6 @@
                 *known = (now_s() - age * self.hold_s, addresses);
             }
         }
-        let addresses = &known.1;
-        (!addresses.is_empty()).then(|| addresses[random_below(addresses.len())])
+        known.1.clone()
     }
 }
--- a/review/rig-3/engine.rs
+++ b/review/rig-3/engine.rs
@@ -1,10 +1,13 @@
 //! Model servers: groups, orders, and streams of events.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::spawn,
     time::Duration,
 };
@@ -13,7 +16,7 @@
     http::{Head, read_body, read_head, reader, request_framing},
     json::Json,
     store::{HEARTBEAT_S, Store},
-    util::{new_id, now_s, record, reset_on_close, sleep_ms, unix_ms},
+    util::{new_id, now_s, random_below, record, reset_on_close, sleep_ms, unix_ms},
 };
 
 /// Time from an order to open a group until it is open.
@@ -97,6 +100,18 @@
 
     /// Whether the first request came.
     has_traffic: Mutex<bool>,
+
+    /// Servers, by number, that can't write their entries.
+    pub cut: Mutex<HashSet<usize>>,
+
+    /// The percentage of orders that get no answer and are carried out 2 to 12 s later.
+    pub late_percent: AtomicUsize,
+
+    /// Servers that were ready in a group, with its name and epoch.
+    been_ready: Mutex<HashSet<(String, String, u64)>>,
+
+    /// What broke TWO or PARTIAL.
+    pub violations: Mutex<Vec<String>>,
 }
 
 impl Fleet {
@@ -108,6 +123,10 @@
             starts: Mutex::default(),
             crashes: Mutex::default(),
             has_traffic: Mutex::new(false),
+            cut: Mutex::default(),
+            late_percent: AtomicUsize::new(0),
+            been_ready: Mutex::default(),
+            violations: Mutex::default(),
         });
         for index in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -176,12 +195,15 @@
                 Some((engine.id.clone(), (place.group.clone(), place.epoch)))
             })
             .collect();
-        for engine in engines.iter_mut().filter(|engine| engine.is_up) {
+        let cut = self.cut.lock().unwrap().clone();
+        for (number, engine) in engines.iter_mut().enumerate().filter(|(_, engine)| engine.is_up) {
             let running = engine.running;
             if let Some(place) = &mut engine.place {
                 let before = place.state;
                 if place.state == "joining" && now >= place.due_at {
                     place.state = "ready";
+                    let ready = (engine.id.clone(), place.group.clone(), place.epoch);
+                    self.been_ready.lock().unwrap().insert(ready);
                     engine.last_model = Some(place.model.clone());
                     if !engine.staged.contains(&place.model) {
                         engine.staged = vec![place.model.clone()];
@@ -204,6 +226,9 @@
                 }
                 engine.is_changed |= place.state != before;
             }
+            if cut.contains(&number) {
+                continue;
+            }
             if engine.is_changed || now - engine.written_at >= HEARTBEAT_S {
                 engine.is_changed = false;
                 engine.written_at = now;
@@ -257,6 +282,15 @@
         let now = now_s();
         let has_traffic = *self.has_traffic.lock().unwrap();
         let mut engines = self.engines.lock().unwrap();
+        let serving: Vec<(String, String, u64)> = engines
+            .iter()
+            .filter(|engine| engine.is_up)
+            .filter_map(|engine| {
+                let place = engine.place.as_ref().filter(|place| place.rank == 0)?;
+                let serves = ["open", "closing"].contains(&place.state);
+                serves.then(|| (engine.id.clone(), place.group.clone(), place.epoch))
+            })
+            .collect();
         let engine = &mut engines[index];
         let fence = order.number("fence").unwrap_or(0.0) as u64;
         if fence < engine.fence {
@@ -303,6 +337,19 @@
                 } else {
                     load_s
                 };
+                if let Some(old) = engine.place.as_ref().filter(|old| old.group != group) {
+                    let served = serving.iter().any(|(head, group, epoch)| {
+                        *head == old.members[0] && *group == old.group && *epoch == old.epoch
+                    });
+                    if served {
+                        let text = format!(
+                            "TWO: at {now:.3} {} joins {group} out of {}, whose head serves",
+                            engine.id, old.group
+                        );
+                        record(&text);
+                        self.violations.lock().unwrap().push(text);
+                    }
+                }
                 engine.newest_epoch = epoch;
                 engine.lists.insert((group.clone(), epoch), members.clone());
                 engine.place = Some(Place {
@@ -361,7 +408,22 @@
     // -----------------------------------------------------------------------------------------
     // Requests
 
-    fn serve(&self, index: usize, mut stream: TcpStream) -> Option<()> {
+    /// Carries out an order 2 to 12 s later, unless the server has started again since.
+    fn carry_out_late(self: Arc<Self>, index: usize, born: u64, body: Vec<u8>) {
+        spawn(move || {
+            sleep_ms(2000 + random_below(10_000) as u64);
+            let is_same = {
+                let engines = self.engines.lock().unwrap();
+                engines[index].is_up && engines[index].born == born
+            };
+            if let Some(order) = Json::parse(&body).filter(|_| is_same) {
+                record("a late order is carried out:");
+                self.order(index, &order);
+            }
+        });
+    }
+
+    fn serve(self: &Arc<Self>, index: usize, mut stream: TcpStream) -> Option<()> {
         stream.set_nonblocking(false).ok()?;
         let _ = stream.set_nodelay(true);
         let born = {
@@ -393,6 +455,11 @@
                     write_json(&mut stream, 200, &text)?;
                 }
                 "/health" => write_json(&mut stream, 200, "{}")?,
+                "/order" if random_below(100) < self.late_percent.load(Ordering::SeqCst) => {
+                    self.clone().carry_out_late(index, born, body);
+                    sleep_ms(3000);
+                    return None;
+                }
                 "/order" => {
                     let status = match Json::parse(&body) {
                         Some(order) => self.order(index, &order),
@@ -428,6 +495,7 @@
         let place = engine.place.as_ref().filter(|place| place.rank == 0);
         match place.map(|place| place.state) {
             Some("open") if engine.running < self.options.slots * 2 => {
+                self.check_members(place.expect("it is open"));
                 engine.running += 1;
                 Ok(())
             }
@@ -436,6 +504,19 @@
         }
     }
 
+    /// A request begins to run in a group of which every member must have been ready.
+    fn check_members(&self, place: &Place) {
+        let been_ready = self.been_ready.lock().unwrap();
+        let was_ready = |member: &&String| {
+            been_ready.contains(&((*member).clone(), place.group.clone(), place.epoch))
+        };
+        if let Some(member) = place.members.iter().find(|member| !was_ready(member)) {
+            let text = format!("PARTIAL: at {:.3} {member} of {}", now_s(), place.group);
+            record(&text);
+            self.violations.lock().unwrap().push(text);
+        }
+    }
+
     fn refuse(&self, stream: &mut TcpStream, status: u16, request: &str, id: &str) -> Option<()> {
         let text = format!(
             "HTTP/1.1 {status} Refused\r\nAttempt-Id: {request}\r\nInstance-Id: {id}\r\n\
@@ -506,7 +587,7 @@
 
     /// The server crashes: its connections are reset, and it starts again under its id, knowing
     /// nothing but the models on its host.
-    fn crash(&self, index: usize) {
+    pub fn crash(&self, index: usize) {
         self.crashes.lock().unwrap().push(now_s());
         let mut engines = self.engines.lock().unwrap();
         let engine = &mut engines[index];
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -29,9 +29,11 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     open_record(path);
     tell(&format!("case {name}, {}", if has_trouble { "with trouble" } else { "without trouble" }));
+    let guard = nodes::ProcessGuard;
     let verdict = match name.as_str() {
         "body-memory" => cases::body_memory::play(has_trouble),
         "left-server" => cases::left_server::play(has_trouble),
+        "fleet-soak" => cases::fleet_soak::play(),
         "two-servers" => cases::cut_node::play(
             has_trouble,
             &cut_node::Plot {
@@ -103,6 +105,7 @@
         }
         _ => Verdict::NotRun("no such case".to_owned()),
     };
+    drop(guard);
     match verdict {
         Verdict::Held => {
             tell("the rule held");
--- a/review/rig-3/nodes.rs
+++ b/review/rig-3/nodes.rs
@@ -4,18 +4,39 @@
     fs::{self, File},
     io::Write,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use crate::{
     http::{answer_framing, read_body, read_head, reader},
     json::Json,
-    util::{SIGKILL, now_s, record, signal, sleep_ms},
+    util::{SIGKILL, end_with_parent, now_s, record, signal, sleep_ms},
 };
 
+/// The processes that were started and not ended yet.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Whether the case is over, so that no process is started any more.
+static IS_OVER: AtomicBool = AtomicBool::new(false);
+
+/// Ends all processes when it is dropped.
+pub struct ProcessGuard;
+
+impl Drop for ProcessGuard {
+    fn drop(&mut self) {
+        let running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        IS_OVER.store(true, Ordering::SeqCst);
+        running.iter().for_each(|pid| signal(*pid, SIGKILL));
+    }
+}
+
 pub struct NodeOptions {
     pub zone: &'static str,
     pub memory_mb: u64,
@@ -126,17 +147,25 @@
             .and_then(|mut file| file.write_all(text.as_bytes()))
             .expect("the settings can be written");
         let log = File::options().create(true).append(true).open(&self.log_file).expect("a log");
-        let command = deploy_command();
-        let child = Command::new(&command[0])
-            .args(&command[1..])
+        let words = deploy_command();
+        let mut command = Command::new(&words[0]);
+        command
+            .args(&words[1..])
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
             .env("COMFREYTURN_CONFIG", &self.settings_file)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log"))
-            .stderr(log)
-            .spawn()
-            .expect("the build of the deploy file");
+            .stderr(log);
+        // SAFETY: the call is allowed between fork and exec.
+        unsafe { command.pre_exec(|| end_with_parent()) };
+        let mut running = RUNNING.lock().unwrap();
+        if IS_OVER.load(Ordering::SeqCst) {
+            return;
+        }
+        let child = command.spawn().expect("the build of the deploy file");
+        running.push(child.id());
+        drop(running);
         record(&format!("{}: started, process {}", self.name, child.id()));
         *self.child.lock().unwrap() = Some(child);
     }
@@ -149,6 +178,7 @@
         if let Some(mut child) = self.child.lock().unwrap().take() {
             signal(child.id(), SIGKILL);
             let _ = child.wait();
+            RUNNING.lock().unwrap().retain(|pid| *pid != child.id());
             record(&format!("{}: killed", self.name));
         }
     }
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -141,7 +141,7 @@
         let mut state = self.state.lock().unwrap();
         let copy = state.copies.iter().rev().find(|(made_at, _)| *made_at <= at_s).cloned();
         let (made_at, contents) = copy.expect("a copy of that time");
-        let lost = state.contents.ver - contents.ver;
+        let lost = state.contents.ver.saturating_sub(contents.ver);
         state.contents = contents;
         state.era += 1;
         state.is_away = false;
@@ -156,6 +156,15 @@
         ));
     }
 
+    /// The store comes back with all that it had. Entries count from now on.
+    pub fn come_back(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.is_away = false;
+        let now = now_s();
+        state.beats.values_mut().for_each(|at| *at = now);
+        record("store: back");
+    }
+
     fn expire_and_copy(&self) {
         let mut state = self.state.lock().unwrap();
         let now = now_s();
--- a/review/rig-3/util.rs
+++ b/review/rig-3/util.rs
@@ -116,6 +116,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
 }
 
@@ -127,6 +128,14 @@
     unsafe { kill(pid as i32, number) };
 }
 
+/// Makes the system end this process when its parent ends.
+pub fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: the option takes the number of a signal.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+    Ok(())
+}
+
 /// Makes closing a socket reset its connection.
 pub fn reset_on_close(socket: &impl AsRawFd) {
     const SOL_SOCKET: i32 = 1;
